Name the failed workers in job_released and gate task lease renewal

The next attempt of a job must avoid the workers on which it failed, also after a takeover, so the record names them. An owner that resumes after a pause must not renew task leases before it knows that it is still the owner: renews_task_leases() tells the surroundings.

--- a/kingcuprudder/codec/fields.hpp
+++ b/kingcuprudder/codec/fields.hpp
@@ -122,7 +122,8 @@
          field{"reason", &job_released::m_reason},
          field{"verdict", &job_released::m_verdict},
          field{"saved_run_time_ms", &job_released::m_saved_run_time},
-         field{"at", &job_released::m_at});
+         field{"at", &job_released::m_at},
+         field{"failed_workers", &job_released::m_failed_workers});
 KCR_WIRE(job_ended, field{"job", &job_ended::m_job},
          field{"attempt", &job_ended::m_attempt},
          field{"outcome", &job_ended::m_outcome},
--- a/kingcuprudder/region/log_record.hpp
+++ b/kingcuprudder/region/log_record.hpp
@@ -96,6 +96,8 @@
     /// Run time that checkpoints have saved so far.
     span m_saved_run_time;
     instant m_at;
+    /// Workers on which the attempt failed; the next attempt avoids them.
+    std::vector<worker_id> m_failed_workers = {};
 
     friend auto operator<=>(const job_released&, const job_released&) = default;
 };
--- a/kingcuprudder/region/region_owner.hpp
+++ b/kingcuprudder/region/region_owner.hpp
@@ -86,6 +86,12 @@
     /// Whether this process has taken the region over and decides for it.
     bool owning() const;
 
+    /// Whether a heartbeat that arrives now may be answered with a renewed task
+    /// lease. An owner that was paused past its own lease must not renew before
+    /// the store has shown that no other process has taken over: the next owner
+    /// counts a full task lease from its takeover.
+    bool renews_task_leases(instant now) const;
+
     /// The owner's epoch; 0 while it does not own the region.
     epoch_number epoch() const;
 
