--- /dev/null
+++ b/kingcuprudder/region/job_entry.hpp
@@ -0,0 +1,71 @@
+#ifndef KINGCUPRUDDER_REGION_JOB_ENTRY_HPP
+#define KINGCUPRUDDER_REGION_JOB_ENTRY_HPP
+
+#include <kingcuprudder/region/log_record.hpp>
+#include <kingcuprudder/region/owner_io.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// What the log says of one job.
+struct job_entry
+{
+    job_spec m_spec;
+    instant m_accepted_at;
+    job_phase m_phase = job_phase::queued;
+    std::uint32_t m_attempt = 0; ///< The latest attempt; 0 before the first.
+    placement m_placement;       ///< Empty while queued and after the end.
+    instant m_placed_at;
+    instant m_started_at; ///< Of the latest attempt; zero before its start.
+    stop_reason m_stop_reason = stop_reason::cancelled;
+    /// Attempts that count against the job's limit of failures.
+    std::vector<job_released> m_failures;
+    /// The latest release. Its verdict covers all earlier attempts as well.
+    std::optional<job_released> m_last_release;
+    std::optional<job_ended> m_end;
+
+    /// Run time that the checkpoints of earlier attempts hold.
+    span saved_run_time() const
+    {
+        return m_last_release ? m_last_release->m_saved_run_time : span();
+    }
+
+    /// Whether an earlier, released attempt may have run.
+    verdict earlier_verdict() const
+    {
+        return m_last_release ? m_last_release->m_verdict : verdict::not_run;
+    }
+
+    friend bool operator==(const job_entry&, const job_entry&) = default;
+};
+
+/// What the log says of one request that is not idempotent.
+struct permit_entry
+{
+    request_permitted m_permit;
+    std::optional<request_ended> m_end;
+
+    friend bool operator==(const permit_entry&, const permit_entry&) = default;
+};
+
+/// What the log says of a worker on which jobs failed in a row.
+struct set_aside_entry
+{
+    instant m_until;
+    /// How often the worker was set aside without a success in between.
+    std::uint32_t m_times = 0;
+    bool m_active = false; ///< False once it takes work again.
+
+    friend bool operator==(const set_aside_entry&,
+                           const set_aside_entry&) = default;
+};
+
+/// The job as its caller sees it.
+job_status status_of(const job_entry& entry);
+
+} // namespace kingcuprudder
+
+#endif
