Add shape fitting and the first fit baseline

First fit in arrival order keeps shape and proximity, refuses what the whole topology cannot hold and gives each waiting job a reason.

--- /dev/null
+++ b/kingcuprudder/placement/shape_fitting.hpp
@@ -0,0 +1,105 @@
+#ifndef KINGCUPRUDDER_PLACEMENT_SHAPE_FITTING_HPP
+#define KINGCUPRUDDER_PLACEMENT_SHAPE_FITTING_HPP
+
+#include <kingcuprudder/topology/cluster.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// A range of worker indices of a cluster that form one worker, rack, zone or
+/// the region.
+struct worker_range
+{
+    std::size_t m_first = 0;
+    std::size_t m_last = 0; ///< One past the last index.
+
+    friend bool operator==(const worker_range&, const worker_range&) = default;
+};
+
+/// The racks and zones of a cluster as ranges of worker indices.
+class worker_ranges
+{
+public:
+    worker_ranges() = default;
+    explicit worker_ranges(const cluster& region);
+
+    /// The ranges within which a gang of this proximity must stay.
+    const std::vector<worker_range>& of(proximity value) const;
+
+    /// The number of the range of this proximity that holds the worker.
+    std::size_t range_of(proximity value, std::size_t worker) const;
+
+private:
+    std::vector<worker_range> m_workers;
+    std::vector<worker_range> m_racks;
+    std::vector<worker_range> m_zones;
+    std::vector<worker_range> m_region;
+    std::vector<std::uint32_t> m_rack_of;
+    std::vector<std::uint32_t> m_zone_of;
+};
+
+/// Free resources of each worker, by worker index.
+using free_table = std::vector<worker_free>;
+
+/// The part of a gang on one worker, by worker index.
+struct indexed_allocation
+{
+    std::uint32_t m_worker = 0;
+    std::uint32_t m_tasks = 0;
+    std::uint64_t m_accelerators = 0;
+
+    friend auto operator<=>(const indexed_allocation&,
+                            const indexed_allocation&) = default;
+};
+
+/// Where a whole gang runs, by worker index.
+using indexed_placement = std::vector<indexed_allocation>;
+
+/// What is free on the workers that take new work; nothing on the others.
+free_table usable_free(const cluster& region);
+
+/// What the workers have in total.
+free_table total_resources(const cluster& region);
+
+/// How many tasks of this shape the free resources can hold.
+std::uint32_t tasks_that_fit(const worker_free& left, const shape& needed);
+
+/// Chooses count accelerators out of the free set: the shortest contiguous
+/// run that is long enough, else the lowest ones.
+std::uint64_t choose_accelerators(std::uint64_t free, std::uint32_t count);
+
+/// Takes or gives back the resources of one allocation.
+void take(free_table& table, const shape& needed,
+          const indexed_allocation& part);
+void take(free_table& table, const shape& needed,
+          const indexed_placement& where);
+void give_back(free_table& table, const shape& needed,
+               const indexed_allocation& part);
+
+/// First fit: the first range with room, its workers in index order.
+std::optional<indexed_placement> first_fit(const free_table& table,
+                                           const worker_ranges& ranges,
+                                           const shape& needed);
+
+/// Why the shape cannot be placed even when everything is free, or nothing.
+std::optional<std::string> reason_never_fits(const cluster& region,
+                                             const worker_ranges& ranges,
+                                             const shape& needed);
+
+/// Converts between worker indices and worker ids. Workers that the cluster
+/// does not have are left out of the indexed form.
+placement to_placement(const cluster& region, const indexed_placement& where);
+indexed_placement to_indexed(const cluster& region, const placement& where);
+
+/// Text for a shape, e.g. "64 tasks x 1 accelerator in one zone".
+std::string describe(const shape& needed);
+
+} // namespace kingcuprudder
+
+#endif
