--- /dev/null
+++ b/kingcuprudder/region/job_desk.hpp
@@ -0,0 +1,91 @@
+#ifndef KINGCUPRUDDER_REGION_JOB_DESK_HPP
+#define KINGCUPRUDDER_REGION_JOB_DESK_HPP
+
+#include <kingcuprudder/placement/placement_policy.hpp>
+#include <kingcuprudder/region/call_desk.hpp>
+#include <kingcuprudder/region/gang_table.hpp>
+#include <kingcuprudder/region/region_capacity.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// Takes callers' job calls: submissions, queries and cancellations, and the
+/// deadlines of jobs.
+class job_desk
+{
+public:
+    job_desk(scheduler_context& context, gang_table& gangs,
+             const placement_policy& policy, const region_capacity& capacity);
+
+    void on_submit(call_number call, const submit_job& request, instant now);
+    void on_query(call_number call, const query_job& request, instant now);
+    void on_list(call_number call, const list_jobs& request);
+    void on_cancel(call_number call, const cancel_job& request, instant now);
+
+    void on_accepted(const job_key& job);
+    void on_placed(const job_key& job, instant now);
+    void on_stopping(const job_key& job);
+    void on_queued_again(const job_key& job, instant now);
+    void on_ended(const job_key& job);
+
+    /// Whether a record about this queued job is under way.
+    bool pending(const job_key& job) const { return m_pending.contains(job); }
+
+    /// Records that a queued job is placed.
+    void place(const job_entry& entry, const placement& where, instant now);
+
+    /// Ends jobs whose deadline has passed and answers calls that have waited
+    /// long enough.
+    void on_tick(instant now);
+
+    /// Answers all calls with not_owner.
+    void step_down(const std::string& owner);
+
+private:
+    using desk = call_desk<job_key>;
+
+    struct submission
+    {
+        job_spec m_spec;
+        record_ticket m_ticket = 0;
+    };
+
+    std::optional<error> refusal(const job_spec& spec, instant now) const;
+    std::optional<error> limit_refusal(const job_spec& spec) const;
+    void cancel(const job_entry& entry, instant now);
+    void end_queued(const job_entry& entry, job_outcome outcome, instant now);
+    void expire_submission(const desk::waiting_call& call);
+    void expire_cancellation(const desk::waiting_call& call, instant now);
+    void expire_deadlines(instant now);
+    void answer_status(call_number call, const job_entry& entry);
+    void refuse(call_number call, error_code code, std::string message,
+                verdict ran);
+
+    scheduler_context& m_context;
+    gang_table& m_gangs;
+    const placement_policy& m_policy;
+    const region_capacity& m_capacity;
+
+    desk m_submitting;
+    desk m_querying;
+    desk m_cancelling;
+    /// Jobs whose acceptance is under way.
+    std::map<job_key, submission> m_submissions;
+    std::map<account_id, std::size_t> m_submitted_by;
+    /// Queued jobs with a record under way that places or ends them.
+    std::map<job_key, record_ticket> m_pending;
+    /// Jobs to stop as soon as their placement is committed.
+    std::map<job_key, stop_reason> m_stop_when_placed;
+};
+
+/// Largest payload of a job, so that its record fits into one value.
+inline constexpr std::size_t max_payload_bytes = 800 * 1024;
+
+} // namespace kingcuprudder
+
+#endif
--- a/kingcuprudder/region/ownership.cpp
+++ b/kingcuprudder/region/ownership.cpp
@@ -21,9 +21,10 @@
 } // namespace
 
 ownership::ownership(const owner_options& options, const owner_codec& codec)
-    : m_key(owner_key(options.m_region)),
-      m_self{options.m_instance, options.m_address}, m_codec(codec),
-      m_random(options.m_seed), m_backoff(store_retry_first, store_retry_longest)
+    : m_key(owner_key(options.m_region)), m_self{options.m_instance,
+                                                 options.m_address},
+      m_codec(codec), m_random(options.m_seed),
+      m_backoff(store_retry_first, store_retry_longest)
 {
 }
 
@@ -77,9 +78,9 @@
     case step::granting:
         return call(step::granting, lease_grant{owner_lease_time}, now);
     case step::claiming:
-        return call(step::claiming,
-                    store_put{m_key, m_codec.m_encode_owner(m_self), 0, m_lease},
-                    now);
+        return call(
+            step::claiming,
+            store_put{m_key, m_codec.m_encode_owner(m_self), 0, m_lease}, now);
     case step::verifying:
         return call(step::verifying, store_get{m_key}, now);
     case step::holding:
@@ -173,7 +174,10 @@
     }
 }
 
-void ownership::release() { m_release_wanted = true; }
+void ownership::release()
+{
+    m_release_wanted = true;
+}
 
 void ownership::abandon()
 {
--- /dev/null
+++ b/kingcuprudder/region/permit_desk.hpp
@@ -0,0 +1,59 @@
+#ifndef KINGCUPRUDDER_REGION_PERMIT_DESK_HPP
+#define KINGCUPRUDDER_REGION_PERMIT_DESK_HPP
+
+#include <kingcuprudder/region/call_desk.hpp>
+
+#include <map>
+#include <string>
+
+namespace kingcuprudder
+{
+
+/// Grants each request that is not idempotent once, and keeps its outcome.
+class permit_desk
+{
+public:
+    explicit permit_desk(scheduler_context& context) : m_context(context) {}
+
+    void on_request(call_number call, const request_permit& request,
+                    instant now);
+    void on_end(call_number call, const end_request& request, instant now);
+
+    void on_committed(const request_permitted& record, instant now);
+    void on_committed(const request_ended& record);
+
+    /// Ends permits whose holder has not reported an outcome in time, and
+    /// answers calls that have waited long enough.
+    void on_tick(instant now);
+
+    /// Answers all calls with not_owner.
+    void step_down(const std::string& owner);
+
+private:
+    using desk = call_desk<request_key>;
+
+    void wait(call_number call, const request_key& key, instant expires,
+              bool for_record);
+    void answer_open(call_number call, const request_permit& request,
+                     const permit_entry& entry, instant now);
+    void expire_call(const desk::waiting_call& call);
+    void expire_permits(instant now);
+    void refuse(call_number call, error_code code, std::string message,
+                verdict ran);
+
+    scheduler_context& m_context;
+    desk m_asking; ///< Calls of on_request.
+    desk m_ending; ///< Calls of on_end.
+    /// Permits whose record is under way.
+    std::map<request_key, std::pair<record_ticket, request_permitted>>
+        m_pending;
+    /// Outcomes whose record is under way.
+    std::map<request_key, record_ticket> m_pending_ends;
+};
+
+/// A permit without an outcome ends this long after its deadline.
+inline constexpr span permit_grace = span::seconds(5);
+
+} // namespace kingcuprudder
+
+#endif
--- a/kingcuprudder/region/region_log.cpp
+++ b/kingcuprudder/region/region_log.cpp
@@ -42,7 +42,10 @@
     return element_overhead * record.m_failed_workers.size();
 }
 
-std::size_t size_of(const job_ended& record) { return record.m_answer.size(); }
+std::size_t size_of(const job_ended& record)
+{
+    return record.m_answer.size();
+}
 
 std::size_t size_of(const request_permitted& record)
 {
@@ -199,8 +202,9 @@
 
     std::size_t size = 0;
     log_entry entry;
-    while (!m_queue.empty() &&
-           (m_batch.empty() || size + m_queue.front().m_size <= max_batch_bytes))
+    while (
+        !m_queue.empty() &&
+        (m_batch.empty() || size + m_queue.front().m_size <= max_batch_bytes))
     {
         size += m_queue.front().m_size;
         entry.m_records.push_back(m_queue.front().m_record);
@@ -209,7 +213,8 @@
     }
     entry.m_sequence = m_next;
     entry.m_epoch = m_epoch;
-    entry.m_batch_id = std::to_string(m_random()) + "-" + std::to_string(m_next);
+    entry.m_batch_id =
+        std::to_string(m_random()) + "-" + std::to_string(m_next);
     m_batch_id = entry.m_batch_id;
     m_batch_value = m_codec.m_encode_entry(entry);
     m_batch_since = now;
--- a/kingcuprudder/region/region_log.hpp
+++ b/kingcuprudder/region/region_log.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPRUDDER_REGION_REGION_LOG_HPP
 #define KINGCUPRUDDER_REGION_REGION_LOG_HPP
 
+#include <kingcuprudder/region/region_keys.hpp>
 #include <kingcuprudder/region/region_owner.hpp>
 #include <kingcuprudder/region/store_operation.hpp>
 
@@ -39,8 +40,7 @@
     };
 
     /// Revisions of slots that are known already, by slot number.
-    using slot_revisions =
-        std::array<std::optional<store_revision>, log_slots>;
+    using slot_revisions = std::array<std::optional<store_revision>, log_slots>;
 
     region_log(region_id region, const owner_codec& codec, std::uint64_t seed);
 
--- a/kingcuprudder/region/region_state.cpp
+++ b/kingcuprudder/region/region_state.cpp
@@ -51,8 +51,7 @@
     }
     if (entry.m_started_at != instant())
     {
-        to.emplace_back(
-            job_started{key, entry.m_attempt, entry.m_started_at});
+        to.emplace_back(job_started{key, entry.m_attempt, entry.m_started_at});
     }
     if (entry.m_phase == job_phase::stopping)
     {
