Add the history recorder and checker

The checker finds overlapping use of an accelerator, partial gangs, repeated runs, answers to the wrong caller, runs despite "not run", lost jobs, success without a complete run, reverted settings, late reclaims and work on leaving targets.

--- /dev/null
+++ b/kingcuprudder/history/history_event.hpp
@@ -0,0 +1,146 @@
+#ifndef KINGCUPRUDDER_HISTORY_HISTORY_EVENT_HPP
+#define KINGCUPRUDDER_HISTORY_HISTORY_EVENT_HPP
+
+#include <kingcuprudder/base/error.hpp>
+#include <kingcuprudder/region/log_record.hpp>
+#include <kingcuprudder/region/owner_io.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace kingcuprudder
+{
+
+/// Numbers the calls of one history; each invocation has its own number.
+using history_call = std::uint64_t;
+
+/// What a recorded call asked for.
+enum class call_kind
+{
+    submit,
+    query,
+    cancel,
+    request,
+};
+
+/// A caller has sent a call.
+struct call_invoked
+{
+    history_call m_call = 0;
+    std::string m_caller;
+    call_kind m_kind = call_kind::submit;
+    std::string m_subject; ///< The job or request that the call names.
+    bool m_idempotent = true;
+    instant m_at;
+};
+
+/// A caller has received an answer.
+struct call_answered
+{
+    history_call m_call = 0;
+    std::string m_caller;  ///< The caller that received it.
+    std::string m_subject; ///< What the answer names; empty in an error.
+    /// The verdict of a refusal; empty when the call was carried out.
+    std::optional<verdict> m_refused;
+    instant m_at;
+};
+
+/// A caller was told that a job has ended.
+struct end_reported
+{
+    std::string m_job;
+    job_outcome m_outcome = job_outcome::succeeded;
+    verdict m_verdict = verdict::ran;
+    instant m_at;
+};
+
+/// A worker runs its part of an attempt from here on.
+struct part_started
+{
+    worker_id m_worker;
+    std::string m_job;
+    std::uint32_t m_attempt = 0;
+    std::uint64_t m_accelerators = 0;
+    std::uint32_t m_gang_parts = 1; ///< Workers of the whole gang.
+    bool m_idempotent = true;
+    instant m_at;
+};
+
+/// A worker's part of an attempt runs no longer.
+struct part_ended
+{
+    worker_id m_worker;
+    std::string m_job;
+    std::uint32_t m_attempt = 0;
+    bool m_completed = false; ///< Whether all of its tasks ended well.
+    instant m_at;
+};
+
+/// An attempt was told to stop.
+struct stop_asked
+{
+    std::string m_job;
+    std::uint32_t m_attempt = 0;
+    instant m_at;
+};
+
+/// A back end carried out a request.
+struct request_executed
+{
+    std::string m_request;
+    bool m_idempotent = false;
+    instant m_at;
+};
+
+/// A process works with this revision of the settings.
+struct settings_seen
+{
+    std::string m_process;
+    std::uint64_t m_revision = 0;
+    instant m_at;
+};
+
+/// A job that borrows capacity was asked to give it back within a bound.
+struct reclaim_asked
+{
+    std::string m_job;
+    std::uint32_t m_attempt = 0;
+    span m_bound;
+    instant m_at;
+};
+
+/// The capacity has been given back.
+struct reclaim_done
+{
+    std::string m_job;
+    std::uint32_t m_attempt = 0;
+    instant m_at;
+};
+
+/// A target was announced to be leaving, or to have come back.
+struct target_leaving
+{
+    std::string m_target;
+    bool m_leaving = true;
+    instant m_at;
+};
+
+/// New work was given to a target.
+struct work_placed
+{
+    std::string m_target;
+    std::string m_subject;
+    instant m_at;
+};
+
+/// One observation of a run.
+using history_event =
+    std::variant<call_invoked, call_answered, end_reported, part_started,
+                 part_ended, stop_asked, request_executed, settings_seen,
+                 reclaim_asked, reclaim_done, target_leaving, work_placed>;
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/kingcuprudder/history/history_index.hpp
@@ -0,0 +1,70 @@
+#ifndef KINGCUPRUDDER_HISTORY_HISTORY_INDEX_HPP
+#define KINGCUPRUDDER_HISTORY_HISTORY_INDEX_HPP
+
+#include <kingcuprudder/history/history_event.hpp>
+
+#include <limits>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// An end that has not come within the history.
+inline constexpr instant never(std::numeric_limits<std::int64_t>::max());
+
+/// One run of one part of a gang, from its start to its end.
+struct part_run
+{
+    part_started m_start;
+    instant m_end = never;
+    bool m_completed = false;
+};
+
+/// One call with its answers.
+struct recorded_call
+{
+    std::optional<call_invoked> m_invoked;
+    std::vector<call_answered> m_answers;
+};
+
+/// A history, sorted by what its rules ask for.
+class history_index
+{
+public:
+    explicit history_index(const std::vector<history_event>& events);
+
+    /// Names one attempt.
+    using attempt = std::pair<std::string, std::uint32_t>;
+
+    std::vector<part_run> m_runs;
+    std::map<attempt, std::vector<std::size_t>> m_runs_of; ///< Into m_runs.
+    std::map<attempt, instant> m_stops; ///< The first request to stop.
+    std::map<history_call, recorded_call> m_calls;
+    std::vector<end_reported> m_ends;
+    std::vector<request_executed> m_requests;
+    std::vector<settings_seen> m_settings;
+    std::vector<reclaim_asked> m_reclaims;
+    std::map<attempt, instant> m_reclaimed;
+    std::vector<history_event> m_targets; ///< target_leaving and work_placed.
+
+private:
+    void add(const call_invoked& event);
+    void add(const call_answered& event);
+    void add(const end_reported& event);
+    void add(const part_started& event);
+    void add(const part_ended& event);
+    void add(const stop_asked& event);
+    void add(const request_executed& event);
+    void add(const settings_seen& event);
+    void add(const reclaim_asked& event);
+    void add(const reclaim_done& event);
+    void add(const target_leaving& event);
+    void add(const work_placed& event);
+};
+
+} // namespace kingcuprudder
+
+#endif
