--- a/kingcuprudder/region/job_desk.cpp
+++ b/kingcuprudder/region/job_desk.cpp
@@ -120,16 +120,7 @@
 
 void job_desk::on_accepted(const job_key& job)
 {
-    auto found = m_submissions.find(job);
-    if (found != m_submissions.end())
-    {
-        m_submissions.erase(found);
-        auto count = m_submitted_by.find(job.m_account);
-        if (--count->second == 0)
-        {
-            m_submitted_by.erase(count);
-        }
-    }
+    forget_submission(job);
     const job_entry* entry = m_context.m_state.find_job(job);
     for (const desk::waiting_call& each : m_submitting.take(job))
     {
@@ -315,6 +306,19 @@
             job, entry.m_attempt, outcome, entry.earlier_verdict(), {}, now}));
 }
 
+void job_desk::forget_submission(const job_key& job)
+{
+    if (m_submissions.erase(job) == 0)
+    {
+        return;
+    }
+    auto count = m_submitted_by.find(job.m_account);
+    if (--count->second == 0)
+    {
+        m_submitted_by.erase(count);
+    }
+}
+
 void job_desk::expire_submission(const desk::waiting_call& call)
 {
     // The append in flight may yet take effect, or already has: only a record
@@ -330,12 +334,7 @@
                verdict::may_have_run);
         return;
     }
-    m_submissions.erase(call.m_key);
-    auto count = m_submitted_by.find(call.m_key.m_account);
-    if (--count->second == 0)
-    {
-        m_submitted_by.erase(count);
-    }
+    forget_submission(call.m_key);
     refuse(call.m_call, error_code::store_unavailable,
            "the store does not answer", verdict::not_run);
     for (const desk::waiting_call& other : m_submitting.take(call.m_key))
--- a/kingcuprudder/region/job_desk.hpp
+++ b/kingcuprudder/region/job_desk.hpp
@@ -59,6 +59,7 @@
     std::optional<error> limit_refusal(const job_spec& spec) const;
     void cancel(const job_entry& entry, instant now);
     void end_queued(const job_entry& entry, job_outcome outcome, instant now);
+    void forget_submission(const job_key& job);
     void expire_submission(const desk::waiting_call& call);
     void expire_cancellation(const desk::waiting_call& call, instant now);
     void expire_deadlines(instant now);
