Add target judgement, request routing and the entry's connections

Callers reach minions through these parts: the target table judges targets from the instance list and observed calls, the router picks a target within the limits and the retry budget, and the session of one request decides when it may be sent again. The HTTP server of the entry refuses connections over its bounds and interrupts no accepted connection when it stops.

--- /dev/null
+++ b/kingcuprudder/request/request_session.cpp
@@ -0,0 +1,321 @@
+#include <kingcuprudder/base/assert.hpp>
+#include <kingcuprudder/request/owner_retry.hpp>
+#include <kingcuprudder/request/request_session.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+constexpr span first_delay = span(20);
+constexpr span longest_delay = span::seconds(2);
+/// An owner answers a report within milliseconds; a lost one is sent again.
+constexpr span report_timeout = span::seconds(2);
+/// Below this, splitting the time that is left between two tries makes both
+/// too short to succeed.
+constexpr span shortest_split = span::seconds(1);
+
+error make_error(error_code code, std::string message, verdict outcome)
+{
+    return error{code, std::move(message), outcome};
+}
+
+error describe(const permit_ended& ended)
+{
+    if (ended.m_verdict == verdict::not_run)
+    {
+        return make_error(error_code::target_unavailable,
+                          "an earlier call with this id ended without a run",
+                          verdict::not_run);
+    }
+    return make_error(error_code::connection_lost,
+                      "an earlier call with this id ended without an answer",
+                      verdict::may_have_run);
+}
+
+} // namespace
+
+request_session::request_session(service_request request, std::string holder,
+                                 request_router& router)
+    : m_request(std::move(request)), m_holder(std::move(holder)),
+      m_router(router),
+      m_backoff(first_delay, longest_delay, router.next_seed())
+{
+    m_outcome.m_request = m_request.m_key;
+    m_outcome.m_holder = m_holder;
+}
+
+request_session::effects request_session::start(instant now)
+{
+    KCR_ASSERT(m_state == state::idle);
+    return m_request.m_idempotent ? dispatch(now) : ask(now);
+}
+
+request_session::effects request_session::ask(instant now)
+{
+    if (now >= m_request.m_deadline)
+    {
+        return fail_without_permit(
+            make_error(error_code::owner_unavailable,
+                       "no answer from the region's owner by the deadline",
+                       verdict::not_run),
+            now);
+    }
+    m_state = state::asking_permit;
+    request_permit permit;
+    permit.m_request = m_request.m_key;
+    permit.m_content_hash = m_request.m_content_hash;
+    permit.m_holder = m_holder;
+    permit.m_deadline = m_request.m_deadline;
+    return {ask_permit{++m_last_call, permit, m_request.m_deadline - now}};
+}
+
+request_session::effects
+request_session::on_permit(session_call call, const result<caller_reply>& reply,
+                           instant now)
+{
+    if (m_state != state::asking_permit || call != m_last_call)
+    {
+        return {};
+    }
+    if (!succeeded(reply))
+    {
+        const error& failure = error_of(reply);
+        // Without an answer, this session may hold the permit, or another
+        // session's permit for the same request may be pending.
+        const bool unclear = failure.m_verdict != verdict::not_run;
+        m_permit_unclear |= unclear;
+        m_may_hold_permit |= unclear;
+        if (!is_worth_repeating(failure.m_code))
+        {
+            return fail_without_permit(failure, now);
+        }
+        return wait(state::waiting_to_ask, m_backoff.next(), now);
+    }
+    const caller_reply& value = value_of(reply);
+    if (std::holds_alternative<permit_granted>(value))
+    {
+        m_permit_unclear = false;
+        m_may_hold_permit = true;
+        m_backoff.reset();
+        return dispatch(now);
+    }
+    m_may_hold_permit = false;
+    if (const auto* ended = std::get_if<permit_ended>(&value))
+    {
+        if (ended->m_verdict == verdict::ran)
+        {
+            return end(verdict::ran, request_answer{ended->m_answer}, now);
+        }
+        return end(ended->m_verdict, describe(*ended), now);
+    }
+    const error unexpected =
+        make_error(error_code::internal, "unexpected answer of the owner",
+                   verdict::may_have_run);
+    return end(verdict::may_have_run, unexpected, now);
+}
+
+request_session::effects
+request_session::fail_without_permit(const error& failure, instant now)
+{
+    error told = failure;
+    told.m_verdict =
+        m_permit_unclear ? verdict::may_have_run : verdict::not_run;
+    return end(verdict::not_run, told, now);
+}
+
+request_session::effects request_session::dispatch(instant now)
+{
+    if (now >= m_request.m_deadline)
+    {
+        return retry_or_fail(
+            make_error(error_code::deadline_exceeded,
+                       "the deadline passed before a target took the request",
+                       verdict::not_run),
+            now);
+    }
+    m_target = m_router.pick(m_request.m_service, m_tried);
+    if (!m_target)
+    {
+        return wait_for_target(now);
+    }
+    m_waiting_since.reset();
+    m_state = state::calling_target;
+    return {call_target{++m_last_call, *m_target, target_timeout(now)}};
+}
+
+request_session::effects request_session::wait_for_target(instant now)
+{
+    if (!m_waiting_since)
+    {
+        m_waiting_since = now;
+    }
+    if (now - *m_waiting_since < longest_target_wait)
+    {
+        return wait(state::waiting_for_target, m_backoff.next(), now);
+    }
+    const bool live = m_router.has_live_target(m_request.m_service);
+    const error refusal =
+        live ? make_error(error_code::limit_reached,
+                          "all targets of the service are busy",
+                          verdict::not_run)
+             : make_error(error_code::target_unavailable,
+                          "the service has no live target", verdict::not_run);
+    const verdict outcome =
+        m_may_have_run ? verdict::may_have_run : verdict::not_run;
+    return end(outcome, error{refusal.m_code, refusal.m_message, outcome}, now);
+}
+
+span request_session::target_timeout(instant now) const
+{
+    const span left = m_request.m_deadline - now;
+    if (m_request.m_idempotent && left / 2 >= shortest_split)
+    {
+        // Leaves time to try another target when this one stays silent.
+        return left / 2;
+    }
+    return left;
+}
+
+request_session::effects
+request_session::on_target_answer(session_call call,
+                                  const target_answer& answer, instant now)
+{
+    if (m_state != state::calling_target || call != m_last_call)
+    {
+        return {};
+    }
+    m_router.on_call_ended(*m_target, answer, now);
+    m_tried.push_back(*m_target);
+    switch (answer.m_outcome)
+    {
+    case target_outcome::answered:
+        return end(verdict::ran, request_answer{answer.m_body}, now);
+    case target_outcome::rejected:
+        return end(
+            verdict::may_have_run,
+            make_error(error_code::failed,
+                       "the target rejected the request: " + answer.m_body,
+                       verdict::may_have_run),
+            now);
+    case target_outcome::failed:
+        m_may_have_run = true;
+        return retry_or_fail(make_error(error_code::failed,
+                                        "the target failed: " + answer.m_body,
+                                        verdict::may_have_run),
+                             now);
+    case target_outcome::refused:
+    case target_outcome::not_sent:
+        return retry_or_fail(make_error(error_code::target_unavailable,
+                                        "no target took the request",
+                                        verdict::not_run),
+                             now);
+    case target_outcome::unknown:
+        m_may_have_run = true;
+        return retry_or_fail(make_error(now >= m_request.m_deadline
+                                            ? error_code::deadline_exceeded
+                                            : error_code::connection_lost,
+                                        "no answer from the target",
+                                        verdict::may_have_run),
+                             now);
+    }
+    KCR_ASSERT(false);
+    return {};
+}
+
+request_session::effects request_session::retry_or_fail(const error& failure,
+                                                        instant now)
+{
+    const bool harmless = m_request.m_idempotent || !m_may_have_run;
+    const span delay = m_backoff.next();
+    const bool in_time = now + delay < m_request.m_deadline;
+    if (harmless && in_time && m_router.try_take_retry(m_request.m_service))
+    {
+        return wait(state::waiting_for_target, delay, now);
+    }
+    error told = failure;
+    told.m_verdict = m_may_have_run ? verdict::may_have_run : verdict::not_run;
+    return end(told.m_verdict, told, now);
+}
+
+request_session::effects request_session::wait(state next, span delay,
+                                               instant now)
+{
+    m_state = next;
+    return {wait_until{std::min(now + delay, m_request.m_deadline)}};
+}
+
+request_session::effects request_session::on_timer(instant now)
+{
+    switch (m_state)
+    {
+    case state::waiting_to_ask:
+        return ask(now);
+    case state::waiting_for_target:
+        return dispatch(now);
+    case state::waiting_to_report:
+        return report(now);
+    default:
+        return {};
+    }
+}
+
+request_session::effects request_session::end(verdict outcome,
+                                              result<request_answer> answer,
+                                              instant now)
+{
+    KCR_ASSERT(!m_answered);
+    m_answered = true;
+    m_router.release(m_request.m_key.m_account, m_request.m_service);
+    m_outcome.m_verdict = outcome;
+    if (succeeded(answer))
+    {
+        m_outcome.m_answer = value_of(answer).m_body;
+    }
+    effects all{answer_caller{std::move(answer)}};
+    if (!m_may_hold_permit)
+    {
+        m_state = state::finished;
+        return all;
+    }
+    m_backoff.reset();
+    for (session_effect& each : report(now))
+    {
+        all.push_back(std::move(each));
+    }
+    return all;
+}
+
+request_session::effects request_session::report(instant now)
+{
+    if (now >= m_request.m_deadline + report_after_deadline)
+    {
+        m_state = state::finished;
+        return {};
+    }
+    m_state = state::reporting;
+    return {report_outcome{++m_last_call, m_outcome, report_timeout}};
+}
+
+request_session::effects
+request_session::on_report(session_call call, const result<caller_reply>& reply,
+                           instant now)
+{
+    if (m_state != state::reporting || call != m_last_call)
+    {
+        return {};
+    }
+    if (succeeded(reply) || error_of(reply).m_code == error_code::unknown_job)
+    {
+        m_state = state::finished;
+        return {};
+    }
+    m_state = state::waiting_to_report;
+    return {wait_until{now + m_backoff.next()}};
+}
+
+} // namespace kingcuprudder
--- /dev/null
+++ b/kingcuprudder/service/entry_requests.hpp
@@ -0,0 +1,89 @@
+#ifndef KINGCUPRUDDER_SERVICE_ENTRY_REQUESTS_HPP
+#define KINGCUPRUDDER_SERVICE_ENTRY_REQUESTS_HPP
+
+#include <kingcuprudder/request/request_session.hpp>
+#include <kingcuprudder/runtime/bounded_ring.hpp>
+#include <kingcuprudder/service/entry_minion_calls.hpp>
+#include <kingcuprudder/service/entry_owner_calls.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace kingcuprudder
+{
+
+/// Carries requests to minions: runs the session of each on its caller's
+/// thread, and reports outcomes to the region's owner from a thread of its
+/// own. Safe to use from several threads.
+class entry_requests
+{
+public:
+    /// The router is shared with the membership poller; the mutex guards it.
+    entry_requests(request_router& router, std::mutex& router_mutex,
+                   entry_minion_calls& minions, entry_owner_calls& owner,
+                   std::string holder_prefix);
+    ~entry_requests();
+    entry_requests(const entry_requests&) = delete;
+    entry_requests& operator=(const entry_requests&) = delete;
+
+    /// Runs one request to its end and returns what its caller is told.
+    result<request_answer> run(const service_request& request);
+
+    /// Waits until all outcomes are reported or given up.
+    void finish_reports();
+
+    /// Outcomes that the owner has not acknowledged yet.
+    std::size_t open_reports() const;
+
+private:
+    struct event
+    {
+        std::uint64_t m_session = 0;
+        session_call m_call = 0;
+        std::unique_ptr<request_session> m_new;
+        std::unique_ptr<report_outcome> m_first_report;
+        std::unique_ptr<result<caller_reply>> m_reply;
+    };
+    struct reporting
+    {
+        std::unique_ptr<request_session> m_session;
+        instant m_due; ///< Zero while an answer is awaited.
+    };
+
+    result<request_answer> drive(std::unique_ptr<request_session> session);
+    request_session::effects carry_out(request_session& session,
+                                       const session_effect& effect);
+    void hand_over(std::unique_ptr<request_session> session,
+                   const report_outcome& report);
+    void report_loop();
+    void handle(event& each);
+    void run_due(instant now);
+    void apply(std::uint64_t id, reporting& entry,
+               const request_session::effects& effects);
+    span time_to_next() const;
+    void note_finished(std::uint64_t id);
+
+    request_router& m_router;
+    std::mutex& m_router_mutex;
+    entry_minion_calls& m_minions;
+    entry_owner_calls& m_owner;
+    std::string m_holder_prefix;
+    std::atomic<std::uint64_t> m_last_holder = 0;
+    std::shared_ptr<bounded_ring<event>> m_events;
+    std::map<std::uint64_t, reporting> m_reporting; // Report thread only.
+    std::uint64_t m_last_session = 0;               // Report thread only.
+    mutable std::mutex m_open_mutex;
+    std::condition_variable m_none_open;
+    std::size_t m_open = 0;
+    std::thread m_thread;
+};
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/kingcuprudder/service/entry_socket_stream.hpp
@@ -0,0 +1,49 @@
+#ifndef KINGCUPRUDDER_SERVICE_ENTRY_SOCKET_STREAM_HPP
+#define KINGCUPRUDDER_SERVICE_ENTRY_SOCKET_STREAM_HPP
+
+#include <kingcuprudder/base/time.hpp>
+
+#include <array>
+#include <cstddef>
+#include <httplib.h>
+#include <string>
+
+namespace kingcuprudder
+{
+
+/// One accepted connection, as cpp-httplib reads and writes it. Waits with
+/// poll(2), so that an idle connection uses no processor time.
+class entry_socket_stream final : public httplib::Stream
+{
+public:
+    entry_socket_stream(socket_t socket, span transfer_timeout);
+
+    /// Waits for the next request's first byte; false on timeout or when the
+    /// other side has closed.
+    bool wait_for_request(span timeout);
+
+    /// Ends the connection so that the other side can still read the last
+    /// answer, even when it has sent more than was read.
+    void close();
+
+    bool is_readable() const override;
+    bool is_writable() const override;
+    ssize_t read(char* ptr, size_t size) override;
+    ssize_t write(const char* ptr, size_t size) override;
+    void get_remote_ip_and_port(std::string& ip, int& port) const override;
+    void get_local_ip_and_port(std::string& ip, int& port) const override;
+    socket_t socket() const override { return m_socket; }
+
+private:
+    bool poll_for(short events, span timeout) const;
+
+    socket_t m_socket;
+    span m_transfer_timeout;
+    std::array<char, 4096> m_buffer{};
+    std::size_t m_begin = 0;
+    std::size_t m_end = 0;
+};
+
+} // namespace kingcuprudder
+
+#endif
