Resolve and check the settings tree

Cause: processes need the effective settings of their region, and operators need every fault of a tree named before it is written.

Change: a schema table binds each setting to its member, unit and bounds; values are merged from the organisation down to the entry; explain_settings names the level of each value; check_settings lists every problem with the nearest known name.

--- /dev/null
+++ b/kingcuprudder/settings/check_settings.hpp
@@ -0,0 +1,39 @@
+#ifndef KINGCUPRUDDER_SETTINGS_CHECK_SETTINGS_HPP
+#define KINGCUPRUDDER_SETTINGS_CHECK_SETTINGS_HPP
+
+#include <kingcuprudder/base/error.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// One fault of a settings tree and the path of the value at fault.
+struct settings_problem
+{
+    std::string m_path;
+    std::string m_message;
+
+    friend auto operator<=>(const settings_problem&,
+                            const settings_problem&) = default;
+};
+
+/// Every problem of a settings tree, in the order of the tree; empty for a
+/// tree that can be put into effect.
+std::vector<settings_problem> check_settings(std::string_view tree);
+
+/// The parsed tree, or error_code::invalid_settings with one line for each
+/// problem.
+result<nlohmann::json> parse_settings(std::string_view tree);
+
+/// Problems as lines "path: message".
+std::string to_text(const std::vector<settings_problem>& problems);
+
+} // namespace kingcuprudder
+
+#endif
--- a/kingcuprudder/settings/resolve_settings.hpp
+++ b/kingcuprudder/settings/resolve_settings.hpp
@@ -4,8 +4,12 @@
 #include <kingcuprudder/base/error.hpp>
 #include <kingcuprudder/settings/effective_settings.hpp>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace kingcuprudder
 {
@@ -16,6 +20,26 @@
                                             const region_id& region,
                                             std::uint64_t revision);
 
+/// The effective settings of a region of a tree whose structure was checked.
+effective_settings resolve_checked_settings(const nlohmann::json& tree,
+                                            const region_id& region,
+                                            std::uint64_t revision);
+
+/// One effective value and the level of the tree that states it.
+struct settings_origin
+{
+    std::string m_path;  ///< Below the region, such as "accounts.a.priority".
+    std::string m_value; ///< JSON text.
+    std::string m_level; ///< Path of the level, or "built-in default".
+
+    friend auto operator<=>(const settings_origin&,
+                            const settings_origin&) = default;
+};
+
+/// Every effective value of one region with the level it comes from.
+result<std::vector<settings_origin>> explain_settings(std::string_view tree,
+                                                      const region_id& region);
+
 } // namespace kingcuprudder
 
 #endif
--- /dev/null
+++ b/kingcuprudder/settings/settings_json.cpp
@@ -0,0 +1,83 @@
+#include <kingcuprudder/settings/settings_json.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <stdexcept>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+/// Watches the parser's events for a key that stands twice in one object.
+class duplicate_key_check
+{
+public:
+    bool operator()(int, json::parse_event_t event, json& value)
+    {
+        if (event == json::parse_event_t::object_start)
+        {
+            m_open.emplace_back();
+        }
+        else if (event == json::parse_event_t::object_end)
+        {
+            m_open.pop_back();
+        }
+        else if (event == json::parse_event_t::key)
+        {
+            note_key(value.get<std::string>());
+        }
+        return true;
+    }
+
+private:
+    void note_key(const std::string& key)
+    {
+        if (!m_open.back().insert(key).second)
+        {
+            throw std::runtime_error("the key '" + key +
+                                     "' stands twice in one object");
+        }
+    }
+
+    std::vector<std::set<std::string>> m_open;
+};
+
+} // namespace
+
+json parse_strict_json(std::string_view text)
+{
+    duplicate_key_check check;
+    return json::parse(
+        text, [&check](int depth, json::parse_event_t event, json& value)
+        { return check(depth, event, value); });
+}
+
+const json& member_or_empty(const json& object, std::string_view key)
+{
+    static const json empty = json::object();
+    if (!object.is_object())
+    {
+        return empty;
+    }
+    const auto found = object.find(std::string(key));
+    return found == object.end() ? empty : *found;
+}
+
+std::string member_path(std::string_view path, std::string_view name)
+{
+    std::string joined(path);
+    if (!joined.empty())
+    {
+        joined += '.';
+    }
+    joined += name;
+    return joined;
+}
+
+} // namespace kingcuprudder
