--- /dev/null
+++ b/kingcuprudder/runtime/http_connections.cpp
@@ -0,0 +1,123 @@
+#include <kingcuprudder/runtime/http_connections.hpp>
+#include <kingcuprudder/runtime/ip_address.hpp>
+
+#include <httplib.h>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+constexpr std::size_t max_idle_connections = 8;
+
+} // namespace
+
+class http_connections::implementation
+{
+public:
+    implementation(const std::string& address, span connect_timeout)
+        : m_address(parse_ip_address(address)),
+          m_connect_timeout(connect_timeout)
+    {
+    }
+
+    std::optional<http_answer> run(span timeout, const http_call& call)
+    {
+        std::unique_ptr<httplib::Client> client = take();
+        if (!client)
+        {
+            return std::nullopt;
+        }
+        const std::chrono::milliseconds limit(timeout.count());
+        client->set_read_timeout(limit);
+        client->set_write_timeout(limit);
+        const httplib::Result result = call(*client);
+        std::optional<http_answer> answer;
+        if (result)
+        {
+            answer = http_answer{result->status, result->body};
+        }
+        give_back(std::move(client), answer.has_value());
+        return answer;
+    }
+
+    void stop()
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopped = true;
+        for (httplib::Client* each : m_busy)
+        {
+            each->stop();
+        }
+    }
+
+private:
+    std::unique_ptr<httplib::Client> take()
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_stopped)
+        {
+            return nullptr;
+        }
+        std::unique_ptr<httplib::Client> client;
+        if (m_idle.empty())
+        {
+            client = std::make_unique<httplib::Client>(m_address.m_host,
+                                                       m_address.m_port);
+            client->set_connection_timeout(
+                std::chrono::milliseconds(m_connect_timeout.count()));
+            client->set_tcp_nodelay(true);
+            client->set_keep_alive(true);
+        }
+        else
+        {
+            client = std::move(m_idle.back());
+            m_idle.pop_back();
+        }
+        m_busy.insert(client.get());
+        return client;
+    }
+
+    void give_back(std::unique_ptr<httplib::Client> client, bool usable)
+    {
+        std::lock_guard lock(m_mutex);
+        m_busy.erase(client.get());
+        if (usable && m_idle.size() < max_idle_connections)
+        {
+            m_idle.push_back(std::move(client));
+        }
+    }
+
+    ip_address m_address;
+    span m_connect_timeout;
+    std::mutex m_mutex;
+    std::vector<std::unique_ptr<httplib::Client>> m_idle;
+    std::set<httplib::Client*> m_busy;
+    bool m_stopped = false;
+};
+
+http_connections::http_connections(const std::string& address,
+                                   span connect_timeout)
+    : m_implementation(
+          std::make_unique<implementation>(address, connect_timeout))
+{
+}
+
+http_connections::~http_connections() = default;
+
+std::optional<http_answer> http_connections::run(span timeout,
+                                                 const http_call& call)
+{
+    return m_implementation->run(timeout, call);
+}
+
+void http_connections::stop()
+{
+    m_implementation->stop();
+}
+
+} // namespace kingcuprudder
--- /dev/null
+++ b/kingcuprudder/runtime/http_connections.hpp
@@ -0,0 +1,55 @@
+#ifndef KINGCUPRUDDER_RUNTIME_HTTP_CONNECTIONS_HPP
+#define KINGCUPRUDDER_RUNTIME_HTTP_CONNECTIONS_HPP
+
+#include <kingcuprudder/base/time.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace httplib
+{
+class Client;
+class Result;
+} // namespace httplib
+
+namespace kingcuprudder
+{
+
+/// The answer to an HTTP call.
+struct http_answer
+{
+    int m_status = 0;
+    std::string m_body;
+};
+
+/// Kept HTTP connections to one address. Each call uses one that is free or
+/// opens a new one; a connection on which a call failed is closed. Safe to
+/// use from several threads.
+class http_connections
+{
+public:
+    using http_call = std::function<httplib::Result(httplib::Client&)>;
+
+    /// Connects to "ip:port" within the time given.
+    http_connections(const std::string& address, span connect_timeout);
+    ~http_connections();
+    http_connections(const http_connections&) = delete;
+    http_connections& operator=(const http_connections&) = delete;
+
+    /// Makes one call, waiting so long for its answer; nothing when there was
+    /// no complete answer.
+    std::optional<http_answer> run(span timeout, const http_call& call);
+
+    /// Fails the calls in progress and all later ones.
+    void stop();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace kingcuprudder
+
+#endif
