--- a/kingcuprudder/request/request_router.hpp
+++ b/kingcuprudder/request/request_router.hpp
@@ -82,13 +82,11 @@
     /// Takes one retry from the service's budget; false when it is used up.
     bool try_take_retry(const service_id& service);
 
-    /// The default deadline of a service's requests.
-    span default_deadline(const service_id& service) const;
-
     /// A seed for a generator of one request.
     std::uint64_t next_seed() { return m_random(); }
 
     target_table& targets() { return m_targets; }
+    const target_table& targets() const { return m_targets; }
     std::uint32_t in_flight() const { return m_in_flight; }
 
 private:
--- a/kingcuprudder/service/entry_owner_calls.cpp
+++ b/kingcuprudder/service/entry_owner_calls.cpp
@@ -61,6 +61,20 @@
 {
 }
 
+entry_owner_calls::~entry_owner_calls()
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait(lock, [this] { return m_in_progress == 0; });
+}
+
+void entry_owner_calls::note_end()
+{
+    // Notified under the lock: the destructor may run right after it.
+    std::lock_guard lock(m_mutex);
+    --m_in_progress;
+    m_changed.notify_all();
+}
+
 void entry_owner_calls::on_owner(std::optional<owner_record> owner)
 {
     {
@@ -88,6 +102,10 @@
                    verdict::not_run});
         return;
     }
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_in_progress;
+    }
     const call_number call = ++m_last_call;
     m_send(address, to_cbor(caller_call{call, content}), timeout,
            [this, call, address,
@@ -99,6 +117,7 @@
                    follow(error_of(reply), address);
                }
                done(std::move(reply));
+               note_end();
            });
 }
 
--- a/kingcuprudder/service/entry_owner_calls.hpp
+++ b/kingcuprudder/service/entry_owner_calls.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -30,6 +31,11 @@
 
     entry_owner_calls(transport send, std::uint64_t seed);
 
+    /// Waits for the calls in progress; each ends by its timeout.
+    ~entry_owner_calls();
+    entry_owner_calls(const entry_owner_calls&) = delete;
+    entry_owner_calls& operator=(const entry_owner_calls&) = delete;
+
     /// The owner that the watch shows.
     void on_owner(std::optional<owner_record> owner);
 
@@ -55,6 +61,7 @@
     std::string owner_address() const;
 
 private:
+    void note_end();
     void follow(const error& refusal, const std::string& asked);
 
     transport m_send;
@@ -64,6 +71,7 @@
     std::condition_variable m_changed;
     std::string m_owner;
     std::uint64_t m_changes = 0;
+    std::size_t m_in_progress = 0;
     bool m_stopped = false;
 };
 
--- /dev/null
+++ b/kingcuprudder/service/entry_strict_object.hpp
@@ -0,0 +1,57 @@
+#ifndef KINGCUPRUDDER_SERVICE_ENTRY_STRICT_OBJECT_HPP
+#define KINGCUPRUDDER_SERVICE_ENTRY_STRICT_OBJECT_HPP
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// Thrown for input that does not match; the message names the field.
+class strict_json_error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Parses JSON text and refuses duplicate fields, of which one would win
+/// silently. Throws strict_json_error.
+nlohmann::json parse_strict_json(std::string_view text);
+
+/// Reads the fields of a JSON object and refuses all that are not expected.
+/// All functions throw strict_json_error.
+class strict_object
+{
+public:
+    /// The path names the object in messages; empty for the outermost one.
+    strict_object(const nlohmann::json& json, std::string path,
+                  const std::vector<std::string>& known);
+
+    std::optional<std::string> text(const char* name) const;
+    std::optional<bool> boolean(const char* name) const;
+    std::optional<std::int64_t> integer(const char* name, std::int64_t min,
+                                        std::int64_t max) const;
+    const nlohmann::json& required(const char* name) const;
+
+    /// A field that must be present and a valid id.
+    std::string id(const char* name) const;
+
+    /// The path of a field, for messages.
+    std::string path_of(const char* name) const;
+
+private:
+    const nlohmann::json* find(const char* name) const;
+
+    const nlohmann::json& m_json;
+    std::string m_path;
+};
+
+} // namespace kingcuprudder
+
+#endif
