Add logging, metrics, process settings, signals and the state dump

Cause: the processes share these parts, and none may depend on the headers of log4cplus, prometheus-cpp or nlohmann-json.

Change: log lines carry their component, job or request and epoch, as text or as JSON; metrics must name their unit; process settings are checked with every problem listed; signals are waited for on one thread.

--- /dev/null
+++ b/kingcuprudder/runtime/metrics.hpp
@@ -0,0 +1,106 @@
+#ifndef KINGCUPRUDDER_RUNTIME_METRICS_HPP
+#define KINGCUPRUDDER_RUNTIME_METRICS_HPP
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Histogram;
+} // namespace prometheus
+
+namespace kingcuprudder
+{
+
+using metric_labels = std::map<std::string, std::string>;
+
+/// A number that only grows. Valid as long as its registry. A default
+/// constructed one counts nothing.
+class metric_counter
+{
+public:
+    metric_counter() = default;
+    explicit metric_counter(prometheus::Counter& counter) : m_counter(&counter)
+    {
+    }
+
+    /// Adds to the counter; the amount must not be negative.
+    void increment(double amount = 1) const;
+
+private:
+    prometheus::Counter* m_counter = nullptr;
+};
+
+/// A number that goes up and down. Valid as long as its registry. A default
+/// constructed one keeps nothing.
+class metric_gauge
+{
+public:
+    metric_gauge() = default;
+    explicit metric_gauge(prometheus::Gauge& gauge) : m_gauge(&gauge) {}
+
+    void set(double value) const;
+
+private:
+    prometheus::Gauge* m_gauge = nullptr;
+};
+
+/// Counts values in buckets. Valid as long as its registry. A default
+/// constructed one keeps nothing.
+class metric_histogram
+{
+public:
+    metric_histogram() = default;
+    explicit metric_histogram(prometheus::Histogram& histogram)
+        : m_histogram(&histogram)
+    {
+    }
+
+    void observe(double value) const;
+
+private:
+    prometheus::Histogram* m_histogram = nullptr;
+};
+
+/// The metrics of one process. Safe to use from several threads. Every name
+/// starts with "kcr_"; counters end in "_total", other names in their unit.
+class metrics_registry
+{
+public:
+    metrics_registry();
+    ~metrics_registry();
+    metrics_registry(const metrics_registry&) = delete;
+    metrics_registry& operator=(const metrics_registry&) = delete;
+
+    /// Adds a metric. Throws std::logic_error for a name without its unit.
+    metric_counter add_counter(const std::string& name, const std::string& help,
+                               const metric_labels& labels = {});
+    metric_gauge add_gauge(const std::string& name, const std::string& help,
+                           const metric_labels& labels = {});
+    metric_histogram add_histogram(const std::string& name,
+                                   const std::string& help,
+                                   const std::vector<double>& upper_bounds,
+                                   const metric_labels& labels = {});
+
+    /// All metrics in the Prometheus text format, as served at /metrics.
+    std::string text() const;
+
+    /// The media type of text().
+    static const char* content_type();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+/// Upper bounds in milliseconds that suit calls over the network and waits.
+const std::vector<double>& latency_bounds_ms();
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/kingcuprudder/runtime/process_settings.hpp
@@ -0,0 +1,46 @@
+#ifndef KINGCUPRUDDER_RUNTIME_PROCESS_SETTINGS_HPP
+#define KINGCUPRUDDER_RUNTIME_PROCESS_SETTINGS_HPP
+
+#include <kingcuprudder/base/error.hpp>
+#include <kingcuprudder/base/tagged_id.hpp>
+#include <kingcuprudder/runtime/logging.hpp>
+
+#include <compare>
+#include <string>
+#include <string_view>
+
+namespace kingcuprudder
+{
+
+/// What one process must know before it can read the store: who it is and
+/// where the others are. Addresses are an IP number and a port.
+struct process_settings
+{
+    instance_id m_instance;
+    region_id m_region;
+    zone_id m_zone;
+    std::string m_stream_address; ///< Listens for calls of own processes.
+    std::string m_http_address;   ///< Listens for callers or workers.
+    std::string m_health_address; ///< Listens for health checks.
+    std::string m_store_address;
+    std::string m_instance_list_address;
+    logging_options m_log;
+
+    friend auto operator<=>(const process_settings&,
+                            const process_settings&) = default;
+};
+
+/// Checks process settings in JSON. Returns error_code::malformed with one
+/// line for each problem. All fields but "log" are required.
+result<process_settings> parse_process_settings(std::string_view text);
+
+/// Reads and checks a file; the error names the file.
+result<process_settings> load_process_settings(const std::string& path);
+
+/// Nothing when the text is an IP number with a port, otherwise what is
+/// wrong with it. IPv6 numbers stand in brackets.
+std::string address_problem(const std::string& address);
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/kingcuprudder/runtime/signals.hpp
@@ -0,0 +1,41 @@
+#ifndef KINGCUPRUDDER_RUNTIME_SIGNALS_HPP
+#define KINGCUPRUDDER_RUNTIME_SIGNALS_HPP
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace kingcuprudder
+{
+
+/// Blocks SIGTERM, SIGINT and SIGUSR1 for this thread and those it starts
+/// later. Call it in main before any thread is started: a signal that reaches
+/// a thread without the block ends the process at once.
+void block_signals();
+
+/// Waits for signals on one thread of its own and calls back from there, so
+/// that callbacks may do whatever ordinary code may.
+class signal_waiter
+{
+public:
+    using callback = std::function<void()>;
+
+    /// Calls on_terminate for each SIGTERM and SIGINT, and on_dump for each
+    /// SIGUSR1. Signals must have been blocked.
+    signal_waiter(callback on_terminate, callback on_dump);
+    ~signal_waiter();
+    signal_waiter(const signal_waiter&) = delete;
+    signal_waiter& operator=(const signal_waiter&) = delete;
+
+private:
+    void run();
+
+    callback m_on_terminate;
+    callback m_on_dump;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace kingcuprudder
+
+#endif
--- a/kingcuprudder/settings/settings_schema.cpp
+++ b/kingcuprudder/settings/settings_schema.cpp
@@ -14,7 +14,10 @@
 using nlohmann::json;
 
 constexpr std::int64_t milliseconds_per_second = 1000;
-constexpr std::int64_t seconds_per_day = 24 * 60 * 60;
+constexpr std::int64_t seconds_per_day = 86400;
+
+/// 64 TiB, far above any worker; catches a value given in kilobytes.
+constexpr std::int64_t max_memory_mb = 67108864;
 
 /// Milliseconds in one unit of a duration.
 std::int64_t milliseconds_per_unit(const setting_field& field)
@@ -308,7 +311,7 @@
         {"tasks", true, 1, 4096},
         {"accelerators_per_task", true, 1, 64},
         {"cores_per_task", false, 1, 4096},
-        {"memory_mb_per_task", false, 0, 64 * 1024 * 1024},
+        {"memory_mb_per_task", false, 0, max_memory_mb},
     };
     return list;
 }
