--- a/kingcuprudder/runtime/timer_service.cpp
+++ b/kingcuprudder/runtime/timer_service.cpp
@@ -1,3 +1,4 @@
+#include <kingcuprudder/runtime/steady_time.hpp>
 #include <kingcuprudder/runtime/timer_service.hpp>
 
 #include <chrono>
@@ -6,18 +7,6 @@
 namespace kingcuprudder
 {
 
-namespace
-{
-
-std::int64_t steady_milliseconds()
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
-        .count();
-}
-
-} // namespace
-
 instant system_now()
 {
     using namespace std::chrono;
--- a/kingcuprudder/stream/stream_server.hpp
+++ b/kingcuprudder/stream/stream_server.hpp
@@ -19,12 +19,16 @@
     using handler = std::function<void(const std::string& method,
                                        std::string body, responder respond)>;
 
-    /// Listens on "ip:port". Throws std::runtime_error when it cannot.
+    /// Listens on "ip:port"; port 0 takes a free one. Throws std::runtime_error
+    /// when it cannot.
     stream_server(const std::string& address, handler handle);
     ~stream_server();
     stream_server(const stream_server&) = delete;
     stream_server& operator=(const stream_server&) = delete;
 
+    /// The address in use, as "ip:port"; tells the port taken for port 0.
+    const std::string& address() const;
+
     /// Takes no new connections or calls; calls in progress are answered.
     void begin_shutdown();
 
--- a/stand_ins/store_data.cpp
+++ b/stand_ins/store_data.cpp
@@ -1,3 +1,5 @@
+#include <kingcuprudder/runtime/steady_time.hpp>
+
 #include <stand_ins/store_data.hpp>
 
 #include <algorithm>
@@ -6,18 +8,6 @@
 namespace kingcuprudder::stand_ins
 {
 
-namespace
-{
-
-std::int64_t steady_milliseconds()
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
-        .count();
-}
-
-} // namespace
-
 std::optional<store_value> store_data::get(const std::string& key)
 {
     std::unique_lock lock(m_mutex);
