--- a/kingcuprudder/codec/codec.cpp
+++ b/kingcuprudder/codec/codec.cpp
@@ -55,6 +55,7 @@
     template result<type> from_json_text<type>(std::string_view)
 
 KCR_INSTANTIATE(log_entry);
+KCR_INSTANTIATE(owner_record);
 KCR_INSTANTIATE(caller_call);
 KCR_INSTANTIATE(caller_answer);
 KCR_INSTANTIATE(worker_report);
--- a/kingcuprudder/codec/fields.hpp
+++ b/kingcuprudder/codec/fields.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_CODEC_FIELDS_HPP
 
 #include <kingcuprudder/region/owner_io.hpp>
+#include <kingcuprudder/region/region_owner.hpp>
 #include <kingcuprudder/topology/worker.hpp>
 
 #include <array>
@@ -203,6 +204,9 @@
 KCR_WIRE(caller_answer, field{"call", &caller_answer::m_call},
          field{"reply", &caller_answer::m_reply});
 
+KCR_WIRE(owner_record, field{"instance", &owner_record::m_instance},
+         field{"address", &owner_record::m_address});
+
 #undef KCR_WIRE
 #undef KCR_ENUM
 
--- /dev/null
+++ b/kingcuprudder/service/live_state.cpp
@@ -0,0 +1,234 @@
+#include <kingcuprudder/codec/codec.hpp>
+#include <kingcuprudder/region/region_keys.hpp>
+#include <kingcuprudder/request/backoff.hpp>
+#include <kingcuprudder/service/live_state.hpp>
+#include <kingcuprudder/settings/resolve_settings.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+constexpr const char* live_prefix = "live/";
+constexpr const char* settings_key = "live/settings";
+// A watch on a connection that went silent is given up one store timeout after
+// this; both together stay below the 3 s in which settings must be in effect.
+constexpr span watch_wait(1500);
+constexpr span first_backoff(100);
+constexpr span longest_backoff = span::seconds(5);
+
+} // namespace
+
+class live_state::implementation
+{
+public:
+    implementation(key_value_store& store, region_id region,
+                   settings_hook on_settings, owner_hook on_owner)
+        : m_store(store), m_region(std::move(region)),
+          m_owner_key(owner_key(m_region)),
+          m_on_settings(std::move(on_settings)),
+          m_on_owner(std::move(on_owner)),
+          m_backoff(first_backoff, longest_backoff, std::random_device()()),
+          m_thread([this] { run(); })
+    {
+    }
+
+    ~implementation()
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_stopping = true;
+        }
+        m_stopped.notify_all();
+        m_thread.join();
+    }
+
+    std::shared_ptr<const effective_settings> settings() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_settings;
+    }
+
+    std::pair<std::string, std::uint64_t> settings_tree() const
+    {
+        std::lock_guard lock(m_mutex);
+        return {m_tree, m_tree_revision};
+    }
+
+    void take_settings(const std::string& tree, std::uint64_t revision)
+    {
+        // Held over the hook as well, so that hooks see revisions in order.
+        std::lock_guard order(m_order);
+        if (revision <= settings_tree().second)
+        {
+            return;
+        }
+        const auto resolved = resolve_settings(tree, m_region, revision);
+        if (!succeeded(resolved))
+        {
+            return;
+        }
+        auto settings =
+            std::make_shared<const effective_settings>(value_of(resolved));
+        {
+            std::lock_guard lock(m_mutex);
+            m_tree = tree;
+            m_tree_revision = revision;
+            m_settings = settings;
+        }
+        m_on_settings(std::move(settings));
+    }
+
+    std::optional<owner_record> owner() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_owner;
+    }
+
+    bool store_reachable() const { return m_reachable; }
+
+private:
+    void run()
+    {
+        store_revision after = 0;
+        while (!stopping())
+        {
+            const auto batch = m_store.watch(live_prefix, after, watch_wait);
+            m_reachable = succeeded(batch);
+            if (!m_reachable)
+            {
+                pause(m_backoff.next());
+                continue;
+            }
+            m_backoff.reset();
+            apply(value_of(batch), after == 0);
+            after = value_of(batch).m_revision;
+            // An empty store answers at once.
+            if (after == 0)
+            {
+                pause(first_backoff);
+            }
+        }
+    }
+
+    void apply(const watch_batch& batch, bool first)
+    {
+        bool owner_seen = false;
+        for (const watch_event& each : batch.m_events)
+        {
+            if (each.m_key == settings_key && !each.m_deleted)
+            {
+                take_settings(each.m_value, each.m_revision);
+            }
+            if (each.m_key == m_owner_key)
+            {
+                owner_seen = true;
+                take_owner(each);
+            }
+        }
+        if (first && !owner_seen)
+        {
+            set_owner(std::nullopt, 0);
+        }
+    }
+
+    void take_owner(const watch_event& event)
+    {
+        if (event.m_deleted)
+        {
+            set_owner(std::nullopt, event.m_revision);
+            return;
+        }
+        const auto owner = from_cbor<owner_record>(event.m_value);
+        if (succeeded(owner))
+        {
+            set_owner(value_of(owner), event.m_revision);
+        }
+    }
+
+    void set_owner(const std::optional<owner_record>& owner,
+                   store_revision revision)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_owner = owner;
+        }
+        m_on_owner(owner, revision);
+    }
+
+    bool stopping() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_stopping;
+    }
+
+    void pause(span length)
+    {
+        std::unique_lock lock(m_mutex);
+        m_stopped.wait_for(lock, std::chrono::milliseconds(length.count()),
+                           [this] { return m_stopping; });
+    }
+
+    key_value_store& m_store;
+    region_id m_region;
+    std::string m_owner_key;
+    settings_hook m_on_settings;
+    owner_hook m_on_owner;
+    backoff m_backoff;
+    std::mutex m_order;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_stopped;
+    std::shared_ptr<const effective_settings> m_settings;
+    std::string m_tree;
+    std::uint64_t m_tree_revision = 0;
+    std::optional<owner_record> m_owner;
+    bool m_stopping = false;
+    std::atomic<bool> m_reachable = false;
+    std::thread m_thread;
+};
+
+live_state::live_state(key_value_store& store, region_id region,
+                       settings_hook on_settings, owner_hook on_owner)
+    : m_implementation(std::make_unique<implementation>(
+          store, std::move(region), std::move(on_settings),
+          std::move(on_owner)))
+{
+}
+
+live_state::~live_state() = default;
+
+std::shared_ptr<const effective_settings> live_state::settings() const
+{
+    return m_implementation->settings();
+}
+
+std::pair<std::string, std::uint64_t> live_state::settings_tree() const
+{
+    return m_implementation->settings_tree();
+}
+
+void live_state::offer_settings_tree(const std::string& tree,
+                                     std::uint64_t revision)
+{
+    m_implementation->take_settings(tree, revision);
+}
+
+std::optional<owner_record> live_state::owner() const
+{
+    return m_implementation->owner();
+}
+
+bool live_state::store_reachable() const
+{
+    return m_implementation->store_reachable();
+}
+
+} // namespace kingcuprudder
