--- /dev/null
+++ b/kingcuprudder/placement/gang_policy.cpp
@@ -0,0 +1,116 @@
+#include <kingcuprudder/placement/gang_policy.hpp>
+#include <kingcuprudder/placement/planning_pass.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace kingcuprudder
+{
+
+void gang_policy::configure(const effective_settings& settings,
+                            const cluster& region,
+                            const std::vector<running_job>& running)
+{
+    m_settings = settings;
+    m_ranges = worker_ranges(region);
+    m_running.clear();
+    m_reserved_ranges.clear();
+    m_layout = guarantee_layout::build(
+        m_options.m_guarantees ? settings : effective_settings{}, region,
+        running);
+}
+
+std::optional<std::string> gang_policy::never_fits(const cluster& region,
+                                                   const job_spec& spec) const
+{
+    return reason_never_fits(region, m_ranges, spec.m_shape);
+}
+
+void gang_policy::observe_ends(const std::vector<running_entry>& gone,
+                               const std::vector<queued_job>& queue,
+                               instant now)
+{
+    if (gone.empty())
+    {
+        return;
+    }
+    std::set<job_key> waiting;
+    for (const queued_job& each : queue)
+    {
+        waiting.insert(each.m_spec.m_key);
+    }
+    for (const running_entry& each : gone)
+    {
+        // A job that was stopped or that is queued again did not end.
+        if (!each.m_stopping && waiting.count(each.m_key) == 0)
+        {
+            m_estimator.observe(each.m_key.m_account, each.m_class,
+                                each.m_declared, each.elapsed(now));
+        }
+    }
+}
+
+void gang_policy::restore_guarantees(const std::vector<running_entry>& gone,
+                                     const cluster& region,
+                                     const std::vector<running_job>& running)
+{
+    bool made_room = std::any_of(gone.begin(), gone.end(),
+                                 [](const running_entry& each)
+                                 { return !each.m_can_be_stopped; });
+    if (made_room && !m_layout.shortfalls().empty())
+    {
+        m_layout = guarantee_layout::build(m_settings, region, running);
+    }
+}
+
+void gang_policy::assign_slots()
+{
+    std::vector<bool> held(m_layout.slots().size(), false);
+    for (running_entry& entry : m_running.entries())
+    {
+        entry.m_slot = running_entry::no_slot;
+        for (std::size_t slot : m_layout.slots_of(entry.m_key.m_account))
+        {
+            if (!held[slot] && runs_in_slot(m_layout.slots()[slot],
+                                            entry.m_shape, entry.m_where))
+            {
+                held[slot] = true;
+                entry.m_slot = slot;
+                break;
+            }
+        }
+    }
+}
+
+void gang_policy::forget_reservations(const std::vector<queued_job>& queue)
+{
+    std::map<job_key, std::size_t> kept;
+    for (const queued_job& each : queue)
+    {
+        auto found = m_reserved_ranges.find(each.m_spec.m_key);
+        if (found != m_reserved_ranges.end())
+        {
+            kept.insert(*found);
+        }
+    }
+    m_reserved_ranges = std::move(kept);
+}
+
+plan gang_policy::make_plan(const cluster& region,
+                            const std::vector<queued_job>& queue,
+                            const std::vector<running_job>& running,
+                            instant now)
+{
+    std::vector<running_entry> gone = m_running.synchronize(region, running);
+    observe_ends(gone, queue, now);
+    restore_guarantees(gone, region, running);
+    assign_slots();
+    forget_reservations(queue);
+    planning_pass pass({region, m_ranges, m_layout, m_running.entries(),
+                        m_estimator, m_options, m_settings.m_scheduler,
+                        m_reserved_ranges, now});
+    return pass.run(queue);
+}
+
+} // namespace kingcuprudder
--- /dev/null
+++ b/kingcuprudder/placement/gang_policy_options.hpp
@@ -0,0 +1,32 @@
+#ifndef KINGCUPRUDDER_PLACEMENT_GANG_POLICY_OPTIONS_HPP
+#define KINGCUPRUDDER_PLACEMENT_GANG_POLICY_OPTIONS_HPP
+
+#include <kingcuprudder/base/time.hpp>
+
+#include <cstddef>
+
+namespace kingcuprudder
+{
+
+/// Parts of the gang policy that can be switched off or tuned. The defaults
+/// are the policy; other values serve the baselines of the measurements.
+struct gang_policy_options
+{
+    /// Lays out guarantees, keeps them for their accounts and reclaims them.
+    bool m_guarantees = true;
+    /// Places jobs where they break the fewest larger free shapes; first fit
+    /// otherwise.
+    bool m_tight_fit = true;
+    /// Orders the queue by aged work; by arrival otherwise.
+    bool m_aged_order = true;
+    /// How many waiting gangs have a reservation at once.
+    std::size_t m_reservations = 4;
+    /// A wait this long weighs as much as needing half the work.
+    span m_halving_wait = span::minutes(15);
+    /// A gang gets a reservation once it has waited this long.
+    span m_patience = span::minutes(5);
+};
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/kingcuprudder/placement/layout_builder.cpp
@@ -0,0 +1,259 @@
+#include <kingcuprudder/placement/layout_builder.hpp>
+#include <kingcuprudder/placement/tight_fit.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+bool is_available(const free_table& table, const shape& needed,
+                  const indexed_placement& where)
+{
+    return std::all_of(
+        where.begin(), where.end(),
+        [&](const indexed_allocation& part)
+        {
+            const worker_free& left = table[part.m_worker];
+            return (part.m_accelerators & ~left.m_accelerators) == 0 &&
+                   left.m_cores >= part.m_tasks * needed.m_cores_per_task &&
+                   left.m_memory_mb >=
+                       part.m_tasks * needed.m_memory_mb_per_task;
+        });
+}
+
+free_table usable_total(const cluster& region)
+{
+    free_table table = total_resources(region);
+    for (std::size_t i = 0; i < table.size(); ++i)
+    {
+        if (!region.usable(i))
+        {
+            table[i] = {};
+        }
+    }
+    return table;
+}
+
+} // namespace
+
+layout_builder::layout_builder(const effective_settings& settings,
+                               const cluster& region)
+    : m_region(region), m_ranges(region)
+{
+    for (const auto& [account, values] : settings.m_accounts)
+    {
+        std::uint32_t number = 0;
+        for (const guarantee& each : values.m_guarantees)
+        {
+            for (std::uint32_t i = 0; i < each.m_count; ++i)
+            {
+                m_demands.push_back({account, values.m_priority, number++,
+                                     each.m_shape, std::nullopt});
+            }
+        }
+    }
+}
+
+std::vector<std::size_t> layout_builder::priority_order() const
+{
+    std::vector<std::size_t> order(m_demands.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::sort(order.begin(), order.end(),
+              [&](std::size_t left, std::size_t right)
+              {
+                  const demand& a = m_demands[left];
+                  const demand& b = m_demands[right];
+                  return std::tie(b.m_priority, a.m_account, a.m_number) <
+                         std::tie(a.m_priority, b.m_account, b.m_number);
+              });
+    return order;
+}
+
+std::vector<std::size_t> layout_builder::size_order() const
+{
+    std::vector<std::size_t> order = priority_order();
+    std::stable_sort(
+        order.begin(), order.end(),
+        [&](std::size_t left, std::size_t right)
+        {
+            const shape& a = m_demands[left].m_shape;
+            const shape& b = m_demands[right].m_shape;
+            return std::make_tuple(b.accelerators(), b.m_tasks, a.m_proximity) <
+                   std::make_tuple(a.accelerators(), a.m_tasks, b.m_proximity);
+        });
+    return order;
+}
+
+bool layout_builder::pack(const std::vector<std::size_t>& order)
+{
+    bool complete = true;
+    for (std::size_t number : order)
+    {
+        demand& each = m_demands[number];
+        if (each.m_where.has_value())
+        {
+            continue;
+        }
+        each.m_where = contiguous_fit(m_available, m_ranges, each.m_shape);
+        if (each.m_where.has_value())
+        {
+            take(m_available, each.m_shape, *each.m_where);
+        }
+        else
+        {
+            complete = false;
+        }
+    }
+    return complete;
+}
+
+void layout_builder::lay_out_empty()
+{
+    m_available = total_resources(m_region);
+    if (pack(size_order()))
+    {
+        return;
+    }
+    for (demand& each : m_demands)
+    {
+        each.m_where.reset();
+    }
+    m_available = total_resources(m_region);
+    pack(priority_order());
+}
+
+std::vector<running_entry>
+layout_builder::unstoppable_jobs(const std::vector<running_job>& running) const
+{
+    std::vector<running_job> chosen;
+    std::copy_if(running.begin(), running.end(), std::back_inserter(chosen),
+                 [](const running_job& each)
+                 { return !can_be_stopped(each.m_spec) && !each.m_stopping; });
+    running_table table;
+    table.synchronize(m_region, chosen);
+    return table.entries();
+}
+
+std::vector<bool>
+layout_builder::find_holders(std::vector<running_entry>& jobs) const
+{
+    std::vector<bool> held(m_demands.size(), false);
+    for (running_entry& job : jobs)
+    {
+        for (std::size_t i = 0; i < m_demands.size(); ++i)
+        {
+            const demand& each = m_demands[i];
+            if (each.m_account == job.m_key.m_account && !held[i] &&
+                each.m_where.has_value() &&
+                runs_in_slot({each.m_account, each.m_shape, *each.m_where},
+                             job.m_shape, job.m_where))
+            {
+                held[i] = true;
+                job.m_slot = i;
+                break;
+            }
+        }
+    }
+    return held;
+}
+
+void layout_builder::adopt(demand& lacking,
+                           std::vector<running_entry>& jobs) const
+{
+    for (running_entry& job : jobs)
+    {
+        if (job.m_slot == running_entry::no_slot &&
+            job.m_key.m_account == lacking.m_account &&
+            covers(lacking.m_shape, job.m_shape))
+        {
+            job.m_slot = 0;
+            lacking.m_shape = job.m_shape;
+            lacking.m_where = job.m_where;
+            return;
+        }
+    }
+}
+
+void layout_builder::repair(const std::vector<running_job>& running)
+{
+    std::vector<running_entry> jobs = unstoppable_jobs(running);
+    std::vector<bool> held = find_holders(jobs);
+    m_available = usable_total(m_region);
+    for (const running_entry& job : jobs)
+    {
+        if (job.m_slot == running_entry::no_slot)
+        {
+            take(m_available, job.m_shape, job.m_where);
+        }
+    }
+    // Slots with a running job that cannot be stopped keep their place first.
+    for (bool with_holder : {true, false})
+    {
+        for (std::size_t number : priority_order())
+        {
+            demand& each = m_demands[number];
+            if (held[number] != with_holder || !each.m_where.has_value())
+            {
+                continue;
+            }
+            if (with_holder ||
+                is_available(m_available, each.m_shape, *each.m_where))
+            {
+                take(m_available, each.m_shape, *each.m_where);
+            }
+            else
+            {
+                each.m_where.reset();
+            }
+        }
+    }
+    std::vector<std::size_t> order = priority_order();
+    pack(order);
+    for (std::size_t number : order)
+    {
+        if (!m_demands[number].m_where.has_value())
+        {
+            adopt(m_demands[number], jobs);
+        }
+    }
+}
+
+guarantee_layout layout_builder::finish() const
+{
+    guarantee_layout layout;
+    layout.m_reserved.resize(m_region.size());
+    for (std::size_t number : priority_order())
+    {
+        const demand& each = m_demands[number];
+        if (each.m_where.has_value())
+        {
+            layout.m_slots_of[each.m_account].push_back(layout.m_slots.size());
+            layout.m_slots.push_back(
+                {each.m_account, each.m_shape, *each.m_where});
+            for (const indexed_allocation& part : *each.m_where)
+            {
+                give_back(layout.m_reserved, each.m_shape, part);
+            }
+            continue;
+        }
+        auto& shortfalls = layout.m_shortfalls;
+        if (!shortfalls.empty() &&
+            shortfalls.back().m_account == each.m_account &&
+            shortfalls.back().m_shape == each.m_shape)
+        {
+            ++shortfalls.back().m_missing;
+        }
+        else
+        {
+            shortfalls.push_back({each.m_account, each.m_shape, 1});
+        }
+    }
+    return layout;
+}
+
+} // namespace kingcuprudder
--- /dev/null
+++ b/kingcuprudder/placement/planning_pass.cpp
@@ -0,0 +1,386 @@
+#include <kingcuprudder/base/assert.hpp>
+#include <kingcuprudder/placement/planning_pass.hpp>
+#include <kingcuprudder/placement/tight_fit.hpp>
+
+#include <algorithm>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+std::uint32_t subtract(std::uint32_t value, std::uint32_t amount)
+{
+    return value - std::min(value, amount);
+}
+
+worker_free common(const worker_free& left, const worker_free& right)
+{
+    return {left.m_accelerators & right.m_accelerators,
+            std::min(left.m_cores, right.m_cores),
+            std::min(left.m_memory_mb, right.m_memory_mb)};
+}
+
+bool fits_now(const free_table& table, const shape& needed,
+              const indexed_placement& where)
+{
+    return std::all_of(
+        where.begin(), where.end(),
+        [&](const indexed_allocation& part)
+        {
+            const worker_free& left = table[part.m_worker];
+            return (part.m_accelerators & ~left.m_accelerators) == 0 &&
+                   left.m_cores >= part.m_tasks * needed.m_cores_per_task &&
+                   left.m_memory_mb >=
+                       part.m_tasks * needed.m_memory_mb_per_task;
+        });
+}
+
+} // namespace
+
+planning_pass::planning_pass(const planning_input& input)
+    : m_input(input), m_views(usable_free(input.m_region)),
+      m_held(input.m_region.size()),
+      m_slot_taken(input.m_layout.slots().size(), false)
+{
+    withhold_guarantees();
+}
+
+void planning_pass::withhold_guarantees()
+{
+    // Guarantees keep their cores and memory on each worker whatever runs
+    // there, so jobs that cannot be stopped share only the rest.
+    m_unreserved = total_resources(m_input.m_region);
+    for (std::size_t i = 0; i < m_unreserved.size(); ++i)
+    {
+        const worker_free& reserved = m_input.m_layout.reserved_on(i);
+        worker_free& left = m_unreserved[i];
+        left.m_accelerators &= ~reserved.m_accelerators;
+        left.m_cores = subtract(left.m_cores, reserved.m_cores);
+        left.m_memory_mb = subtract(left.m_memory_mb, reserved.m_memory_mb);
+    }
+    for (const running_entry& entry : m_input.m_running)
+    {
+        if (entry.m_slot != running_entry::no_slot)
+        {
+            m_slot_taken[entry.m_slot] = true;
+        }
+        else if (!entry.m_can_be_stopped)
+        {
+            take(m_unreserved, entry.m_shape, entry.m_where);
+        }
+    }
+}
+
+plan planning_pass::run(const std::vector<queued_job>& queue)
+{
+    m_order = order_queue(queue, m_input.m_estimator, m_input.m_options,
+                          m_input.m_settings.m_fragmentation_weight_percent,
+                          m_input.m_now);
+    m_done.assign(m_order.size(), false);
+    place_guaranteed();
+    place_urgent();
+    place_pressing();
+    place_others();
+    return std::move(m_plan);
+}
+
+std::vector<std::size_t>
+planning_pass::covering_slots(const job_spec& spec) const
+{
+    std::vector<std::size_t> slots;
+    for (std::size_t slot : m_input.m_layout.slots_of(spec.m_key.m_account))
+    {
+        const guarantee_slot& each = m_input.m_layout.slots()[slot];
+        bool usable =
+            std::all_of(each.m_where.begin(), each.m_where.end(),
+                        [&](const indexed_allocation& part)
+                        { return m_input.m_region.usable(part.m_worker); });
+        if (usable && !m_slot_taken[slot] && covers(each.m_shape, spec.m_shape))
+        {
+            slots.push_back(slot);
+        }
+    }
+    return slots;
+}
+
+void planning_pass::place_guaranteed()
+{
+    for (std::size_t i = 0; i < m_order.size(); ++i)
+    {
+        const job_spec& spec = m_order[i].m_job->m_spec;
+        std::vector<std::size_t> slots = covering_slots(spec);
+        if (slots.empty())
+        {
+            continue;
+        }
+        m_done[i] = start_in_own_slot(m_order[i], slots) || place(m_order[i]) ||
+                    reclaim_slot(m_order[i], slots);
+    }
+}
+
+bool planning_pass::start_in_own_slot(const ordered_job& job,
+                                      const std::vector<std::size_t>& slots)
+{
+    const shape& needed = job.m_job->m_spec.m_shape;
+    for (std::size_t slot : slots)
+    {
+        indexed_placement where =
+            place_in_slot(m_input.m_layout.slots()[slot], needed);
+        if (fits_now(m_views.base(), needed, where))
+        {
+            m_slot_taken[slot] = true;
+            start(job, where);
+            return true;
+        }
+    }
+    return false;
+}
+
+reclaim_chooser& planning_pass::chooser()
+{
+    if (!m_chooser.has_value())
+    {
+        m_chooser.emplace(m_input.m_running, m_views.base(), m_input.m_now);
+    }
+    return *m_chooser;
+}
+
+bool planning_pass::reclaim_slot(const ordered_job& job,
+                                 const std::vector<std::size_t>& slots)
+{
+    const job_spec& spec = job.m_job->m_spec;
+    auto choice = chooser().choose(m_input.m_layout, slots, spec.m_shape);
+    if (!choice.has_value())
+    {
+        return false;
+    }
+    chooser().accept(*choice, spec.m_shape);
+    m_slot_taken[choice->m_slot] = true;
+    // What is free of the slot already is kept from other jobs.
+    m_views.take_everywhere(spec.m_shape, choice->m_where);
+    for (std::size_t victim : choice->m_victims)
+    {
+        m_plan.m_reclaims.push_back(
+            {m_input.m_running[victim].m_key, spec.m_key});
+    }
+    wait(job,
+         "waits for its guaranteed shape; " +
+             std::to_string(choice->m_victims.size()) +
+             " jobs are asked to stop",
+         m_input.m_now + m_input.m_settings.m_reclaim_bound);
+    return true;
+}
+
+void planning_pass::place_urgent()
+{
+    for (std::size_t i = 0; i < m_order.size(); ++i)
+    {
+        if (!m_done[i] && m_order[i].m_job->m_spec.m_urgent)
+        {
+            m_done[i] = place_or_reserve(m_order[i]);
+        }
+    }
+}
+
+void planning_pass::place_pressing()
+{
+    for (std::size_t i :
+         most_pressing(m_order, m_input.m_options.m_reservations,
+                       m_input.m_options.m_patience, m_input.m_now))
+    {
+        if (!m_done[i])
+        {
+            m_done[i] = place_or_reserve(m_order[i]);
+        }
+    }
+}
+
+void planning_pass::place_others()
+{
+    for (std::size_t i = 0; i < m_order.size(); ++i)
+    {
+        if (!m_done[i] && !place(m_order[i]))
+        {
+            explain(m_order[i], instant());
+        }
+    }
+}
+
+bool planning_pass::place_or_reserve(const ordered_job& job)
+{
+    return place(job) || reserve_for(job);
+}
+
+instant planning_pass::expected_end(const ordered_job& job) const
+{
+    return m_input.m_now + job.m_conservative;
+}
+
+bool planning_pass::place(const ordered_job& job)
+{
+    const job_spec& spec = job.m_job->m_spec;
+    instant end = expected_end(job);
+    std::pair<shape, bool> kind{spec.m_shape, can_be_stopped(spec)};
+    auto failed = m_failed.find(kind);
+    if (failed != m_failed.end() && end >= failed->second)
+    {
+        return false;
+    }
+    auto where = fit(*job.m_job, end);
+    if (where.has_value())
+    {
+        start(job, *where);
+        return true;
+    }
+    if (job.m_job->m_avoid.empty())
+    {
+        m_failed[kind] = end;
+    }
+    return false;
+}
+
+free_table planning_pass::allowed(const queued_job& job,
+                                  const free_table& view) const
+{
+    free_table table = view;
+    if (!can_be_stopped(job.m_spec))
+    {
+        for (std::size_t i = 0; i < table.size(); ++i)
+        {
+            table[i] = common(table[i], m_unreserved[i]);
+        }
+    }
+    for (const worker_id& id : job.m_avoid)
+    {
+        std::size_t index = m_input.m_region.index_of(id);
+        if (index < table.size())
+        {
+            table[index] = {};
+        }
+    }
+    return table;
+}
+
+std::optional<indexed_placement> planning_pass::fit(const queued_job& job,
+                                                    instant end) const
+{
+    const free_table& view = m_views.for_job_ending(end);
+    const shape& needed = job.m_spec.m_shape;
+    auto choose = m_input.m_options.m_tight_fit ? tight_fit : first_fit;
+    if (can_be_stopped(job.m_spec) && job.m_avoid.empty())
+    {
+        return choose(view, m_input.m_ranges, needed);
+    }
+    return choose(allowed(job, view), m_input.m_ranges, needed);
+}
+
+void planning_pass::start(const ordered_job& job,
+                          const indexed_placement& where)
+{
+    const job_spec& spec = job.m_job->m_spec;
+    KCR_ASSERT(fits_now(m_views.base(), spec.m_shape, where));
+    m_views.take_everywhere(spec.m_shape, where);
+    if (!can_be_stopped(spec))
+    {
+        take(m_unreserved, spec.m_shape, where);
+    }
+    if (m_chooser.has_value())
+    {
+        m_chooser->take_placed(spec.m_shape, where);
+    }
+    m_plan.m_placements.push_back(
+        {spec.m_key, to_placement(m_input.m_region, where)});
+}
+
+const std::vector<expected_release>& planning_pass::releases()
+{
+    if (m_releases_ready)
+    {
+        return m_releases;
+    }
+    m_releases_ready = true;
+    m_releases.reserve(m_input.m_running.size());
+    for (const running_entry& entry : m_input.m_running)
+    {
+        span expected = m_input.m_estimator.expected(
+            entry.m_key.m_account, entry.m_class, entry.m_declared);
+        span left = entry.m_stopping
+                        ? m_input.m_settings.m_reclaim_bound
+                        : run_time_estimator::remaining(
+                              expected, entry.elapsed(m_input.m_now));
+        m_releases.push_back(
+            {m_input.m_now + left, &entry.m_shape, &entry.m_where});
+    }
+    std::stable_sort(
+        m_releases.begin(), m_releases.end(),
+        [](const expected_release& left, const expected_release& right)
+        { return left.m_at < right.m_at; });
+    return m_releases;
+}
+
+bool planning_pass::reserve_for(const ordered_job& job)
+{
+    if (m_reservation_count >= m_input.m_options.m_reservations)
+    {
+        return false;
+    }
+    const job_spec& spec = job.m_job->m_spec;
+    free_table excluded = m_held;
+    if (!can_be_stopped(spec))
+    {
+        for (std::size_t i = 0; i < excluded.size(); ++i)
+        {
+            const worker_free& reserved = m_input.m_layout.reserved_on(i);
+            excluded[i].m_accelerators |= reserved.m_accelerators;
+            excluded[i].m_cores += reserved.m_cores;
+            excluded[i].m_memory_mb += reserved.m_memory_mb;
+        }
+    }
+    std::optional<std::size_t> preferred;
+    auto known = m_input.m_reserved_ranges.find(spec.m_key);
+    if (known != m_input.m_reserved_ranges.end())
+    {
+        preferred = known->second;
+    }
+    auto reserved =
+        reserve({m_input.m_ranges, m_views.base(), releases(), excluded},
+                spec.m_shape, m_input.m_now, preferred);
+    if (!reserved.has_value())
+    {
+        return false;
+    }
+    ++m_reservation_count;
+    m_input.m_reserved_ranges[spec.m_key] = reserved->m_range;
+    m_views.hold(*reserved);
+    for (const indexed_allocation& part : reserved->m_where)
+    {
+        give_back(m_held, spec.m_shape, part);
+    }
+    explain(job, reserved->m_start);
+    return true;
+}
+
+void planning_pass::explain(const ordered_job& job, instant expected_start)
+{
+    const job_spec& spec = job.m_job->m_spec;
+    bool unstoppable = !can_be_stopped(spec);
+    const std::string* text = m_texts.find(spec.m_shape, unstoppable);
+    if (text == nullptr)
+    {
+        text = &m_texts.make(m_input.m_region, m_input.m_ranges,
+                             allowed(*job.m_job, m_views.base()), spec.m_shape,
+                             unstoppable);
+    }
+    wait(job, *text, expected_start);
+}
+
+void planning_pass::wait(const ordered_job& job, std::string text,
+                         instant expected_start)
+{
+    m_plan.m_wait_reasons.push_back(
+        {job.m_job->m_spec.m_key, std::move(text), expected_start});
+}
+
+} // namespace kingcuprudder
--- /dev/null
+++ b/kingcuprudder/placement/planning_pass.hpp
@@ -0,0 +1,92 @@
+#ifndef KINGCUPRUDDER_PLACEMENT_PLANNING_PASS_HPP
+#define KINGCUPRUDDER_PLACEMENT_PLANNING_PASS_HPP
+
+#include <kingcuprudder/placement/gang_policy_options.hpp>
+#include <kingcuprudder/placement/guarantee_layout.hpp>
+#include <kingcuprudder/placement/queue_order.hpp>
+#include <kingcuprudder/placement/reclaim_choice.hpp>
+#include <kingcuprudder/placement/reservation.hpp>
+#include <kingcuprudder/placement/run_time_estimator.hpp>
+#include <kingcuprudder/placement/running_table.hpp>
+#include <kingcuprudder/placement/wait_reason_text.hpp>
+
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// What one planning pass decides from.
+struct planning_input
+{
+    const cluster& m_region;
+    const worker_ranges& m_ranges;
+    const guarantee_layout& m_layout;
+    const std::vector<running_entry>& m_running;
+    const run_time_estimator& m_estimator;
+    const gang_policy_options& m_options;
+    const scheduler_settings& m_settings;
+    std::map<job_key, std::size_t>& m_reserved_ranges;
+    instant m_now;
+};
+
+/// One planning pass of the gang policy. First guaranteed shapes, then urgent
+/// jobs and pressing gangs, which get reservations when they do not fit, then
+/// the others as long as they delay no reservation.
+class planning_pass
+{
+public:
+    explicit planning_pass(const planning_input& input);
+
+    plan run(const std::vector<queued_job>& queue);
+
+private:
+    void withhold_guarantees();
+    void place_guaranteed();
+    bool start_in_own_slot(const ordered_job& job,
+                           const std::vector<std::size_t>& slots);
+    bool reclaim_slot(const ordered_job& job,
+                      const std::vector<std::size_t>& slots);
+    std::vector<std::size_t> covering_slots(const job_spec& spec) const;
+    reclaim_chooser& chooser();
+
+    void place_urgent();
+    void place_pressing();
+    void place_others();
+    bool place(const ordered_job& job);
+    bool place_or_reserve(const ordered_job& job);
+    std::optional<indexed_placement> fit(const queued_job& job,
+                                         instant end) const;
+    free_table allowed(const queued_job& job, const free_table& view) const;
+    void start(const ordered_job& job, const indexed_placement& where);
+    bool reserve_for(const ordered_job& job);
+    const std::vector<expected_release>& releases();
+    instant expected_end(const ordered_job& job) const;
+    void explain(const ordered_job& job, instant expected_start);
+    void wait(const ordered_job& job, std::string text, instant expected_start);
+
+    const planning_input m_input;
+    capacity_views m_views;
+    /// What jobs that cannot be stopped may use outside of guarantees.
+    free_table m_unreserved;
+    /// What reservations hold, by worker.
+    free_table m_held;
+    std::size_t m_reservation_count = 0;
+    std::vector<ordered_job> m_order;
+    std::vector<bool> m_done; ///< By position in the order.
+    std::vector<bool> m_slot_taken;
+    std::optional<reclaim_chooser> m_chooser;
+    std::vector<expected_release> m_releases;
+    bool m_releases_ready = false;
+    /// The earliest end for which a shape did not fit, by whether the job can
+    /// be stopped. Jobs of the same shape that end later need not be tried.
+    std::map<std::pair<shape, bool>, instant> m_failed;
+    wait_reason_texts m_texts;
+    plan m_plan;
+};
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/kingcuprudder/placement/reservation.cpp
@@ -0,0 +1,196 @@
+#include <kingcuprudder/placement/reservation.hpp>
+#include <kingcuprudder/placement/tight_fit.hpp>
+
+#include <algorithm>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+std::uint32_t subtract(std::uint32_t value, std::uint32_t amount)
+{
+    return value - std::min(value, amount);
+}
+
+worker_free without(const worker_free& left, const worker_free& excluded)
+{
+    return {left.m_accelerators & ~excluded.m_accelerators,
+            subtract(left.m_cores, excluded.m_cores),
+            subtract(left.m_memory_mb, excluded.m_memory_mb)};
+}
+
+/// Follows the expected releases and keeps count of the tasks that fit into
+/// each range.
+class release_walk
+{
+public:
+    release_walk(const release_forecast& forecast, const shape& needed)
+        : m_forecast(forecast), m_needed(needed), m_free(forecast.m_free),
+          m_room(forecast.m_ranges.of(needed.m_proximity).size(), 0)
+    {
+        for (std::size_t i = 0; i < m_free.size(); ++i)
+        {
+            room_around(i) += tasks_on(i);
+        }
+    }
+
+    bool has_room(std::size_t range) const
+    {
+        return m_room[range] >= m_needed.m_tasks;
+    }
+
+    /// Adds one release and returns a range that has room now, if any.
+    std::optional<std::size_t> add(const expected_release& release)
+    {
+        std::optional<std::size_t> found;
+        for (const indexed_allocation& part : *release.m_where)
+        {
+            std::uint32_t& room = room_around(part.m_worker);
+            room -= tasks_on(part.m_worker);
+            give_back(m_free, *release.m_shape, part);
+            room += tasks_on(part.m_worker);
+            if (room >= m_needed.m_tasks && !found.has_value())
+            {
+                found = m_forecast.m_ranges.range_of(m_needed.m_proximity,
+                                                     part.m_worker);
+            }
+        }
+        return found;
+    }
+
+    std::optional<std::size_t> range_with_room() const
+    {
+        for (std::size_t range = 0; range < m_room.size(); ++range)
+        {
+            if (has_room(range))
+            {
+                return range;
+            }
+        }
+        return std::nullopt;
+    }
+
+    reservation make(instant start, std::size_t range) const
+    {
+        free_table usable(m_free.size());
+        const auto& ranges = m_forecast.m_ranges.of(m_needed.m_proximity);
+        for (std::size_t i = ranges[range].m_first; i < ranges[range].m_last;
+             ++i)
+        {
+            usable[i] = without(m_free[i], m_forecast.m_excluded[i]);
+        }
+        auto where =
+            tight_fit_in(usable, m_forecast.m_ranges, ranges[range], m_needed);
+        reservation result{
+            start, range, where.value_or(indexed_placement{}), m_needed, {}};
+        for (const indexed_allocation& part : result.m_where)
+        {
+            result.m_free_at_start.push_back(m_free[part.m_worker]);
+        }
+        return result;
+    }
+
+private:
+    std::uint32_t tasks_on(std::size_t worker) const
+    {
+        return tasks_that_fit(
+            without(m_free[worker], m_forecast.m_excluded[worker]), m_needed);
+    }
+
+    std::uint32_t& room_around(std::size_t worker)
+    {
+        return m_room[m_forecast.m_ranges.range_of(m_needed.m_proximity,
+                                                   worker)];
+    }
+
+    const release_forecast& m_forecast;
+    const shape& m_needed;
+    free_table m_free;
+    std::vector<std::uint32_t> m_room;
+};
+
+} // namespace
+
+std::optional<reservation> reserve(const release_forecast& forecast,
+                                   const shape& needed, instant now,
+                                   std::optional<std::size_t> preferred_range)
+{
+    release_walk walk(forecast, needed);
+    std::optional<reservation> best;
+    if (auto range = walk.range_with_room(); range.has_value())
+    {
+        return walk.make(now, *range);
+    }
+    for (const expected_release& release : forecast.m_releases)
+    {
+        if (best.has_value() && release.m_at - now > (best->m_start - now) * 2)
+        {
+            return best;
+        }
+        auto range = walk.add(release);
+        if (preferred_range.has_value() && walk.has_room(*preferred_range))
+        {
+            return walk.make(release.m_at, *preferred_range);
+        }
+        if (range.has_value() && !best.has_value())
+        {
+            best = walk.make(release.m_at, *range);
+            if (!preferred_range.has_value())
+            {
+                return best;
+            }
+        }
+    }
+    return best;
+}
+
+const free_table& capacity_views::for_job_ending(instant end) const
+{
+    auto after = std::partition_point(m_views.begin(), m_views.end(),
+                                      [&](const view& each)
+                                      { return each.m_start < end; });
+    return after == m_views.begin() ? m_base : std::prev(after)->m_free;
+}
+
+void capacity_views::hold(const reservation& held)
+{
+    auto at = std::partition_point(m_views.begin(), m_views.end(),
+                                   [&](const view& each)
+                                   { return each.m_start < held.m_start; });
+    const free_table& outer =
+        at == m_views.begin() ? m_base : std::prev(at)->m_free;
+    view inserted{held.m_start, outer};
+    at = m_views.insert(at, std::move(inserted));
+    for (; at != m_views.end(); ++at)
+    {
+        for (std::size_t i = 0; i < held.m_where.size(); ++i)
+        {
+            const indexed_allocation& part = held.m_where[i];
+            const worker_free& then = held.m_free_at_start[i];
+            worker_free& left = at->m_free[part.m_worker];
+            left.m_accelerators &= ~part.m_accelerators;
+            left.m_cores = std::min(
+                left.m_cores,
+                subtract(then.m_cores,
+                         part.m_tasks * held.m_shape.m_cores_per_task));
+            left.m_memory_mb = std::min(
+                left.m_memory_mb,
+                subtract(then.m_memory_mb,
+                         part.m_tasks * held.m_shape.m_memory_mb_per_task));
+        }
+    }
+}
+
+void capacity_views::take_everywhere(const shape& needed,
+                                     const indexed_placement& where)
+{
+    take(m_base, needed, where);
+    for (view& each : m_views)
+    {
+        take(each.m_free, needed, where);
+    }
+}
+
+} // namespace kingcuprudder
--- /dev/null
+++ b/kingcuprudder/placement/run_time_estimator.cpp
@@ -0,0 +1,88 @@
+#include <kingcuprudder/placement/run_time_estimator.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+/// Spread of ln(actual / declared) before anything was observed. Declared
+/// times can be wrong by a factor of ten, ln(10) = 2.3, in either direction.
+constexpr double initial_variance = 1.3;
+
+/// How many observations the initial spread counts for.
+constexpr double initial_count = 2;
+
+/// The weight of one more observation once many have been made.
+constexpr double least_weight = 0.05;
+
+/// Bound on a single observed ratio, so that a job lost at once or a job
+/// that hung does not spoil the estimate of its class.
+constexpr double largest_log_ratio = 4;
+
+span scaled(span value, double factor)
+{
+    return span(std::max<std::int64_t>(
+        1, std::llround(static_cast<double>(value.count()) * factor)));
+}
+
+} // namespace
+
+void run_time_estimator::observe(const account_id& account,
+                                 const job_class_id& job_class, span declared,
+                                 span actual)
+{
+    if (declared.count() <= 0 || actual.count() <= 0)
+    {
+        return;
+    }
+    double ratio = std::clamp(std::log(static_cast<double>(actual.count()) /
+                                       static_cast<double>(declared.count())),
+                              -largest_log_ratio, largest_log_ratio);
+    correction& known =
+        m_corrections
+            .try_emplace({account, job_class},
+                         correction{initial_count, 0, initial_variance})
+            .first->second;
+    known.m_count += 1;
+    double weight = std::max(1 / known.m_count, least_weight);
+    double difference = ratio - known.m_mean;
+    known.m_mean += weight * difference;
+    known.m_variance =
+        (1 - weight) * (known.m_variance + weight * difference * difference);
+}
+
+run_time_estimator::correction
+run_time_estimator::find(const account_id& account,
+                         const job_class_id& job_class) const
+{
+    auto found = m_corrections.find({account, job_class});
+    return found == m_corrections.end() ? correction{0, 0, initial_variance}
+                                        : found->second;
+}
+
+span run_time_estimator::expected(const account_id& account,
+                                  const job_class_id& job_class,
+                                  span declared) const
+{
+    return scaled(declared, std::exp(find(account, job_class).m_mean));
+}
+
+span run_time_estimator::conservative(const account_id& account,
+                                      const job_class_id& job_class,
+                                      span declared) const
+{
+    correction known = find(account, job_class);
+    return scaled(declared,
+                  std::exp(known.m_mean + std::sqrt(known.m_variance)));
+}
+
+span run_time_estimator::remaining(span expected, span elapsed)
+{
+    return std::max(expected - elapsed, elapsed / 2);
+}
+
+} // namespace kingcuprudder
--- /dev/null
+++ b/kingcuprudder/placement/running_table.hpp
@@ -0,0 +1,62 @@
+#ifndef KINGCUPRUDDER_PLACEMENT_RUNNING_TABLE_HPP
+#define KINGCUPRUDDER_PLACEMENT_RUNNING_TABLE_HPP
+
+#include <kingcuprudder/placement/plan.hpp>
+#include <kingcuprudder/placement/shape_fitting.hpp>
+
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// Whether the scheduler may stop this job and run it again later.
+bool can_be_stopped(const job_spec& spec);
+
+/// A running job in the form that planning uses.
+struct running_entry
+{
+    job_key m_key;
+    job_class_id m_class;
+    shape m_shape;
+    indexed_placement m_where;
+    instant m_placed_at;
+    span m_declared;
+    span m_saved;
+    bool m_can_be_stopped = true;
+    bool m_stopping = false;
+    /// The entry's slot in the guarantee layout, or no_slot.
+    std::size_t m_slot = no_slot;
+
+    static constexpr std::size_t no_slot = static_cast<std::size_t>(-1);
+
+    /// Run time including what earlier attempts saved.
+    span elapsed(instant now) const { return now - m_placed_at + m_saved; }
+
+    /// Accelerator-milliseconds lost when the job is stopped now. Jobs without
+    /// accelerators are counted by task.
+    double lost_work(instant now) const;
+};
+
+/// Keeps the running jobs with worker indices instead of ids from pass to
+/// pass, so that a pass converts only the jobs that are new.
+class running_table
+{
+public:
+    /// Takes over the running jobs of this pass and returns those that were
+    /// running in the last pass and no longer are.
+    std::vector<running_entry>
+    synchronize(const cluster& region, const std::vector<running_job>& running);
+
+    const std::vector<running_entry>& entries() const { return m_entries; }
+    std::vector<running_entry>& entries() { return m_entries; }
+
+    /// Forgets the indices after the set of workers has changed.
+    void clear() { m_entries.clear(); }
+
+private:
+    std::vector<running_entry> m_entries;
+};
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/kingcuprudder/placement/wait_reason_text.cpp
@@ -0,0 +1,77 @@
+#include <kingcuprudder/placement/tight_fit.hpp>
+#include <kingcuprudder/placement/wait_reason_text.hpp>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+std::string name_of(const cluster& region, const worker_ranges& ranges,
+                    proximity value, std::size_t range)
+{
+    const worker& first = region.worker_at(ranges.of(value)[range].m_first);
+    switch (value)
+    {
+    case proximity::worker:
+        return "worker " + first.m_id.str();
+    case proximity::rack:
+        return "rack " + first.m_rack.str() + " of zone " + first.m_zone.str();
+    case proximity::zone:
+        return "zone " + first.m_zone.str();
+    case proximity::region:
+        return "the region";
+    }
+    return "the region";
+}
+
+std::string make_text(const cluster& region, const worker_ranges& ranges,
+                      const free_table& table, const shape& needed,
+                      bool unstoppable)
+{
+    if (region.size() == 0)
+    {
+        return "the region has no workers";
+    }
+    range_room room = most_room(table, ranges, needed);
+    std::string text = "needs " + describe(needed) + "; ";
+    if (room.m_tasks >= needed.m_tasks)
+    {
+        text += "the free room is reserved for jobs that wait longer";
+    }
+    else
+    {
+        text += "lacks room for " +
+                std::to_string(needed.m_tasks - room.m_tasks) + " of " +
+                std::to_string(needed.m_tasks) + " tasks in " +
+                name_of(region, ranges, needed.m_proximity, room.m_range);
+    }
+    if (unstoppable)
+    {
+        text += "; cannot be stopped, so other accounts' guaranteed "
+                "accelerators are not used";
+    }
+    return text;
+}
+
+} // namespace
+
+const std::string* wait_reason_texts::find(const shape& needed,
+                                           bool unstoppable) const
+{
+    auto found = m_texts.find({needed, unstoppable});
+    return found == m_texts.end() ? nullptr : &found->second;
+}
+
+const std::string& wait_reason_texts::make(const cluster& region,
+                                           const worker_ranges& ranges,
+                                           const free_table& table,
+                                           const shape& needed,
+                                           bool unstoppable)
+{
+    std::string& text = m_texts[{needed, unstoppable}];
+    text = make_text(region, ranges, table, needed, unstoppable);
+    return text;
+}
+
+} // namespace kingcuprudder
