Decide all guaranteed shapes before lending free ones out

A job placed outside of its own slot could take a slot that another account asked for in the same pass, which delayed that account until the next event. Guaranteed shapes are now decided in three rounds: free slots, slots being freed, and the rest, which leaves all requested slots alone.

--- a/kingcuprudder/placement/planning_pass.cpp
+++ b/kingcuprudder/placement/planning_pass.cpp
@@ -107,17 +107,60 @@
 
 void planning_pass::place_guaranteed()
 {
+    // Three rounds, so that no job takes what another one's guarantee needs:
+    // free slots, slots that are being freed already, and the rest.
+    std::vector<std::size_t> waiting;
     for (std::size_t i = 0; i < m_order.size(); ++i)
     {
-        const job_spec& spec = m_order[i].m_job->m_spec;
-        std::vector<std::size_t> slots = covering_slots(spec);
-        if (slots.empty())
+        std::vector<std::size_t> slots =
+            covering_slots(m_order[i].m_job->m_spec);
+        if (!slots.empty())
         {
-            continue;
+            m_done[i] = start_in_own_slot(m_order[i], slots);
+        }
+        if (!slots.empty() && !m_done[i])
+        {
+            waiting.push_back(i);
+        }
+    }
+    for (std::size_t i : waiting)
+    {
+        m_done[i] = reclaim_slot(m_order[i], false);
+    }
+    free_table guarded = without_requested_slots(waiting);
+    for (std::size_t i : waiting)
+    {
+        m_done[i] = m_done[i] || start_elsewhere(m_order[i], guarded) ||
+                    reclaim_slot(m_order[i], true);
+    }
+}
+
+free_table planning_pass::without_requested_slots(
+    const std::vector<std::size_t>& waiting) const
+{
+    free_table table = m_views.base();
+    for (std::size_t i : waiting)
+    {
+        for (std::size_t slot : covering_slots(m_order[i].m_job->m_spec))
+        {
+            const guarantee_slot& each = m_input.m_layout.slots()[slot];
+            take(table, each.m_shape, each.m_where);
         }
-        m_done[i] = start_in_own_slot(m_order[i], slots) || place(m_order[i]) ||
-                    reclaim_slot(m_order[i], slots);
     }
+    return table;
+}
+
+bool planning_pass::start_elsewhere(const ordered_job& job, free_table& guarded)
+{
+    const shape& needed = job.m_job->m_spec.m_shape;
+    auto where = fit(*job.m_job, guarded);
+    if (!where.has_value())
+    {
+        return false;
+    }
+    take(guarded, needed, *where);
+    start(job, *where);
+    return true;
 }
 
 bool planning_pass::start_in_own_slot(const ordered_job& job,
@@ -147,12 +190,12 @@
     return *m_chooser;
 }
 
-bool planning_pass::reclaim_slot(const ordered_job& job,
-                                 const std::vector<std::size_t>& slots)
+bool planning_pass::reclaim_slot(const ordered_job& job, bool stop_more)
 {
     const job_spec& spec = job.m_job->m_spec;
-    auto choice = chooser().choose(m_input.m_layout, slots, spec.m_shape);
-    if (!choice.has_value())
+    auto choice =
+        chooser().choose(m_input.m_layout, covering_slots(spec), spec.m_shape);
+    if (!choice.has_value() || (!choice->m_victims.empty() && !stop_more))
     {
         return false;
     }
@@ -228,7 +271,7 @@
     {
         return false;
     }
-    auto where = fit(*job.m_job, end);
+    auto where = fit(*job.m_job, m_views.for_job_ending(end));
     if (where.has_value())
     {
         start(job, *where);
@@ -263,10 +306,9 @@
     return table;
 }
 
-std::optional<indexed_placement> planning_pass::fit(const queued_job& job,
-                                                    instant end) const
+std::optional<indexed_placement>
+planning_pass::fit(const queued_job& job, const free_table& view) const
 {
-    const free_table& view = m_views.for_job_ending(end);
     const shape& needed = job.m_spec.m_shape;
     auto choose = m_input.m_options.m_tight_fit ? tight_fit : first_fit;
     if (can_be_stopped(job.m_spec) && job.m_avoid.empty())
--- a/kingcuprudder/placement/planning_pass.hpp
+++ b/kingcuprudder/placement/planning_pass.hpp
@@ -47,8 +47,10 @@
     void place_guaranteed();
     bool start_in_own_slot(const ordered_job& job,
                            const std::vector<std::size_t>& slots);
-    bool reclaim_slot(const ordered_job& job,
-                      const std::vector<std::size_t>& slots);
+    bool reclaim_slot(const ordered_job& job, bool stop_more);
+    free_table
+    without_requested_slots(const std::vector<std::size_t>& waiting) const;
+    bool start_elsewhere(const ordered_job& job, free_table& guarded);
     std::vector<std::size_t> covering_slots(const job_spec& spec) const;
     reclaim_chooser& chooser();
 
@@ -58,7 +60,7 @@
     bool place(const ordered_job& job);
     bool place_or_reserve(const ordered_job& job);
     std::optional<indexed_placement> fit(const queued_job& job,
-                                         instant end) const;
+                                         const free_table& view) const;
     free_table allowed(const queued_job& job, const free_table& view) const;
     void start(const ordered_job& job, const indexed_placement& where);
     bool reserve_for(const ordered_job& job);
