--- a/performance_test/workload.cpp
+++ b/performance_test/workload.cpp
@@ -17,6 +17,9 @@
 constexpr span burst_length = span::minutes(1);
 constexpr double share_of_guaranteed_shapes = 0.2;
 constexpr double share_not_stoppable = 0.15;
+/// Gangs with more accelerators than this write checkpoints and can always be
+/// stopped; a job that cannot must fit beside all guarantees.
+constexpr std::uint32_t largest_fixed = 16;
 constexpr double share_urgent = 0.05;
 constexpr int job_classes = 3;
 
@@ -121,8 +124,11 @@
         spec.m_declared_run_time = span(std::max<std::int64_t>(
             1000, std::llround(static_cast<double>(made.m_actual.count()) *
                                error(account, job_class))));
-        spec.m_idempotent = !happens(share_not_stoppable / 2);
-        spec.m_preemptible = !happens(share_not_stoppable / 2);
+        bool may_be_fixed = spec.m_shape.accelerators() <= largest_fixed;
+        spec.m_idempotent =
+            !(happens(share_not_stoppable / 2) && may_be_fixed);
+        spec.m_preemptible =
+            !(happens(share_not_stoppable / 2) && may_be_fixed);
         spec.m_urgent = happens(share_urgent);
         return made;
     }
