Fill whole workers with gangs and keep fragments for small jobs

A gang took the fragments of partly used workers first, so that large and small jobs shared workers and accelerators of one worker did not become free together. Gangs now fill whole workers, small ones first where workers differ, and only the rest goes to partly used workers.

--- a/kingcuprudder/placement/shape_fitting.cpp
+++ b/kingcuprudder/placement/shape_fitting.cpp
@@ -95,6 +95,10 @@
         group_workers(count, [](std::size_t, std::size_t) { return true; });
     m_rack_of = range_numbers(m_racks, count);
     m_zone_of = range_numbers(m_zones, count);
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        m_accelerators.push_back(region.worker_at(index).m_accelerators);
+    }
 }
 
 const std::vector<worker_range>& worker_ranges::of(proximity value) const
--- a/kingcuprudder/placement/shape_fitting.hpp
+++ b/kingcuprudder/placement/shape_fitting.hpp
@@ -35,6 +35,12 @@
     /// The number of the range of this proximity that holds the worker.
     std::size_t range_of(proximity value, std::size_t worker) const;
 
+    /// How many accelerators the worker has, free or not.
+    std::uint32_t accelerators_of(std::size_t worker) const
+    {
+        return m_accelerators[worker];
+    }
+
 private:
     std::vector<worker_range> m_workers;
     std::vector<worker_range> m_racks;
@@ -42,6 +48,7 @@
     std::vector<worker_range> m_region;
     std::vector<std::uint32_t> m_rack_of;
     std::vector<std::uint32_t> m_zone_of;
+    std::vector<std::uint32_t> m_accelerators;
 };
 
 /// Free resources of each worker, by worker index.
--- a/kingcuprudder/placement/tight_fit.cpp
+++ b/kingcuprudder/placement/tight_fit.cpp
@@ -1,8 +1,10 @@
+#include <kingcuprudder/base/assert.hpp>
 #include <kingcuprudder/placement/tight_fit.hpp>
 
 #include <algorithm>
 #include <bit>
 #include <tuple>
+#include <utility>
 
 namespace kingcuprudder
 {
@@ -37,12 +39,6 @@
     return tasks;
 }
 
-/// The range of the next wider kind, whose room a placement also breaks.
-proximity wider(proximity value)
-{
-    return value == proximity::worker ? proximity::rack : proximity::zone;
-}
-
 indexed_allocation allocate(const free_table& table, std::size_t index,
                             std::uint32_t tasks, const shape& needed)
 {
@@ -51,15 +47,25 @@
             choose_accelerators(table[index].m_accelerators, count)};
 }
 
-/// A worker with room for some tasks, in the order in which to fill it.
+/// A worker with room for some tasks.
 struct candidate
 {
-    std::uint32_t m_rack_free = 0;
-    std::uint32_t m_worker_free = 0;
     std::uint32_t m_index = 0;
     std::uint32_t m_tasks = 0;
+    std::uint32_t m_free = 0;
+    std::uint32_t m_rack_free = 0;
+    bool m_whole = false; ///< No accelerator of the worker is in use.
+};
+
+/// What a placement breaks; less is better.
+struct fit_cost
+{
+    /// Whole workers used in part, and partly used workers beyond the first.
+    std::uint32_t m_broken = 0;
+    std::uint32_t m_range_free = 0;
+    std::uint32_t m_wider_free = 0;
 
-    friend auto operator<=>(const candidate&, const candidate&) = default;
+    friend auto operator<=>(const fit_cost&, const fit_cost&) = default;
 };
 
 std::vector<candidate> candidates_in(const free_table& table,
@@ -83,56 +89,163 @@
             rack = ranges.range_of(proximity::rack, i);
             rack_free = free_accelerators(table, racks[rack]);
         }
-        found.push_back({rack_free, free_accelerators(table[i]),
-                         static_cast<std::uint32_t>(i), tasks});
+        std::uint32_t free = free_accelerators(table[i]);
+        found.push_back({static_cast<std::uint32_t>(i), tasks, free, rack_free,
+                         free == ranges.accelerators_of(i)});
     }
     return found;
 }
 
-/// One worker that holds all tasks, the one with the least room to spare.
-/// Saves sorting all candidates for the many jobs with one task.
-std::optional<indexed_placement>
-fit_on_one(const free_table& table, const std::vector<candidate>& candidates,
-           const shape& needed)
+/// Distributes a gang over the workers of one range. Whole workers are filled
+/// completely and the rest goes to partly used ones, so that accelerators of
+/// one worker become free together.
+class range_filler
 {
-    const candidate* best = nullptr;
-    for (const candidate& each : candidates)
+public:
+    range_filler(const free_table& table, const shape& needed,
+                 std::vector<candidate> candidates)
+        : m_table(table), m_needed(needed), m_missing(needed.m_tasks)
     {
-        if (each.m_tasks >= needed.m_tasks &&
-            (best == nullptr ||
-             std::tie(each.m_worker_free, each.m_rack_free, each.m_index) <
-                 std::tie(best->m_worker_free, best->m_rack_free,
-                          best->m_index)))
+        for (const candidate& each : candidates)
         {
-            best = &each;
+            (each.m_whole ? m_whole : m_partly).push_back(each);
         }
     }
-    if (best == nullptr)
+
+    /// Fills the range. Returns false when it has too little room.
+    bool fill()
     {
-        return std::nullopt;
+        if (!use_tightest(m_partly))
+        {
+            fill_whole_workers();
+        }
+        if (m_missing > 0 && !use_tightest(m_partly))
+        {
+            fill_partly_used_workers();
+        }
+        return m_missing == 0 || use_tightest(m_whole);
     }
-    return indexed_placement{
-        allocate(table, best->m_index, needed.m_tasks, needed)};
-}
 
-/// Replaces the last, partly used worker by one that the rest just fills.
-void finish_exactly(const free_table& table,
-                    const std::vector<candidate>& candidates, std::size_t next,
-                    const shape& needed, indexed_placement& where)
-{
-    indexed_allocation& last = where.back();
-    if (tasks_that_fit(table[last.m_worker], needed) == last.m_tasks)
+    std::uint32_t broken() const { return m_broken; }
+
+    indexed_placement result()
     {
-        return;
+        std::sort(m_where.begin(), m_where.end());
+        return std::move(m_where);
     }
-    for (std::size_t i = next; i < candidates.size(); ++i)
+
+private:
+    void use(const candidate& each, std::uint32_t tasks)
+    {
+        m_where.push_back(allocate(m_table, each.m_index, tasks, m_needed));
+        m_missing -= tasks;
+    }
+
+    /// Puts all missing tasks on the worker with the least room to spare.
+    bool use_tightest(std::vector<candidate>& from)
     {
-        if (candidates[i].m_tasks == last.m_tasks)
+        auto best = from.end();
+        for (auto each = from.begin(); each != from.end(); ++each)
+        {
+            if (each->m_tasks >= m_missing &&
+                (best == from.end() ||
+                 std::tie(each->m_free, each->m_rack_free, each->m_index) <
+                     std::tie(best->m_free, best->m_rack_free, best->m_index)))
+            {
+                best = each;
+            }
+        }
+        if (best == from.end())
         {
-            last = allocate(table, candidates[i].m_index, last.m_tasks, needed);
-            return;
+            return false;
         }
+        if (best->m_whole && best->m_tasks > m_missing)
+        {
+            ++m_broken;
+        }
+        use(*best, m_missing);
+        return true;
     }
+
+    void fill_whole_workers()
+    {
+        // Small workers first: no larger shape needs them.
+        std::sort(
+            m_whole.begin(), m_whole.end(),
+            [](const candidate& left, const candidate& right)
+            {
+                return std::tie(left.m_free, left.m_rack_free, left.m_index) <
+                       std::tie(right.m_free, right.m_rack_free, right.m_index);
+            });
+        std::vector<candidate> left_over;
+        for (const candidate& each : m_whole)
+        {
+            if (m_missing > 0 && each.m_tasks <= m_missing)
+            {
+                use(each, each.m_tasks);
+            }
+            else
+            {
+                left_over.push_back(each);
+            }
+        }
+        m_whole = std::move(left_over);
+    }
+
+    void fill_partly_used_workers()
+    {
+        std::sort(m_partly.begin(), m_partly.end(),
+                  [](const candidate& left, const candidate& right)
+                  {
+                      return std::tie(right.m_tasks, left.m_index) <
+                             std::tie(left.m_tasks, right.m_index);
+                  });
+        for (const candidate& each : m_partly)
+        {
+            if (m_missing == 0)
+            {
+                break;
+            }
+            use(each, std::min(m_missing, each.m_tasks));
+            ++m_broken;
+        }
+    }
+
+    const free_table& m_table;
+    const shape& m_needed;
+    std::uint32_t m_missing;
+    std::vector<candidate> m_whole;
+    std::vector<candidate> m_partly;
+    indexed_placement m_where;
+    std::uint32_t m_broken = 0;
+};
+
+/// One worker that holds the whole gang.
+std::optional<indexed_placement> fit_on_one(const free_table& table,
+                                            const worker_ranges& ranges,
+                                            const shape& needed)
+{
+    std::optional<std::tuple<bool, std::uint32_t, std::uint32_t>> best_cost;
+    std::size_t best = 0;
+    std::vector<candidate> all =
+        candidates_in(table, ranges, {0, table.size()}, needed);
+    for (const candidate& each : all)
+    {
+        std::tuple<bool, std::uint32_t, std::uint32_t> cost{
+            each.m_whole && each.m_tasks > needed.m_tasks, each.m_free,
+            each.m_rack_free};
+        if (each.m_tasks >= needed.m_tasks &&
+            (!best_cost.has_value() || cost < *best_cost))
+        {
+            best_cost = cost;
+            best = each.m_index;
+        }
+    }
+    if (!best_cost.has_value())
+    {
+        return std::nullopt;
+    }
+    return indexed_placement{allocate(table, best, needed.m_tasks, needed)};
 }
 
 } // namespace
@@ -142,61 +255,49 @@
                                               const worker_range& range,
                                               const shape& needed)
 {
-    std::vector<candidate> candidates =
-        candidates_in(table, ranges, range, needed);
-    if (needed.m_tasks == 1 || needed.m_proximity == proximity::worker)
-    {
-        return fit_on_one(table, candidates, needed);
-    }
-    std::sort(candidates.begin(), candidates.end());
-    indexed_placement where;
-    std::uint32_t missing = needed.m_tasks;
-    std::size_t next = 0;
-    while (missing > 0 && next < candidates.size())
-    {
-        const candidate& each = candidates[next++];
-        std::uint32_t tasks = std::min(missing, each.m_tasks);
-        where.push_back(allocate(table, each.m_index, tasks, needed));
-        missing -= tasks;
-    }
-    if (missing > 0)
+    range_filler filler(table, needed,
+                        candidates_in(table, ranges, range, needed));
+    if (!filler.fill())
     {
         return std::nullopt;
     }
-    finish_exactly(table, candidates, next, needed, where);
-    std::sort(where.begin(), where.end());
-    return where;
+    return filler.result();
 }
 
 std::optional<indexed_placement> tight_fit(const free_table& table,
                                            const worker_ranges& ranges,
                                            const shape& needed)
 {
-    const worker_range* best = nullptr;
-    std::tuple<std::uint32_t, std::uint32_t> best_cost;
-    const auto& wider_ranges = ranges.of(wider(needed.m_proximity));
+    if (needed.m_proximity == proximity::worker)
+    {
+        return fit_on_one(table, ranges, needed);
+    }
+    std::optional<fit_cost> best_cost;
+    indexed_placement best;
+    const auto& zones = ranges.of(proximity::zone);
     for (const worker_range& range : ranges.of(needed.m_proximity))
     {
         if (tasks_in(table, range, needed) < needed.m_tasks)
         {
             continue;
         }
-        std::size_t around =
-            ranges.range_of(wider(needed.m_proximity), range.m_first);
-        std::tuple<std::uint32_t, std::uint32_t> cost{
-            free_accelerators(table, range),
-            free_accelerators(table, wider_ranges[around])};
-        if (best == nullptr || cost < best_cost)
+        range_filler filler(table, needed,
+                            candidates_in(table, ranges, range, needed));
+        KCR_ASSERT(filler.fill());
+        std::size_t zone = ranges.range_of(proximity::zone, range.m_first);
+        fit_cost cost{filler.broken(), free_accelerators(table, range),
+                      free_accelerators(table, zones[zone])};
+        if (!best_cost.has_value() || cost < *best_cost)
         {
-            best = &range;
             best_cost = cost;
+            best = filler.result();
         }
     }
-    if (best == nullptr)
+    if (!best_cost.has_value())
     {
         return std::nullopt;
     }
-    return tight_fit_in(table, ranges, *best, needed);
+    return best;
 }
 
 std::optional<indexed_placement> contiguous_fit(const free_table& table,
