--- a/kingcuprudder/region/region_log.hpp
+++ b/kingcuprudder/region/region_log.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPRUDDER_REGION_REGION_LOG_HPP
 #define KINGCUPRUDDER_REGION_REGION_LOG_HPP
 
+#include <kingcuprudder/region/region_keys.hpp>
 #include <kingcuprudder/region/region_owner.hpp>
 #include <kingcuprudder/region/store_operation.hpp>
 
