--- a/kingcuprudder/region/region_log.hpp
+++ b/kingcuprudder/region/region_log.hpp
@@ -40,8 +40,7 @@
     };
 
     /// Revisions of slots that are known already, by slot number.
-    using slot_revisions =
-        std::array<std::optional<store_revision>, log_slots>;
+    using slot_revisions = std::array<std::optional<store_revision>, log_slots>;
 
     region_log(region_id region, const owner_codec& codec, std::uint64_t seed);
 
