Add the entry process

It reads its settings and the region's owner through the watch, calls the owner over request streams, and ends on SIGTERM without interrupting work.

--- a/kingcuprudder/service/entry_http_server.cpp
+++ b/kingcuprudder/service/entry_http_server.cpp
@@ -1,3 +1,4 @@
+#include <kingcuprudder/runtime/ip_address.hpp>
 #include <kingcuprudder/service/entry_http_server.hpp>
 #include <kingcuprudder/service/entry_socket_stream.hpp>
 #include <kingcuprudder/service/entry_task_queue.hpp>
@@ -25,16 +26,6 @@
 /// Set by the refusing handlers, which leave the request's body unread.
 thread_local bool close_after_answer = false;
 
-std::pair<std::string, int> split_address(const std::string& address)
-{
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos)
-    {
-        throw std::runtime_error("'" + address + "' is not ip:port");
-    }
-    return {address.substr(0, colon), std::stoi(address.substr(colon + 1))};
-}
-
 /// A server that keeps its own connection loop.
 class draining_server final : public httplib::Server
 {
@@ -181,20 +172,20 @@
 
     void bind(const std::string& address)
     {
-        auto [host, port] = split_address(address);
-        if (port == 0)
+        ip_address where = parse_ip_address(address);
+        if (where.m_port == 0)
         {
-            port = m_server.bind_to_any_port(host);
+            where.m_port = m_server.bind_to_any_port(where.m_host);
         }
-        else if (!m_server.bind_to_port(host, port))
+        else if (!m_server.bind_to_port(where.m_host, where.m_port))
         {
-            port = -1;
+            where.m_port = -1;
         }
-        if (port <= 0 || ::listen(m_listener, listen_backlog) != 0)
+        if (where.m_port <= 0 || ::listen(m_listener, listen_backlog) != 0)
         {
             throw std::runtime_error("cannot listen on " + address);
         }
-        m_address = host + ":" + std::to_string(port);
+        m_address = where.m_host + ":" + std::to_string(where.m_port);
     }
 
     http_bounds m_bounds;
--- a/kingcuprudder/service/entry_json.cpp
+++ b/kingcuprudder/service/entry_json.cpp
@@ -1,5 +1,6 @@
 #include <kingcuprudder/service/entry_json.hpp>
 #include <kingcuprudder/service/entry_strict_object.hpp>
+#include <kingcuprudder/settings/settings_json.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -121,7 +122,7 @@
     {
         return parse(parse_strict_json(text));
     }
-    catch (const strict_json_error& problem)
+    catch (const std::runtime_error& problem)
     {
         return malformed(problem.what());
     }
--- a/kingcuprudder/service/entry_strict_object.cpp
+++ b/kingcuprudder/service/entry_strict_object.cpp
@@ -3,46 +3,11 @@
 #include <kingcuprudder/settings/nearest_name.hpp>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace kingcuprudder
 {
 
-nlohmann::json parse_strict_json(std::string_view text)
-{
-    std::vector<std::set<std::string>> seen;
-    auto check =
-        [&seen](int, nlohmann::json::parse_event_t event, nlohmann::json& value)
-    {
-        using parse_event = nlohmann::json::parse_event_t;
-        if (event == parse_event::object_start)
-        {
-            seen.emplace_back();
-        }
-        else if (event == parse_event::object_end)
-        {
-            seen.pop_back();
-        }
-        else if (event == parse_event::key &&
-                 !seen.back().insert(value.get<std::string>()).second)
-        {
-            throw strict_json_error("duplicate field '" +
-                                    value.get<std::string>() + "'");
-        }
-        return true;
-    };
-    try
-    {
-        return nlohmann::json::parse(text, check);
-    }
-    catch (const nlohmann::json::exception& problem)
-    {
-        throw strict_json_error(std::string("not valid JSON: ") +
-                                problem.what());
-    }
-}
-
 strict_object::strict_object(const nlohmann::json& json, std::string path,
                              const std::vector<std::string>& known)
     : m_json(json), m_path(std::move(path))
--- a/kingcuprudder/service/entry_strict_object.hpp
+++ b/kingcuprudder/service/entry_strict_object.hpp
@@ -7,7 +7,6 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace kingcuprudder
@@ -20,10 +19,6 @@
     using std::runtime_error::runtime_error;
 };
 
-/// Parses JSON text and refuses duplicate fields, of which one would win
-/// silently. Throws strict_json_error.
-nlohmann::json parse_strict_json(std::string_view text);
-
 /// Reads the fields of a JSON object and refuses all that are not expected.
 /// All functions throw strict_json_error.
 class strict_object
--- /dev/null
+++ b/tools/kcr_entry/entry_process.hpp
@@ -0,0 +1,53 @@
+#ifndef KINGCUPRUDDER_TOOLS_KCR_ENTRY_ENTRY_PROCESS_HPP
+#define KINGCUPRUDDER_TOOLS_KCR_ENTRY_ENTRY_PROCESS_HPP
+
+#include <kingcuprudder/runtime/process_settings.hpp>
+#include <kingcuprudder/service/entry_service.hpp>
+#include <kingcuprudder/service/live_state.hpp>
+#include <kingcuprudder/service/peer_calls.hpp>
+#include <kingcuprudder/store/http_key_value_store.hpp>
+#include <kingcuprudder/stream/stream_client.hpp>
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace kingcuprudder
+{
+
+/// One entry process: the entry service with its store, its watch and its
+/// streams to the region's owner.
+class entry_process
+{
+public:
+    /// Throws std::runtime_error when an address cannot be served.
+    explicit entry_process(const process_settings& settings);
+    ~entry_process();
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+
+    /// Ends the process's work without interrupting any in progress.
+    void shut_down();
+
+    /// The state for operators, as lines of text.
+    std::string dump() const;
+
+private:
+    void forward_settings(std::shared_ptr<const effective_settings> settings);
+    void forward_owner(std::optional<owner_record> owner);
+
+    // Guards the time in which the watch runs and the service is not there.
+    std::mutex m_mutex;
+    entry_service* m_receiver = nullptr;
+    http_key_value_store m_store;
+    live_state m_live;
+    // Outlives the client, whose calls in progress end with it.
+    peer_calls m_peers;
+    stream_client m_client;
+    std::unique_ptr<entry_service> m_service;
+};
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/tools/kcr_entry/main.cpp
@@ -0,0 +1,64 @@
+#include "entry_process.hpp"
+#include <kingcuprudder/runtime/signals.hpp>
+
+#include <tclap/CmdLine.h>
+
+#include <future>
+#include <iostream>
+
+namespace
+{
+
+using namespace kingcuprudder;
+
+int serve(const process_settings& settings)
+{
+    configure_logging(settings.m_log);
+    const logger log("entry");
+    entry_process process(settings);
+    std::promise<void> terminated;
+    bool asked = false;
+    const signal_waiter signals(
+        [&]
+        {
+            if (!std::exchange(asked, true))
+            {
+                terminated.set_value();
+            }
+        },
+        [&] { log.info("state:\n" + process.dump()); });
+    log.info("Serving callers on " + settings.m_http_address + ".");
+    terminated.get_future().wait();
+    log.info("Shutting down; work in progress is finished.");
+    process.shut_down();
+    log.info("All work has ended.");
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        TCLAP::CmdLine command_line("Serves the callers of kingcuprudder.");
+        TCLAP::ValueArg<std::string> file("", "process-settings",
+                                          "File with the process settings.",
+                                          true, "", "file", command_line);
+        command_line.parse(argc, argv);
+        const result<process_settings> settings =
+            load_process_settings(file.getValue());
+        if (!succeeded(settings))
+        {
+            std::cerr << "kcr_entry: " << error_of(settings).m_message << "\n";
+            return 2;
+        }
+        block_signals();
+        return serve(value_of(settings));
+    }
+    catch (const std::exception& problem)
+    {
+        std::cerr << "kcr_entry: " << problem.what() << "\n";
+        return 1;
+    }
+}
