Reserve for gangs by wait relative to run time, fewer for completion time

The wait now counts relative to the expected run time. The number of reservations follows the fragmentation weight, since each one leaves accelerators unused.

--- a/kingcuprudder/placement/planning_pass.cpp
+++ b/kingcuprudder/placement/planning_pass.cpp
@@ -230,7 +230,7 @@
 void planning_pass::place_pressing()
 {
     for (std::size_t i :
-         most_pressing(m_order, m_input.m_options.m_reservations,
+         most_pressing(m_order, reservation_limit(),
                        m_input.m_options.m_patience, m_input.m_now))
     {
         if (!m_done[i])
@@ -362,9 +362,31 @@
     return m_releases;
 }
 
+std::size_t planning_pass::reservation_limit() const
+{
+    std::size_t most = m_input.m_options.m_reservations;
+    if (most == 0)
+    {
+        return 0;
+    }
+    std::size_t weight = m_input.m_settings.m_fragmentation_weight_percent;
+    return 1 + (most - 1) * weight / 100;
+}
+
+instant planning_pass::backfill_until(const ordered_job& job,
+                                      instant expected_start) const
+{
+    const gang_policy_options& options = m_input.m_options;
+    span drain_after =
+        std::max(options.m_drain_after,
+                 job.m_expected * options.m_drain_after_run_times);
+    bool drain = m_input.m_now - job.m_job->m_accepted_at > drain_after;
+    return drain ? m_input.m_now : expected_start;
+}
+
 bool planning_pass::reserve_for(const ordered_job& job)
 {
-    if (m_reservation_count >= m_input.m_options.m_reservations)
+    if (m_reservation_count >= reservation_limit())
     {
         return false;
     }
@@ -395,7 +417,7 @@
     }
     ++m_reservation_count;
     m_input.m_reserved_ranges[spec.m_key] = reserved->m_range;
-    m_views.hold(*reserved);
+    m_views.hold(*reserved, backfill_until(job, reserved->m_start));
     for (const indexed_allocation& part : reserved->m_where)
     {
         give_back(m_held, spec.m_shape, part);
--- a/kingcuprudder/placement/planning_pass.hpp
+++ b/kingcuprudder/placement/planning_pass.hpp
@@ -63,6 +63,9 @@
                                          const free_table& view) const;
     free_table allowed(const queued_job& job, const free_table& view) const;
     void start(const ordered_job& job, const indexed_placement& where);
+    std::size_t reservation_limit() const;
+    instant backfill_until(const ordered_job& job,
+                           instant expected_start) const;
     bool reserve_for(const ordered_job& job);
     const std::vector<expected_release>& releases();
     instant expected_end(const ordered_job& job) const;
--- a/kingcuprudder/placement/queue_order.cpp
+++ b/kingcuprudder/placement/queue_order.cpp
@@ -92,9 +92,14 @@
         span waited = now - job.m_accepted_at;
         if (waited >= patience)
         {
-            pressing.emplace_back(-static_cast<double>(waited.count()) *
-                                      size_of(job.m_spec.m_shape),
-                                  i);
+            // Relative to its run time, so that a short wait of a long job
+            // does not cost many short jobs a long one.
+            double pressure =
+                static_cast<double>(waited.count()) *
+                size_of(job.m_spec.m_shape) /
+                static_cast<double>(
+                    std::max(order[i].m_expected, shortest_run_time).count());
+            pressing.emplace_back(-pressure, i);
         }
     }
     count = std::min(count, pressing.size());
--- a/kingcuprudder/placement/queue_order.hpp
+++ b/kingcuprudder/placement/queue_order.hpp
@@ -28,7 +28,8 @@
                                      instant now);
 
 /// The waiting jobs that should get a reservation first, at most count, the
-/// most pressing one first. Pressing are large gangs that wait long.
+/// most pressing one first. Pressing are large gangs that wait long compared
+/// to their run time.
 std::vector<std::size_t> most_pressing(const std::vector<ordered_job>& order,
                                        std::size_t count, span patience,
                                        instant now);
--- a/kingcuprudder/placement/reservation.cpp
+++ b/kingcuprudder/placement/reservation.cpp
@@ -154,14 +154,14 @@
     return after == m_views.begin() ? m_base : std::prev(after)->m_free;
 }
 
-void capacity_views::hold(const reservation& held)
+void capacity_views::hold(const reservation& held, instant backfill_until)
 {
     auto at = std::partition_point(m_views.begin(), m_views.end(),
                                    [&](const view& each)
-                                   { return each.m_start < held.m_start; });
+                                   { return each.m_start < backfill_until; });
     const free_table& outer =
         at == m_views.begin() ? m_base : std::prev(at)->m_free;
-    view inserted{held.m_start, outer};
+    view inserted{backfill_until, outer};
     at = m_views.insert(at, std::move(inserted));
     for (; at != m_views.end(); ++at)
     {
--- a/kingcuprudder/placement/reservation.hpp
+++ b/kingcuprudder/placement/reservation.hpp
@@ -60,8 +60,8 @@
     /// What is free now, reservations or not.
     const free_table& base() const { return m_base; }
 
-    /// Keeps a reservation's resources from jobs that end after its start.
-    void hold(const reservation& held);
+    /// Keeps a reservation's resources from jobs that end after this time.
+    void hold(const reservation& held, instant backfill_until);
 
     /// Takes resources for a job. Resources that are not free yet, because
     /// they are being reclaimed for the job, are left out.
--- a/performance_test/placement_quality_main.cpp
+++ b/performance_test/placement_quality_main.cpp
@@ -31,17 +31,6 @@
     return options;
 }
 
-gang_policy_options env_options()
-{
-    gang_policy_options o;
-    if (auto e = std::getenv("RES")) o.m_reservations = std::atoi(e);
-    if (auto e = std::getenv("PAT")) o.m_patience = span::minutes(std::atoi(e));
-    if (auto e = std::getenv("HALF")) o.m_halving_wait = span::minutes(std::atoi(e));
-    if (auto e = std::getenv("AGED")) o.m_aged_order = std::atoi(e);
-    if (auto e = std::getenv("TIGHT")) o.m_tight_fit = std::atoi(e);
-    return o;
-}
-
 std::vector<named_policy> policies()
 {
     return {
@@ -49,7 +38,7 @@
         {"best_fit",
          [] { return std::make_unique<gang_policy>(best_fit_options()); }},
         {"backfill", [] { return std::make_unique<backfill_baseline>(); }},
-        {"gang", [] { return std::make_unique<gang_policy>(env_options()); }},
+        {"gang", [] { return std::make_unique<gang_policy>(); }},
     };
 }
 
