--- a/kingcuprudder/runtime/http_listener.cpp
+++ b/kingcuprudder/runtime/http_listener.cpp
@@ -26,13 +26,14 @@
 {
 public:
     implementation(const std::string& address, std::size_t threads,
-                   const installer& install)
+                   const installer& install, connections reuse)
     {
         m_server.new_task_queue = [threads]
         { return new httplib::ThreadPool(threads); };
         m_server.set_payload_max_length(max_body_bytes);
         m_server.set_tcp_nodelay(true);
-        m_server.set_keep_alive_max_count(max_calls_per_connection);
+        m_server.set_keep_alive_max_count(
+            reuse == connections::kept ? max_calls_per_connection : 1);
         m_server.set_keep_alive_timeout(idle_connection_seconds);
         m_server.set_read_timeout(transfer_timeout_seconds);
         m_server.set_write_timeout(transfer_timeout_seconds);
@@ -90,9 +91,9 @@
 };
 
 http_listener::http_listener(const std::string& address, std::size_t threads,
-                             const installer& install)
+                             const installer& install, connections reuse)
     : m_implementation(
-          std::make_unique<implementation>(address, threads, install))
+          std::make_unique<implementation>(address, threads, install, reuse))
 {
 }
 
