--- a/kingcuprudder/runtime/process_settings.cpp
+++ b/kingcuprudder/runtime/process_settings.cpp
@@ -217,7 +217,8 @@
 {
     try
     {
-        return process_settings_reader(parse_strict_json(text)).read();
+        return process_settings_reader(parse_json_without_duplicates(text))
+            .read();
     }
     catch (const std::exception& problem)
     {
--- a/kingcuprudder/settings/settings_json.cpp
+++ b/kingcuprudder/settings/settings_json.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-json parse_strict_json(std::string_view text)
+json parse_json_without_duplicates(std::string_view text)
 {
     duplicate_key_check check;
     return json::parse(
--- a/kingcuprudder/settings/settings_json.hpp
+++ b/kingcuprudder/settings/settings_json.hpp
@@ -12,7 +12,7 @@
 /// Parses JSON text. Throws std::runtime_error with the place of the fault;
 /// a key that stands twice in one object is a fault, since one of its two
 /// values would be dropped silently.
-nlohmann::json parse_strict_json(std::string_view text);
+nlohmann::json parse_json_without_duplicates(std::string_view text);
 
 /// The member with this key, or an empty object when there is none.
 const nlohmann::json& member_or_empty(const nlohmann::json& object,
