--- a/kingcuprudder/request/request_session.cpp
+++ b/kingcuprudder/request/request_session.cpp
@@ -13,6 +13,8 @@
 
 constexpr span first_delay = span(20);
 constexpr span longest_delay = span::seconds(2);
+/// A target gets room within milliseconds when a request on it ends.
+constexpr span longest_target_check = span(100);
 /// An owner answers a report within milliseconds; a lost one is sent again.
 constexpr span report_timeout = span::seconds(2);
 /// Below this, splitting the time that is left between two tries makes both
@@ -156,7 +158,8 @@
     }
     if (now - *m_waiting_since < longest_target_wait)
     {
-        return wait(state::waiting_for_target, m_backoff.next(), now);
+        const span delay = std::min(m_backoff.next(), longest_target_check);
+        return wait(state::waiting_for_target, delay, now);
     }
     const bool live = m_router.has_live_target(m_request.m_service);
     const error refusal =
