--- a/demo/scenario.cpp
+++ b/demo/scenario.cpp
@@ -192,7 +192,7 @@
         for (const auto& run : history.at("runs"))
         {
             // Minions see the account in front of the caller's id.
-            const auto id = run.at("request_id").get<std::string>();
+            const auto id = run.at("request").get<std::string>();
             count += id.find(request) != std::string::npos ? 1 : 0;
         }
     }
