--- a/kingcuprudder/placement/first_fit_policy.cpp
+++ b/kingcuprudder/placement/first_fit_policy.cpp
@@ -61,7 +61,8 @@
 std::optional<std::string>
 first_fit_policy::never_fits(const cluster& region, const job_spec& spec) const
 {
-    return reason_never_fits(region, m_ranges, spec.m_shape);
+    return reason_never_fits(total_resources(region), m_ranges, spec.m_shape,
+                             "the whole topology");
 }
 
 plan first_fit_policy::make_plan(const cluster& region,
--- a/kingcuprudder/placement/gang_policy.cpp
+++ b/kingcuprudder/placement/gang_policy.cpp
@@ -24,7 +24,23 @@
 std::optional<std::string> gang_policy::never_fits(const cluster& region,
                                                    const job_spec& spec) const
 {
-    return reason_never_fits(region, m_ranges, spec.m_shape);
+    auto reason = reason_never_fits(total_resources(region), m_ranges,
+                                    spec.m_shape, "the whole topology");
+    if (reason.has_value() || can_be_stopped(spec))
+    {
+        return reason;
+    }
+    for (std::size_t slot : m_layout.slots_of(spec.m_key.m_account))
+    {
+        if (covers(m_layout.slots()[slot].m_shape, spec.m_shape))
+        {
+            return std::nullopt;
+        }
+    }
+    return reason_never_fits(m_layout.unreserved(region), m_ranges,
+                             spec.m_shape,
+                             "what no account's guarantee holds, which is "
+                             "where jobs that cannot be stopped run,");
 }
 
 void gang_policy::observe_ends(const std::vector<running_entry>& gone,
--- a/kingcuprudder/placement/guarantee_layout.hpp
+++ b/kingcuprudder/placement/guarantee_layout.hpp
@@ -81,6 +81,9 @@
         return m_reserved[worker];
     }
 
+    /// What the workers have beside all guarantees.
+    free_table unreserved(const cluster& region) const;
+
 private:
     friend class layout_builder;
 
--- a/kingcuprudder/placement/layout_builder.cpp
+++ b/kingcuprudder/placement/layout_builder.cpp
@@ -11,21 +11,6 @@
 namespace
 {
 
-bool is_available(const free_table& table, const shape& needed,
-                  const indexed_placement& where)
-{
-    return std::all_of(
-        where.begin(), where.end(),
-        [&](const indexed_allocation& part)
-        {
-            const worker_free& left = table[part.m_worker];
-            return (part.m_accelerators & ~left.m_accelerators) == 0 &&
-                   left.m_cores >= part.m_tasks * needed.m_cores_per_task &&
-                   left.m_memory_mb >=
-                       part.m_tasks * needed.m_memory_mb_per_task;
-        });
-}
-
 free_table usable_total(const cluster& region)
 {
     free_table table = total_resources(region);
@@ -179,18 +164,8 @@
     }
 }
 
-void layout_builder::repair(const std::vector<running_job>& running)
+void layout_builder::keep_slots(const std::vector<bool>& held, bool only_held)
 {
-    std::vector<running_entry> jobs = unstoppable_jobs(running);
-    std::vector<bool> held = find_holders(jobs);
-    m_available = usable_total(m_region);
-    for (const running_entry& job : jobs)
-    {
-        if (job.m_slot == running_entry::no_slot)
-        {
-            take(m_available, job.m_shape, job.m_where);
-        }
-    }
     // Slots with a running job that cannot be stopped keep their place first.
     for (bool with_holder : {true, false})
     {
@@ -201,8 +176,8 @@
             {
                 continue;
             }
-            if (with_holder ||
-                is_available(m_available, each.m_shape, *each.m_where))
+            if (with_holder || (!only_held && is_free(m_available, each.m_shape,
+                                                      *each.m_where)))
             {
                 take(m_available, each.m_shape, *each.m_where);
             }
@@ -212,8 +187,31 @@
             }
         }
     }
+}
+
+void layout_builder::repair(const std::vector<running_job>& running)
+{
+    std::vector<running_entry> jobs = unstoppable_jobs(running);
+    std::vector<bool> held = find_holders(jobs);
+    free_table around = usable_total(m_region);
+    for (const running_entry& job : jobs)
+    {
+        if (job.m_slot == running_entry::no_slot)
+        {
+            take(around, job.m_shape, job.m_where);
+        }
+    }
     std::vector<std::size_t> order = priority_order();
-    pack(order);
+    m_available = around;
+    keep_slots(held, false);
+    if (!pack(order))
+    {
+        // With too little room for all, accounts of higher priority come
+        // first, also before slots that could have stayed in place.
+        m_available = around;
+        keep_slots(held, true);
+        pack(order);
+    }
     for (std::size_t number : order)
     {
         if (!m_demands[number].m_where.has_value())
--- a/kingcuprudder/placement/layout_builder.hpp
+++ b/kingcuprudder/placement/layout_builder.hpp
@@ -42,6 +42,7 @@
     std::vector<running_entry>
     unstoppable_jobs(const std::vector<running_job>& running) const;
     std::vector<bool> find_holders(std::vector<running_entry>& jobs) const;
+    void keep_slots(const std::vector<bool>& held, bool only_held);
     void adopt(demand& lacking, std::vector<running_entry>& jobs) const;
 
     const cluster& m_region;
--- a/kingcuprudder/placement/planning_pass.cpp
+++ b/kingcuprudder/placement/planning_pass.cpp
@@ -10,11 +10,6 @@
 namespace
 {
 
-std::uint32_t subtract(std::uint32_t value, std::uint32_t amount)
-{
-    return value - std::min(value, amount);
-}
-
 worker_free common(const worker_free& left, const worker_free& right)
 {
     return {left.m_accelerators & right.m_accelerators,
@@ -22,21 +17,6 @@
             std::min(left.m_memory_mb, right.m_memory_mb)};
 }
 
-bool fits_now(const free_table& table, const shape& needed,
-              const indexed_placement& where)
-{
-    return std::all_of(
-        where.begin(), where.end(),
-        [&](const indexed_allocation& part)
-        {
-            const worker_free& left = table[part.m_worker];
-            return (part.m_accelerators & ~left.m_accelerators) == 0 &&
-                   left.m_cores >= part.m_tasks * needed.m_cores_per_task &&
-                   left.m_memory_mb >=
-                       part.m_tasks * needed.m_memory_mb_per_task;
-        });
-}
-
 } // namespace
 
 planning_pass::planning_pass(const planning_input& input)
@@ -51,15 +31,7 @@
 {
     // Guarantees keep their cores and memory on each worker whatever runs
     // there, so jobs that cannot be stopped share only the rest.
-    m_unreserved = total_resources(m_input.m_region);
-    for (std::size_t i = 0; i < m_unreserved.size(); ++i)
-    {
-        const worker_free& reserved = m_input.m_layout.reserved_on(i);
-        worker_free& left = m_unreserved[i];
-        left.m_accelerators &= ~reserved.m_accelerators;
-        left.m_cores = subtract(left.m_cores, reserved.m_cores);
-        left.m_memory_mb = subtract(left.m_memory_mb, reserved.m_memory_mb);
-    }
+    m_unreserved = m_input.m_layout.unreserved(m_input.m_region);
     for (const running_entry& entry : m_input.m_running)
     {
         if (entry.m_slot != running_entry::no_slot)
@@ -86,17 +58,25 @@
     return std::move(m_plan);
 }
 
+bool planning_pass::may_run_on(const queued_job& job, std::size_t worker) const
+{
+    const worker_id& id = m_input.m_region.worker_at(worker).m_id;
+    return m_input.m_region.usable(worker) &&
+           std::find(job.m_avoid.begin(), job.m_avoid.end(), id) ==
+               job.m_avoid.end();
+}
+
 std::vector<std::size_t>
-planning_pass::covering_slots(const job_spec& spec) const
+planning_pass::covering_slots(const queued_job& job) const
 {
     std::vector<std::size_t> slots;
+    const job_spec& spec = job.m_spec;
     for (std::size_t slot : m_input.m_layout.slots_of(spec.m_key.m_account))
     {
         const guarantee_slot& each = m_input.m_layout.slots()[slot];
-        bool usable =
-            std::all_of(each.m_where.begin(), each.m_where.end(),
-                        [&](const indexed_allocation& part)
-                        { return m_input.m_region.usable(part.m_worker); });
+        bool usable = std::all_of(each.m_where.begin(), each.m_where.end(),
+                                  [&](const indexed_allocation& part)
+                                  { return may_run_on(job, part.m_worker); });
         if (usable && !m_slot_taken[slot] && covers(each.m_shape, spec.m_shape))
         {
             slots.push_back(slot);
@@ -112,8 +92,7 @@
     std::vector<std::size_t> waiting;
     for (std::size_t i = 0; i < m_order.size(); ++i)
     {
-        std::vector<std::size_t> slots =
-            covering_slots(m_order[i].m_job->m_spec);
+        std::vector<std::size_t> slots = covering_slots(*m_order[i].m_job);
         if (!slots.empty())
         {
             m_done[i] = start_in_own_slot(m_order[i], slots);
@@ -141,7 +120,7 @@
     free_table table = m_views.base();
     for (std::size_t i : waiting)
     {
-        for (std::size_t slot : covering_slots(m_order[i].m_job->m_spec))
+        for (std::size_t slot : covering_slots(*m_order[i].m_job))
         {
             const guarantee_slot& each = m_input.m_layout.slots()[slot];
             take(table, each.m_shape, each.m_where);
@@ -171,7 +150,7 @@
     {
         indexed_placement where =
             place_in_slot(m_input.m_layout.slots()[slot], needed);
-        if (fits_now(m_views.base(), needed, where))
+        if (is_free(m_views.base(), needed, where))
         {
             m_slot_taken[slot] = true;
             start(job, where);
@@ -193,8 +172,8 @@
 bool planning_pass::reclaim_slot(const ordered_job& job, bool stop_more)
 {
     const job_spec& spec = job.m_job->m_spec;
-    auto choice =
-        chooser().choose(m_input.m_layout, covering_slots(spec), spec.m_shape);
+    auto choice = chooser().choose(m_input.m_layout, covering_slots(*job.m_job),
+                                   spec.m_shape);
     if (!choice.has_value() || (!choice->m_victims.empty() && !stop_more))
     {
         return false;
@@ -322,7 +301,7 @@
                           const indexed_placement& where)
 {
     const job_spec& spec = job.m_job->m_spec;
-    KCR_ASSERT(fits_now(m_views.base(), spec.m_shape, where));
+    KCR_ASSERT(is_free(m_views.base(), spec.m_shape, where));
     m_views.take_everywhere(spec.m_shape, where);
     if (!can_be_stopped(spec))
     {
--- a/kingcuprudder/placement/planning_pass.hpp
+++ b/kingcuprudder/placement/planning_pass.hpp
@@ -51,7 +51,8 @@
     free_table
     without_requested_slots(const std::vector<std::size_t>& waiting) const;
     bool start_elsewhere(const ordered_job& job, free_table& guarded);
-    std::vector<std::size_t> covering_slots(const job_spec& spec) const;
+    std::vector<std::size_t> covering_slots(const queued_job& job) const;
+    bool may_run_on(const queued_job& job, std::size_t worker) const;
     reclaim_chooser& chooser();
 
     void place_urgent();
--- a/kingcuprudder/placement/reclaim_choice.cpp
+++ b/kingcuprudder/placement/reclaim_choice.cpp
@@ -26,14 +26,6 @@
     left.m_memory_mb += part.m_tasks * entry.m_shape.m_memory_mb_per_task;
 }
 
-bool enough(const worker_free& left, const indexed_allocation& part,
-            const shape& needed)
-{
-    return (part.m_accelerators & ~left.m_accelerators) == 0 &&
-           left.m_cores >= part.m_tasks * needed.m_cores_per_task &&
-           left.m_memory_mb >= part.m_tasks * needed.m_memory_mb_per_task;
-}
-
 } // namespace
 
 reclaim_chooser::reclaim_chooser(const std::vector<running_entry>& running,
@@ -99,14 +91,14 @@
     std::sort(others.begin(), others.end());
     for (const auto& [lost, entry] : others)
     {
-        if (enough(left, part, needed))
+        if (holds(left, needed, part))
         {
             break;
         }
         add_resources(left, m_running[entry], part.m_worker);
         victims.push_back(entry);
     }
-    return enough(left, part, needed);
+    return holds(left, needed, part);
 }
 
 std::optional<reclaim_choice>
--- a/kingcuprudder/placement/shape_fitting.cpp
+++ b/kingcuprudder/placement/shape_fitting.cpp
@@ -193,6 +193,22 @@
     return best != 0 ? best : lowest_set(free, count);
 }
 
+bool holds(const worker_free& left, const shape& needed,
+           const indexed_allocation& part)
+{
+    return (part.m_accelerators & ~left.m_accelerators) == 0 &&
+           left.m_cores >= part.m_tasks * needed.m_cores_per_task &&
+           left.m_memory_mb >= part.m_tasks * needed.m_memory_mb_per_task;
+}
+
+bool is_free(const free_table& table, const shape& needed,
+             const indexed_placement& where)
+{
+    return std::all_of(where.begin(), where.end(),
+                       [&](const indexed_allocation& part)
+                       { return holds(table[part.m_worker], needed, part); });
+}
+
 void take(free_table& table, const shape& needed,
           const indexed_allocation& part)
 {
@@ -251,23 +267,23 @@
     return std::nullopt;
 }
 
-std::optional<std::string> reason_never_fits(const cluster& region,
+std::optional<std::string> reason_never_fits(const free_table& resources,
                                              const worker_ranges& ranges,
-                                             const shape& needed)
+                                             const shape& needed,
+                                             const std::string& name)
 {
     if (needed.m_tasks == 0)
     {
         return "a job needs at least one task";
     }
     std::uint32_t most = 0;
-    free_table table = total_resources(region);
     for (const worker_range& range : ranges.of(needed.m_proximity))
     {
         std::uint32_t tasks = 0;
         for (std::size_t i = range.m_first; i < range.m_last; ++i)
         {
             tasks += std::min(needed.m_tasks - tasks,
-                              tasks_that_fit(table[i], needed));
+                              tasks_that_fit(resources[i], needed));
         }
         most = std::max(most, tasks);
     }
@@ -275,7 +291,7 @@
     {
         return std::nullopt;
     }
-    return "needs " + describe(needed) + "; the whole topology can hold " +
+    return "needs " + describe(needed) + "; " + name + " can hold " +
            std::to_string(most) + " such tasks at most";
 }
 
--- a/kingcuprudder/placement/shape_fitting.hpp
+++ b/kingcuprudder/placement/shape_fitting.hpp
@@ -81,7 +81,15 @@
 /// run that is long enough, else the lowest ones.
 std::uint64_t choose_accelerators(std::uint64_t free, std::uint32_t count);
 
-/// Takes or gives back the resources of one allocation.
+/// Whether the free resources of a worker hold one allocation.
+bool holds(const worker_free& left, const shape& needed,
+           const indexed_allocation& part);
+
+/// Whether all resources of a placement are free.
+bool is_free(const free_table& table, const shape& needed,
+             const indexed_placement& where);
+
+/// Takes or gives back resources. Taking leaves out what is not free.
 void take(free_table& table, const shape& needed,
           const indexed_allocation& part);
 void take(free_table& table, const shape& needed,
@@ -94,10 +102,12 @@
                                            const worker_ranges& ranges,
                                            const shape& needed);
 
-/// Why the shape cannot be placed even when everything is free, or nothing.
-std::optional<std::string> reason_never_fits(const cluster& region,
+/// Why the shape cannot be placed even when all of these resources are free,
+/// or nothing. The resources are named in the reason.
+std::optional<std::string> reason_never_fits(const free_table& resources,
                                              const worker_ranges& ranges,
-                                             const shape& needed);
+                                             const shape& needed,
+                                             const std::string& name);
 
 /// Converts between worker indices and worker ids. Workers that the cluster
 /// does not have are left out of the indexed form.
--- a/kingcuprudder/placement/tight_fit.cpp
+++ b/kingcuprudder/placement/tight_fit.cpp
@@ -103,7 +103,7 @@
 {
 public:
     range_filler(const free_table& table, const shape& needed,
-                 std::vector<candidate> candidates)
+                 const std::vector<candidate>& candidates)
         : m_table(table), m_needed(needed), m_missing(needed.m_tasks)
     {
         for (const candidate& each : candidates)
--- a/performance_test/backfill_baseline.cpp
+++ b/performance_test/backfill_baseline.cpp
@@ -66,7 +66,8 @@
 std::optional<std::string>
 backfill_baseline::never_fits(const cluster& region, const job_spec& spec) const
 {
-    return reason_never_fits(region, m_ranges, spec.m_shape);
+    return reason_never_fits(total_resources(region), m_ranges, spec.m_shape,
+                             "the whole topology");
 }
 
 plan backfill_baseline::make_plan(const cluster& region,
--- a/performance_test/metrics.cpp
+++ b/performance_test/metrics.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cmath>
 #include <numeric>
 #include <set>
 
@@ -29,9 +30,8 @@
         return 0;
     }
     std::sort(values.begin(), values.end());
-    auto at = static_cast<std::size_t>(
-        share * static_cast<double>(values.size() - 1) + 0.5);
-    return values[at];
+    long at = std::lround(share * static_cast<double>(values.size() - 1));
+    return values[static_cast<std::size_t>(at)];
 }
 
 } // namespace
--- a/performance_test/workload.cpp
+++ b/performance_test/workload.cpp
@@ -125,8 +125,7 @@
             1000, std::llround(static_cast<double>(made.m_actual.count()) *
                                error(account, job_class))));
         bool may_be_fixed = spec.m_shape.accelerators() <= largest_fixed;
-        spec.m_idempotent =
-            !(happens(share_not_stoppable / 2) && may_be_fixed);
+        spec.m_idempotent = !(happens(share_not_stoppable / 2) && may_be_fixed);
         spec.m_preemptible =
             !(happens(share_not_stoppable / 2) && may_be_fixed);
         spec.m_urgent = happens(share_urgent);
@@ -175,6 +174,7 @@
         {
             // Smaller guaranteed shapes are asked for more often.
             std::vector<double> weights;
+            weights.reserve(guarantees.size());
             for (const guarantee& each : guarantees)
             {
                 weights.push_back(1.0 / each.m_shape.accelerators());
--- /dev/null
+++ b/unit_tests/core/guarantee_reclaim_test.cpp
@@ -0,0 +1,140 @@
+#include "placement_test_support.hpp"
+
+#include <gtest/gtest.h>
+
+namespace kingcuprudder
+{
+namespace
+{
+
+using namespace placement_test;
+
+const shape one_worker = gang(8, proximity::worker);
+
+/// One zone with two workers; account a is guaranteed slots of one worker.
+struct reclaim_fixture : testing::Test
+{
+    void configure(std::uint32_t slots)
+    {
+        m_policy.configure(guarantees({{"a", {one_worker, slots}}}),
+                           m_bench.m_region, m_bench.m_running);
+    }
+
+    void run(const queued_job& job, const std::string& where, instant now)
+    {
+        m_bench.m_queue.push_back(job);
+        m_bench.start({job.m_spec.m_key, {{worker_id(where), 8, 0xff}}}, now);
+    }
+
+    bench m_bench{make_region(1, 1)};
+    gang_policy m_policy;
+    instant m_now{span::hours(10).count()};
+};
+
+// Guards against stopping a job that has run for long when a younger one
+// stands on another slot, and against giving the slot to somebody else.
+TEST_F(reclaim_fixture, stops_the_job_with_the_least_work_lost)
+{
+    configure(2);
+    run(make_job("b", "old", one_worker, {}), "w100", instant(1));
+    run(make_job("b", "young", one_worker, {}), "w101",
+        m_now - span::minutes(5));
+    m_bench.m_queue = {make_job("a", "own", one_worker, m_now),
+                       make_job("b", "other", one_worker, instant(1))};
+
+    plan first = m_bench.step(m_policy, m_now);
+    ASSERT_EQ(first.m_reclaims.size(), 1u);
+    EXPECT_EQ(first.m_reclaims[0].m_victim.m_job, job_id("young"));
+    EXPECT_EQ(first.m_reclaims[0].m_beneficiary.m_job, job_id("own"));
+
+    plan waiting = m_bench.step(m_policy, m_now + span(100));
+    EXPECT_TRUE(waiting.m_reclaims.empty());
+
+    m_bench.end("young");
+    plan second = m_bench.step(m_policy, m_now + span(500));
+    ASSERT_EQ(second.m_placements.size(), 1u);
+    EXPECT_EQ(second.m_placements[0].m_job.m_job, job_id("own"));
+}
+
+// Guards against reclaiming although an empty place would do.
+TEST_F(reclaim_fixture, stops_nothing_while_there_is_room)
+{
+    configure(1);
+    run(make_job("b", "borrower", one_worker, {}), "w100", instant(1));
+    m_bench.m_queue = {make_job("a", "own", one_worker, m_now)};
+    plan decided = m_bench.step(m_policy, m_now);
+    EXPECT_TRUE(decided.m_reclaims.empty());
+    EXPECT_EQ(decided.m_placements.size(), 1u);
+}
+
+// Guards against asking a job to stop that cannot be stopped.
+TEST_F(reclaim_fixture, never_stops_unstoppable_jobs)
+{
+    for (bool idempotent : {true, false})
+    {
+        m_bench = bench(make_region(1, 1));
+        queued_job fixed = make_job("b", "fixed", one_worker, {});
+        fixed.m_spec.m_idempotent = idempotent;
+        fixed.m_spec.m_preemptible = !idempotent;
+        run(fixed, "w100", instant(1));
+        run(fixed, "w101", instant(1));
+        configure(2);
+        m_bench.m_queue = {make_job("a", "own", one_worker, m_now)};
+        plan decided = m_bench.step(m_policy, m_now);
+        EXPECT_TRUE(decided.m_reclaims.empty());
+        EXPECT_EQ(m_policy.layout().shortfalls().size(), 1u);
+        ASSERT_EQ(decided.m_wait_reasons.size(), 1u);
+    }
+}
+
+// Guards against an unstoppable job on accelerators of another account's
+// guarantee, which could then not be reclaimed.
+TEST_F(reclaim_fixture, keeps_unstoppable_jobs_off_other_guarantees)
+{
+    configure(1);
+    m_bench.m_queue = {
+        unstoppable(make_job("b", "one", one_worker, instant(1))),
+        unstoppable(make_job("b", "two", one_worker, instant(2)))};
+    plan decided = m_bench.step(m_policy, m_now);
+    ASSERT_EQ(decided.m_placements.size(), 1u);
+    const guarantee_slot& slot = m_policy.layout().slots()[0];
+    EXPECT_NE(m_bench.m_region.index_of(
+                  decided.m_placements[0].m_placement[0].m_worker),
+              slot.m_where[0].m_worker);
+
+    m_bench.m_queue = {unstoppable(make_job("a", "own", one_worker, m_now))};
+    plan own = m_bench.step(m_policy, m_now);
+    ASSERT_EQ(own.m_placements.size(), 1u);
+}
+
+// Guards against a job that takes a slot which another account asks for in
+// the same pass.
+TEST_F(reclaim_fixture, lends_no_slot_that_is_asked_for)
+{
+    m_policy.configure(
+        guarantees({{"a", {one_worker, 1}}, {"b", {one_worker, 1}}}),
+        m_bench.m_region, {});
+    run(make_job("c", "borrower", one_worker, {}), "w100", instant(1));
+    m_bench.m_queue = {make_job("a", "a1", one_worker, m_now),
+                       make_job("b", "b1", one_worker, m_now)};
+    plan first = m_bench.step(m_policy, m_now);
+    EXPECT_EQ(first.m_placements.size(), 1u);
+    EXPECT_EQ(first.m_reclaims.size(), 1u);
+}
+
+// Guards against urgent jobs that wait behind others for the same slots.
+TEST_F(reclaim_fixture, places_urgent_jobs_within_their_guarantee_first)
+{
+    configure(1);
+    run(make_job("b", "fixed", one_worker, {}), "w100", instant(1));
+    run(make_job("b", "more", one_worker, {}), "w101", instant(1));
+    queued_job urgent = make_job("a", "urgent", one_worker, m_now);
+    urgent.m_spec.m_urgent = true;
+    m_bench.m_queue = {make_job("a", "usual", one_worker, instant(1)), urgent};
+    plan decided = m_bench.step(m_policy, m_now);
+    ASSERT_EQ(decided.m_reclaims.size(), 1u);
+    EXPECT_EQ(decided.m_reclaims[0].m_beneficiary.m_job, job_id("urgent"));
+}
+
+} // namespace
+} // namespace kingcuprudder
