--- a/kingcuprudder/runtime/http_listener.cpp
+++ b/kingcuprudder/runtime/http_listener.cpp
@@ -1,6 +1,8 @@
 #include <kingcuprudder/runtime/http_listener.hpp>
 #include <kingcuprudder/runtime/ip_address.hpp>
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <chrono>
 #include <httplib.h>
@@ -18,8 +20,17 @@
 constexpr std::size_t max_calls_per_connection = 1'000'000;
 // An idle connection holds a thread, so it is closed early; clients reconnect.
 constexpr time_t idle_connection_seconds = 5;
+constexpr int listen_backlog = 256;
 constexpr time_t transfer_timeout_seconds = 5;
 
+/// httplib listens with room for 5 waiting connections; when more processes
+/// connect at once, the kernel drops some and they wait a second or longer.
+class server_with_backlog : public httplib::Server
+{
+public:
+    void raise_backlog() { ::listen(svr_sock_, listen_backlog); }
+};
+
 } // namespace
 
 class http_listener::implementation
@@ -81,10 +92,11 @@
         {
             throw std::runtime_error("cannot listen on " + address);
         }
+        m_server.raise_backlog();
         m_address = where.m_host + ":" + std::to_string(where.m_port);
     }
 
-    httplib::Server m_server;
+    server_with_backlog m_server;
     std::string m_address;
     std::atomic<bool> m_ended = false;
     std::thread m_thread;
--- a/kingcuprudder/service/live_state.cpp
+++ b/kingcuprudder/service/live_state.cpp
@@ -1,6 +1,7 @@
 #include <kingcuprudder/codec/codec.hpp>
 #include <kingcuprudder/region/region_keys.hpp>
 #include <kingcuprudder/request/backoff.hpp>
+#include <kingcuprudder/runtime/logging.hpp>
 #include <kingcuprudder/service/live_state.hpp>
 #include <kingcuprudder/settings/resolve_settings.hpp>
 
@@ -74,6 +75,8 @@
         const auto resolved = resolve_settings(tree, m_region, revision);
         if (!succeeded(resolved))
         {
+            m_log.error("settings revision " + std::to_string(revision) +
+                        " is refused: " + error_of(resolved).m_message);
             return;
         }
         auto settings =
@@ -102,7 +105,7 @@
         while (!stopping())
         {
             const auto batch = m_store.watch(live_prefix, after, watch_wait);
-            m_reachable = succeeded(batch);
+            note_reachable(succeeded(batch));
             if (!m_reachable)
             {
                 pause(m_backoff.next());
@@ -119,6 +122,16 @@
         }
     }
 
+    void note_reachable(bool reachable)
+    {
+        if (reachable != m_reachable)
+        {
+            m_log.info(reachable ? "the store answers"
+                                 : "the store does not answer");
+        }
+        m_reachable = reachable;
+    }
+
     void apply(const watch_batch& batch, bool first)
     {
         bool owner_seen = false;
@@ -177,6 +190,7 @@
                            [this] { return m_stopping; });
     }
 
+    logger m_log{"live state"};
     key_value_store& m_store;
     region_id m_region;
     std::string m_owner_key;
--- a/kingcuprudder/service/scheduler_http.cpp
+++ b/kingcuprudder/service/scheduler_http.cpp
@@ -73,12 +73,14 @@
 
 } // namespace
 
-scheduler_http::scheduler_http(scheduler_loop& loop, const std::string& address,
+scheduler_http::scheduler_http(scheduler_loop& loop, scheduler_metrics& metrics,
+                               const std::string& address,
                                const std::string& health_address)
-    : m_loop(loop), m_listener(
-                        address, listener_threads,
-                        [this](httplib::Server& server) { install(server); },
-                        http_listener::connections::single_use),
+    : m_loop(loop), m_metrics(metrics),
+      m_listener(
+          address, listener_threads,
+          [this](httplib::Server& server) { install(server); },
+          http_listener::connections::single_use),
       m_health_listener(
           health_address, health_threads,
           [this](httplib::Server& server) { install_health(server); },
@@ -95,7 +97,15 @@
 {
     server.Post(heartbeat_path,
                 [this](const httplib::Request& from, httplib::Response& to)
-                { take_heartbeat(m_loop, from, to); });
+                {
+                    m_metrics.on_heartbeat();
+                    take_heartbeat(m_loop, from, to);
+                });
+    server.Get("/metrics",
+               [this](const httplib::Request&, httplib::Response& to) {
+                   to.set_content(m_metrics.text(),
+                                  metrics_registry::content_type());
+               });
     server.Get("/dump", [this](const httplib::Request&, httplib::Response& to)
                { to.set_content(dump_state(m_loop), "text/plain"); });
 }
--- a/kingcuprudder/service/scheduler_http.hpp
+++ b/kingcuprudder/service/scheduler_http.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/runtime/http_listener.hpp>
 #include <kingcuprudder/service/scheduler_loop.hpp>
+#include <kingcuprudder/service/scheduler_metrics.hpp>
 
 #include <atomic>
 #include <string>
@@ -10,13 +11,16 @@
 namespace kingcuprudder
 {
 
-/// The scheduler's HTTP interface: heartbeats of workers and the state dump,
+/// The scheduler's HTTP interface: heartbeats of workers, the state dump, the
+/// metrics,
 /// and on a port of its own the health check.
 class scheduler_http
 {
 public:
-    /// Listens on addresses "ip:port"; the loop must outlive this object.
-    scheduler_http(scheduler_loop& loop, const std::string& address,
+    /// Listens on addresses "ip:port"; the loop and the metrics must
+    /// outlive this object.
+    scheduler_http(scheduler_loop& loop, scheduler_metrics& metrics,
+                   const std::string& address,
                    const std::string& health_address);
     scheduler_http(const scheduler_http&) = delete;
     scheduler_http& operator=(const scheduler_http&) = delete;
@@ -38,6 +42,7 @@
     void install_health(httplib::Server& server);
 
     scheduler_loop& m_loop;
+    scheduler_metrics& m_metrics;
     std::atomic<bool> m_healthy = true;
     http_listener m_listener;
     http_listener m_health_listener;
--- a/kingcuprudder/service/scheduler_loop.cpp
+++ b/kingcuprudder/service/scheduler_loop.cpp
@@ -93,7 +93,14 @@
 
 void scheduler_loop::publish()
 {
-    m_owning = m_owner->owning();
+    const bool owning = m_owner->owning();
+    if (owning != m_owning)
+    {
+        m_log.info(owning ? "took the region over"
+                          : "no longer owns the region",
+                   {"", "", owning ? m_owner->epoch() : m_epoch.load()});
+    }
+    m_owning = owning;
     m_epoch = m_owner->epoch();
     m_shut_down = m_owner->shut_down();
 }
--- a/kingcuprudder/service/scheduler_loop.hpp
+++ b/kingcuprudder/service/scheduler_loop.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/region/region_owner.hpp>
 #include <kingcuprudder/runtime/bounded_ring.hpp>
+#include <kingcuprudder/runtime/logging.hpp>
 #include <kingcuprudder/service/scheduler_event.hpp>
 
 #include <atomic>
@@ -82,6 +83,7 @@
     std::deque<scheduler_event> m_own_events;
     std::map<call_number, open_call> m_calls;
     call_number m_last_call = 0;
+    logger m_log{"region"};
     std::atomic<bool> m_owning = false;
     std::atomic<epoch_number> m_epoch = 0;
     std::atomic<bool> m_shut_down = false;
--- a/kingcuprudder/service/scheduler_service.cpp
+++ b/kingcuprudder/service/scheduler_service.cpp
@@ -1,4 +1,5 @@
 #include <kingcuprudder/codec/codec.hpp>
+#include <kingcuprudder/runtime/logging.hpp>
 #include <kingcuprudder/service/instance_list_client.hpp>
 #include <kingcuprudder/service/live_state.hpp>
 #include <kingcuprudder/service/peer_calls.hpp>
@@ -57,16 +58,24 @@
               { take_stream_call(method, body, respond); })),
           m_stream_address(m_stream_server->address()),
           m_loop(make_owner(options, m_stream_address, std::move(policy))),
-          m_http(m_loop, options.m_http_address, options.m_health_address),
-          m_store_caller(m_store, [this](store_answer answer)
-                         { m_loop.push(std::move(answer)); }),
+          m_http(m_loop, m_metrics, options.m_http_address,
+                 options.m_health_address),
+          m_store_caller(m_store,
+                         [this](store_answer answer, span latency)
+                         {
+                             m_metrics.on_store_answer(answer, latency);
+                             m_loop.push(std::move(answer));
+                         }),
           m_worker_client(options.m_instance, m_http.heartbeat_url(),
                           [this](worker_answer answer)
-                          { m_loop.push(std::move(answer)); }),
+                          {
+                              m_metrics.on_worker_answer(answer);
+                              m_loop.push(std::move(answer));
+                          }),
           m_live(
               m_store, options.m_region,
               [this](std::shared_ptr<const effective_settings> settings)
-              { m_loop.push(settings_event{std::move(settings)}); },
+              { take_settings(std::move(settings)); },
               [this](std::optional<owner_record> owner, store_revision revision)
               {
                   m_loop.push(owner_key_event{std::move(owner), revision});
@@ -101,14 +110,24 @@
 
     void begin_shutdown()
     {
+        m_log.info("shutdown begins");
         m_http.set_healthy(false);
         m_loop.push(shutdown_event{});
     }
 
 private:
+    void take_settings(std::shared_ptr<const effective_settings> settings)
+    {
+        m_log.info("settings revision " + std::to_string(settings->m_revision) +
+                   " is in force");
+        m_loop.push(settings_event{std::move(settings)});
+    }
+
     void take_workers(std::vector<worker> workers)
     {
         m_worker_client.set_workers(workers);
+        m_log.info("instance list shows " + std::to_string(workers.size()) +
+                   " workers");
         m_loop.push(workers_event{std::move(workers)});
     }
 
@@ -134,6 +153,7 @@
             respond(to_cbor(caller_answer{0, error_of(call)}));
             return;
         }
+        m_metrics.on_caller_call();
         const call_number number = value_of(call).m_call;
         const bool taken = m_loop.try_push(
             call_event{value_of(call), [respond](const caller_answer& answer)
@@ -146,6 +166,8 @@
         }
     }
 
+    logger m_log{"scheduler"};
+    scheduler_metrics m_metrics;
     std::atomic<bool> m_started = false;
     http_key_value_store m_store;
     std::unique_ptr<stream_server> m_stream_server;
--- a/kingcuprudder/service/store_caller.cpp
+++ b/kingcuprudder/service/store_caller.cpp
@@ -1,3 +1,4 @@
+#include <kingcuprudder/runtime/steady_time.hpp>
 #include <kingcuprudder/service/store_caller.hpp>
 
 #include <chrono>
@@ -47,7 +48,9 @@
         const std::optional<store_call> next = m_waiting.pop(longest_wait);
         if (next)
         {
-            m_done(m_store.call(*next));
+            const std::int64_t begin = steady_milliseconds();
+            store_answer answer = m_store.call(*next);
+            m_done(std::move(answer), span(steady_milliseconds() - begin));
         }
     }
 }
--- a/kingcuprudder/service/store_caller.hpp
+++ b/kingcuprudder/service/store_caller.hpp
@@ -15,8 +15,9 @@
 class store_caller
 {
 public:
-    /// Called once for each accepted call, on a thread of this object.
-    using completion = std::function<void(store_answer)>;
+    /// Called once for each accepted call, on a thread of this object, with
+    /// the time that the call took.
+    using completion = std::function<void(store_answer, span latency)>;
 
     /// The store must outlive this object.
     store_caller(key_value_store& store, completion done);
--- a/unit_tests/service/scheduler_test.cpp
+++ b/unit_tests/service/scheduler_test.cpp
@@ -9,16 +9,164 @@
 
 using attempts = std::map<std::uint32_t, int>;
 
+void expect_success(const result<caller_reply>& reply)
+{
+    ASSERT_TRUE(succeeded(reply)) << error_of(reply).m_message;
+}
+
 // Guards against a gang that runs in part, or twice.
 TEST(scheduler, a_gang_runs_exactly_once_on_all_its_accelerators)
 {
     test_region region(8, 1);
     const job_spec spec = test_region::gang("j", 64, 300);
-    const auto reply = region.call(submit_job{spec});
-    ASSERT_TRUE(succeeded(reply)) << error_of(reply).m_message;
+    expect_success(region.submit(spec));
+    EXPECT_EQ(region.end_of(spec), "succeeded");
+    EXPECT_EQ(region.started(spec.m_key), (attempts{{1, 64}}));
+}
+
+// Guards against a store outage that stops a running gang, loses its end, or
+// starts it twice.
+TEST(scheduler, a_gang_ends_once_across_a_store_outage)
+{
+    test_region region(8, 1);
+    const job_spec spec = test_region::gang("j", 64, 3000);
+    expect_success(region.submit(spec));
+    ASSERT_TRUE(
+        wait_until([&] { return region.started(spec.m_key)[1] == 64; }));
+    stand_ins::store_faults faults;
+    faults.m_outage = true;
+    region.m_store.set_faults(faults);
+    const auto ended = [&]
+    {
+        std::size_t count = 0;
+        for (const auto& each : region.m_workers)
+        {
+            count += each->history().size() == 2 ? 1 : 0;
+        }
+        return count == 8;
+    };
+    ASSERT_TRUE(wait_until(ended));
+    region.m_store.set_faults({});
     EXPECT_EQ(region.end_of(spec), "succeeded");
     EXPECT_EQ(region.started(spec.m_key), (attempts{{1, 64}}));
 }
 
+// Guards against a decision that is made twice, or lost, when the answers to
+// the owner's writes are lost.
+TEST(scheduler, lost_answers_to_writes_neither_repeat_nor_lose_a_job)
+{
+    test_region region(8, 1);
+    ASSERT_TRUE(wait_until([&] { return !region.owner().empty(); }));
+    stand_ins::store_faults faults;
+    faults.m_lose_next_write_answers = 3;
+    region.m_store.set_faults(faults);
+    for (int i = 0; i < 4; ++i)
+    {
+        const job_spec spec =
+            test_region::gang("j" + std::to_string(i), 16, 200);
+        expect_success(region.submit(spec));
+        EXPECT_EQ(region.end_of(spec), "succeeded");
+        EXPECT_EQ(region.started(spec.m_key), (attempts{{1, 16}}));
+    }
+}
+
+// Guards against a takeover that loses, stops or repeats a running gang.
+TEST(scheduler, a_standby_takes_over_a_running_gang_from_a_killed_owner)
+{
+    test_region region(8, 2);
+    const job_spec spec = test_region::gang("j", 64, 8000);
+    expect_success(region.submit(spec));
+    ASSERT_TRUE(
+        wait_until([&] { return region.started(spec.m_key)[1] == 64; }));
+    const std::string first = region.owner();
+    const epoch_number epoch = region.m_schedulers[first]->epoch();
+    region.m_schedulers.erase(first);
+    ASSERT_TRUE(wait_until([&] { return !region.owner().empty(); }));
+    EXPECT_NE(region.owner(), first);
+    EXPECT_GT(region.m_schedulers[region.owner()]->epoch(), epoch);
+    EXPECT_EQ(region.end_of(spec), "succeeded");
+    EXPECT_EQ(region.started(spec.m_key), (attempts{{1, 64}}));
+}
+
+// Guards against a graceful shutdown that leaves the region without an owner
+// until the lease lapses.
+TEST(scheduler, a_graceful_shutdown_hands_the_region_over_at_once)
+{
+    test_region region(8, 2);
+    ASSERT_TRUE(wait_until([&] { return !region.owner().empty(); }));
+    const std::string first = region.owner();
+    scheduler_service& leaving = *region.m_schedulers[first];
+    const auto begin = std::chrono::steady_clock::now();
+    leaving.begin_shutdown();
+    ASSERT_TRUE(wait_until([&] { return leaving.shut_down(); }));
+    ASSERT_TRUE(wait_until(
+        [&] { return !region.owner().empty() && region.owner() != first; }));
+    const auto spent = std::chrono::steady_clock::now() - begin;
+    EXPECT_LT(spent, std::chrono::seconds(3));
+    const job_spec spec = test_region::gang("j", 64, 200);
+    expect_success(region.submit(spec));
+    EXPECT_EQ(region.end_of(spec), "succeeded");
+}
+
+// Guards against a gang that waits forever for a worker that fails every
+// task, and against partial runs of its later attempts.
+TEST(scheduler, a_gang_moves_away_from_a_worker_that_fails_its_tasks)
+{
+    test_region region(9, 1);
+    stand_ins::worker_faults faults;
+    faults.m_fail_every_task = true;
+    region.m_workers[0]->set_faults(faults);
+    const job_spec spec = test_region::gang("j", 64, 300);
+    expect_success(region.submit(spec));
+    EXPECT_EQ(region.end_of(spec), "succeeded");
+    for (const auto& [number, accelerators] : region.started(spec.m_key))
+    {
+        EXPECT_EQ(accelerators, 64) << "attempt " << number;
+    }
+}
+
+// Guards against a target that still gets new work 3 s after it was listed as
+// leaving.
+TEST(scheduler, a_leaving_worker_gets_no_new_work)
+{
+    test_region region(9, 1);
+    ASSERT_TRUE(wait_until([&] { return !region.owner().empty(); }));
+    region.m_list.set_state("w0", "leaving");
+    const instant listed = system_now();
+    for (int i = 0; system_now() < listed + span::seconds(5); ++i)
+    {
+        const job_spec spec =
+            test_region::gang("j" + std::to_string(i), 64, 100);
+        expect_success(region.submit(spec));
+        EXPECT_EQ(region.end_of(spec), "succeeded");
+    }
+    for (const stand_ins::task_event& each : region.m_workers[0]->history())
+    {
+        EXPECT_LT(each.m_at, listed + span::seconds(3));
+    }
+}
+
+// Guards against a call that a standby leaves unanswered or takes up.
+TEST(scheduler, a_standby_names_the_owner)
+{
+    test_region region(1, 2);
+    ASSERT_TRUE(wait_until([&] { return !region.owner().empty(); }));
+    const std::string owner = region.owner();
+    const std::string standby =
+        owner == "scheduler-0" ? "scheduler-1" : "scheduler-0";
+    const std::string address = region.m_schedulers[owner]->stream_address();
+    ASSERT_TRUE(wait_until([&] { return region.m_live->owner().has_value(); }));
+    region.m_owner_calls.on_owner(owner_record{
+        instance_id(standby), region.m_schedulers[standby]->stream_address()});
+    EXPECT_TRUE(wait_until(
+        [&]
+        {
+            const auto reply =
+                region.m_owner_calls.call_once(list_jobs{}, span::seconds(5));
+            return succeeded(reply);
+        }));
+    EXPECT_EQ(region.m_owner_calls.owner_address(), address);
+}
+
 } // namespace
 } // namespace kingcuprudder
--- a/unit_tests/service/test_region.hpp
+++ b/unit_tests/service/test_region.hpp
@@ -1,7 +1,7 @@
 #ifndef KINGCUPRUDDER_UNIT_TESTS_SERVICE_TEST_REGION_HPP
 #define KINGCUPRUDDER_UNIT_TESTS_SERVICE_TEST_REGION_HPP
 
-#include <kingcuprudder/placement/first_fit_policy.hpp>
+#include <kingcuprudder/placement/gang_policy.hpp>
 #include <kingcuprudder/runtime/timer_service.hpp>
 #include <kingcuprudder/service/entry_owner_calls.hpp>
 #include <kingcuprudder/service/peer_calls.hpp>
@@ -104,7 +104,7 @@
         options.m_instance_list_address = m_list.address();
         auto& added = m_schedulers[name];
         added = std::make_unique<scheduler_service>(
-            options, std::make_unique<first_fit_policy>());
+            options, std::make_unique<gang_policy>());
         return *added;
     }
 
@@ -127,6 +127,21 @@
                                         system_now() + span::seconds(60));
     }
 
+    /// Submits a job, again while the store does not answer, as a caller does
+    /// on a refusal.
+    result<caller_reply> submit(const job_spec& spec)
+    {
+        result<caller_reply> reply = error{};
+        wait_until(
+            [&]
+            {
+                reply = call(submit_job{spec});
+                return succeeded(reply) ||
+                       error_of(reply).m_code != error_code::store_unavailable;
+            });
+        return reply;
+    }
+
     static job_spec gang(const std::string& id, std::uint32_t tasks,
                          std::int64_t run_ms)
     {
