Add kcrctl, the operators' command-line tool

Cause: operators need to see and change accounts, jobs, settings and processes without knowing the protocols.

Change: one TCLAP command line for each command, chosen by the first one or two words.

--- /dev/null
+++ b/tools/kcrctl/command_line.hpp
@@ -0,0 +1,70 @@
+#ifndef KINGCUPRUDDER_TOOLS_KCRCTL_COMMAND_LINE_HPP
+#define KINGCUPRUDDER_TOOLS_KCRCTL_COMMAND_LINE_HPP
+
+#include "endpoints.hpp"
+#include <kingcuprudder/base/time.hpp>
+
+#include <tclap/CmdLine.h>
+
+#include <string>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// The words after "kcrctl" that are not part of the command's name.
+using arguments = std::vector<std::string>;
+
+/// The command line of one command: the options that all commands share, and
+/// those that the command adds to parser() before parse().
+class command_line
+{
+public:
+    command_line(const std::string& command, const std::string& summary);
+
+    TCLAP::CmdLine& parser() { return m_parser; }
+
+    /// Throws command_error for a wrong command line and TCLAP's
+    /// ExitException after --help.
+    void parse(const arguments& words);
+
+    /// Whether the output is to be JSON.
+    bool json() const { return m_json.getValue(); }
+
+    /// How long one call may take.
+    span timeout() const { return span(m_timeout_ms.getValue()); }
+
+    // The addresses given. Each function throws command_error when the
+    // command needs what was not given.
+    const std::string& region() const;
+    const std::vector<std::string>& entries() const;
+    const std::vector<std::string>& schedulers() const;
+    const std::string& store() const;
+    const std::string& instance_list() const;
+
+    /// Whether an instance list was given at all.
+    bool has_instance_list() const { return !m_where.m_instance_list.empty(); }
+
+private:
+    const std::string& needed(const std::string& value,
+                              const std::string& option) const;
+    const std::vector<std::string>&
+    needed(const std::vector<std::string>& values,
+           const std::string& option) const;
+
+    std::string m_command;
+    TCLAP::CmdLine m_parser;
+    TCLAP::SwitchArg m_json;
+    TCLAP::ValueArg<std::string> m_config;
+    TCLAP::ValueArg<std::string> m_region;
+    TCLAP::MultiArg<std::string> m_entries;
+    TCLAP::MultiArg<std::string> m_schedulers;
+    TCLAP::ValueArg<std::string> m_store;
+    TCLAP::ValueArg<std::string> m_instance_list;
+    TCLAP::ValueArg<int> m_timeout_ms;
+    endpoints m_where;
+};
+
+} // namespace kingcuprudder
+
+#endif
--- /dev/null
+++ b/tools/kcrctl/instance_list.hpp
@@ -0,0 +1,25 @@
+#ifndef KINGCUPRUDDER_TOOLS_KCRCTL_INSTANCE_LIST_HPP
+#define KINGCUPRUDDER_TOOLS_KCRCTL_INSTANCE_LIST_HPP
+
+#include "command_line.hpp"
+#include <kingcuprudder/topology/worker.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace kingcuprudder
+{
+
+/// The service under which the platform lists workers.
+constexpr const char* worker_service = "workers";
+
+/// The entries of the platform's instance list. Throws command_error.
+nlohmann::json read_instances(const command_line& line);
+
+/// The workers of the list that take new work. Throws command_error.
+std::vector<worker> read_workers(const command_line& line);
+
+} // namespace kingcuprudder
+
+#endif
