--- a/demo/local_cluster.cpp
+++ b/demo/local_cluster.cpp
@@ -1,3 +1,6 @@
+#include <kingcuprudder/codec/codec.hpp>
+#include <kingcuprudder/region/region_keys.hpp>
+#include <kingcuprudder/region/region_owner.hpp>
 #include <kingcuprudder/store/http_key_value_store.hpp>
 
 #include <demo/free_port.hpp>
@@ -92,13 +95,18 @@
 
 std::size_t local_cluster::owner_index() const
 {
-    for (std::size_t i = 0; i < m_schedulers.size(); ++i)
+    http_key_value_store store(m_store_address);
+    const store_answer answer =
+        store.call({1, store_get{owner_key(region_id(m_options.m_region))}});
+    const auto* value = std::get_if<store_value>(&answer.m_outcome);
+    if (value == nullptr || value->m_revision == 0)
+    {
+        return m_schedulers.size();
+    }
+    const result<owner_record> owner = from_cbor<owner_record>(value->m_value);
+    for (std::size_t i = 0; succeeded(owner) && i < m_schedulers.size(); ++i)
     {
-        const http_answer answer =
-            http_get(m_schedulers[i].m_http_address, "/owner", probe_timeout);
-        const nlohmann::json state = json_of(answer);
-        if (answer.m_status == http_ok && state.is_object() &&
-            state.value("owning", false))
+        if (m_schedulers[i].m_name == value_of(owner).m_instance.str())
         {
             return i;
         }
