--- a/tools/kcr_entry/entry_process.cpp
+++ b/kingcuprudder/service/entry_process.cpp
@@ -1,38 +1,23 @@
-#include "entry_process.hpp"
+#include <kingcuprudder/service/entry_process.hpp>
 
-#include <random>
 #include <utility>
 
 namespace kingcuprudder
 {
 
-namespace
-{
-
-entry_options options_of(const process_settings& settings)
-{
-    entry_options options;
-    options.m_instance = settings.m_instance;
-    options.m_address = settings.m_http_address;
-    options.m_health_address = settings.m_health_address;
-    options.m_instance_list = settings.m_instance_list_address;
-    options.m_seed = std::random_device()();
-    return options;
-}
-
-} // namespace
-
-entry_process::entry_process(const process_settings& settings)
-    : m_store(settings.m_store_address),
+entry_process::entry_process(const entry_options& options,
+                             const std::string& store_address,
+                             const region_id& region)
+    : m_store(store_address),
       m_live(
-          m_store, settings.m_region,
+          m_store, region,
           [this](std::shared_ptr<const effective_settings> seen)
           { forward_settings(std::move(seen)); },
           [this](std::optional<owner_record> owner, store_revision)
           { forward_owner(std::move(owner)); }),
       m_peers(m_client, m_live),
       m_service(std::make_unique<entry_service>(
-          options_of(settings),
+          options,
           [this](const std::string& address, const std::string& body,
                  span timeout, std::function<void(result<std::string>)> done)
           { m_peers.call(address, body, timeout, std::move(done)); }))
--- a/tools/kcr_entry/entry_process.hpp
+++ b/kingcuprudder/service/entry_process.hpp
@@ -1,7 +1,6 @@
-#ifndef KINGCUPRUDDER_TOOLS_KCR_ENTRY_ENTRY_PROCESS_HPP
-#define KINGCUPRUDDER_TOOLS_KCR_ENTRY_ENTRY_PROCESS_HPP
+#ifndef KINGCUPRUDDER_SERVICE_ENTRY_PROCESS_HPP
+#define KINGCUPRUDDER_SERVICE_ENTRY_PROCESS_HPP
 
-#include <kingcuprudder/runtime/process_settings.hpp>
 #include <kingcuprudder/service/entry_service.hpp>
 #include <kingcuprudder/service/live_state.hpp>
 #include <kingcuprudder/service/peer_calls.hpp>
@@ -21,8 +20,10 @@
 class entry_process
 {
 public:
+    /// Serves callers of the region whose state is in the store at "ip:port".
     /// Throws std::runtime_error when an address cannot be served.
-    explicit entry_process(const process_settings& settings);
+    entry_process(const entry_options& options,
+                  const std::string& store_address, const region_id& region);
     ~entry_process();
     entry_process(const entry_process&) = delete;
     entry_process& operator=(const entry_process&) = delete;
@@ -33,6 +34,13 @@
     /// The state for operators, as lines of text.
     std::string dump() const;
 
+    /// The addresses in use.
+    const std::string& address() const { return m_service->address(); }
+    const std::string& health_address() const
+    {
+        return m_service->health_address();
+    }
+
 private:
     void forward_settings(std::shared_ptr<const effective_settings> settings);
     void forward_owner(std::optional<owner_record> owner);
--- a/tools/kcr_entry/main.cpp
+++ b/tools/kcr_entry/main.cpp
@@ -1,21 +1,35 @@
-#include "entry_process.hpp"
+#include <kingcuprudder/runtime/process_settings.hpp>
 #include <kingcuprudder/runtime/signals.hpp>
+#include <kingcuprudder/service/entry_process.hpp>
 
 #include <tclap/CmdLine.h>
 
 #include <future>
 #include <iostream>
+#include <random>
 
 namespace
 {
 
 using namespace kingcuprudder;
 
+entry_options options_of(const process_settings& settings)
+{
+    entry_options options;
+    options.m_instance = settings.m_instance;
+    options.m_address = settings.m_http_address;
+    options.m_health_address = settings.m_health_address;
+    options.m_instance_list = settings.m_instance_list_address;
+    options.m_seed = std::random_device()();
+    return options;
+}
+
 int serve(const process_settings& settings)
 {
     configure_logging(settings.m_log);
     const logger log("entry");
-    entry_process process(settings);
+    entry_process process(options_of(settings), settings.m_store_address,
+                          settings.m_region);
     std::promise<void> terminated;
     bool asked = false;
     const signal_waiter signals(
