--- a/tools/kcr_entry/main.cpp
+++ b/tools/kcr_entry/main.cpp
@@ -56,7 +56,7 @@
     try
     {
         TCLAP::CmdLine command_line("Serves the callers of kingcuprudder.");
-        TCLAP::ValueArg<std::string> file("", "process-settings",
+        TCLAP::ValueArg<std::string> file("", "settings",
                                           "File with the process settings.",
                                           true, "", "file", command_line);
         command_line.parse(argc, argv);
