Run the demo to its end on both deployments

Cause: the demo asked the minions for an option they do not have and read the workers' history in another form than they serve. Change: wait for each stand-in to answer, start from an empty work folder. Before: stopped at the first request.

--- a/demo/local_cluster.cpp
+++ b/demo/local_cluster.cpp
@@ -56,6 +56,8 @@
 local_cluster::local_cluster(local_cluster_options options)
     : m_options(std::move(options))
 {
+    // Logs of an earlier run would mix with those of this one.
+    std::filesystem::remove_all(m_options.m_work_folder);
     std::filesystem::create_directories(m_options.m_work_folder);
 }
 
@@ -65,6 +67,7 @@
     write_settings_tree();
     start_workers();
     start_minions();
+    wait_for_stand_ins();
     register_instances();
     for (unsigned i = 0; i < m_options.m_schedulers; ++i)
     {
@@ -93,6 +96,24 @@
     }
 }
 
+void local_cluster::wait_for_stand_ins() const
+{
+    for (const auto* group : {&m_workers, &m_minions})
+    {
+        for (const member_process& each : *group)
+        {
+            const bool started = wait_until(
+                [&] { return answers(each.m_http_address, "/admin/history"); },
+                span::seconds(10));
+            if (!started)
+            {
+                throw std::runtime_error(each.m_name + " did not start; see " +
+                                         log_file(each.m_name));
+            }
+        }
+    }
+}
+
 std::size_t local_cluster::owner_index() const
 {
     http_key_value_store store(m_store_address);
@@ -267,8 +288,8 @@
         const std::string address = free_loopback_address();
         m_minions.push_back(
             {name,
-             child_process(program("fake_minion"),
-                           {"--listen", address, "--id", name}, log_file(name)),
+             child_process(program("fake_minion"), {"--listen", address},
+                           log_file(name)),
              address, ""});
     }
 }
--- a/demo/local_cluster.hpp
+++ b/demo/local_cluster.hpp
@@ -94,6 +94,7 @@
     void start_platform();
     void start_workers();
     void start_minions();
+    void wait_for_stand_ins() const;
     void write_settings_tree() const;
     void register_instances() const;
     const std::string& zone_of(std::size_t index) const;
--- a/demo/scenario.cpp
+++ b/demo/scenario.cpp
@@ -205,7 +205,7 @@
     const nlohmann::json histories = m_cluster.worker_history();
     for (const auto& [worker, history] : histories.items())
     {
-        for (const auto& event : history.at("events"))
+        for (const auto& event : history)
         {
             const auto& attempt = event.at("attempt");
             job_runs& job = runs[attempt.at("job").at("id")];
