--- a/demo/local_cluster.cpp
+++ b/demo/local_cluster.cpp
@@ -64,7 +64,7 @@
 void local_cluster::start(span timeout)
 {
     start_platform();
-    write_settings_tree();
+    replace_settings_tree(m_options.m_settings_tree);
     start_workers();
     start_minions();
     wait_for_stand_ins();
@@ -294,11 +294,16 @@
     }
 }
 
-void local_cluster::write_settings_tree() const
+void local_cluster::replace_settings_tree(const std::string& tree) const
 {
     http_key_value_store store(m_store_address);
-    const store_answer written = store.call(
-        {1, store_put{"live/settings", m_options.m_settings_tree, 0, ""}});
+    const std::string key = "live/settings";
+    const store_answer read = store.call({1, store_get{key}});
+    const auto* current = std::get_if<store_value>(&read.m_outcome);
+    const store_revision revision =
+        current == nullptr ? 0 : current->m_revision;
+    const store_answer written =
+        store.call({2, store_put{key, tree, revision, ""}});
     if (!std::holds_alternative<store_written>(written.m_outcome))
     {
         throw std::runtime_error("the settings tree could not be written");
--- a/demo/local_cluster.hpp
+++ b/demo/local_cluster.hpp
@@ -63,6 +63,10 @@
     member_process& store() { return m_store.front(); }
     std::vector<member_process>& entries() { return m_entries; }
     std::vector<member_process>& schedulers() { return m_schedulers; }
+    const std::vector<member_process>& schedulers() const
+    {
+        return m_schedulers;
+    }
     std::vector<member_process>& workers() { return m_workers; }
     std::vector<member_process>& minions() { return m_minions; }
 
@@ -75,6 +79,9 @@
     void add_scheduler();
     void add_entry();
 
+    /// Writes a settings tree over the present one, by compare-and-swap.
+    void replace_settings_tree(const std::string& tree) const;
+
     /// Switches faults of the store stand-in.
     void set_store_faults(const nlohmann::json& faults) const;
 
@@ -95,7 +102,6 @@
     void start_workers();
     void start_minions();
     void wait_for_stand_ins() const;
-    void write_settings_tree() const;
     void register_instances() const;
     const std::string& zone_of(std::size_t index) const;
 
