--- a/kingcuprudder/history/history_checker.cpp
+++ b/kingcuprudder/history/history_checker.cpp
@@ -154,9 +154,27 @@
     }
 }
 
+/// More runs than the gang has parts: the attempt was started twice, on
+/// different workers.
+void check_attempt_sizes(const history_index& index, violations& found)
+{
+    for (const auto& [attempt, runs] : index.m_runs_of)
+    {
+        if (!runs.empty() &&
+            runs.size() > index.m_runs[runs.front()].m_start.m_gang_parts)
+        {
+            found.push_back({history_rule::repeated_run,
+                             attempt.first + " attempt " +
+                                 std::to_string(attempt.second) +
+                                 " has more runs than parts"});
+        }
+    }
+}
+
 void check_repeated_runs(const history_index& index, violations& found)
 {
     check_attempts_run_once(index, found);
+    check_attempt_sizes(index, found);
     for_each_overlap(
         pointers(index.m_runs),
         [](const part_run& left, const part_run& right)
@@ -326,13 +344,29 @@
     }
 }
 
+/// When the capacity was back: what the workers show counts for more than what
+/// the scheduler believes.
+instant reclaim_end(const history_index& index,
+                    const history_index::attempt& attempt)
+{
+    auto done = index.m_reclaimed.find(attempt);
+    instant end = done == index.m_reclaimed.end() ? never : done->second;
+    auto runs = index.m_runs_of.find(attempt);
+    if (runs != index.m_runs_of.end())
+    {
+        for (std::size_t each : runs->second)
+        {
+            end = std::max(end, index.m_runs[each].m_end);
+        }
+    }
+    return end;
+}
+
 void check_reclaims(const history_index& index, violations& found)
 {
     for (const reclaim_asked& each : index.m_reclaims)
     {
-        auto done = index.m_reclaimed.find({each.m_job, each.m_attempt});
-        const instant end =
-            done == index.m_reclaimed.end() ? never : done->second;
+        const instant end = reclaim_end(index, {each.m_job, each.m_attempt});
         if (end - each.m_at > each.m_bound)
         {
             found.push_back({history_rule::reclaim_late,
