--- a/kingcuprudder/history/history_checker.cpp
+++ b/kingcuprudder/history/history_checker.cpp
@@ -51,6 +51,7 @@
 std::vector<const part_run*> pointers(const std::vector<part_run>& runs)
 {
     std::vector<const part_run*> all;
+    all.reserve(runs.size());
     for (const part_run& run : runs)
     {
         all.push_back(&run);
--- a/kingcuprudder/region/job_desk.hpp
+++ b/kingcuprudder/region/job_desk.hpp
@@ -85,7 +85,7 @@
 };
 
 /// Largest payload of a job, so that its record fits into one value.
-inline constexpr std::size_t max_payload_bytes = 800 * 1024;
+inline constexpr std::size_t max_payload_bytes = std::size_t{800} * 1024;
 
 } // namespace kingcuprudder
 
--- a/kingcuprudder/region/region_log.hpp
+++ b/kingcuprudder/region/region_log.hpp
@@ -126,7 +126,7 @@
 std::size_t estimated_size(const log_record& record);
 
 /// Largest batch of records that one append carries, in bytes.
-inline constexpr std::size_t max_batch_bytes = 512 * 1024;
+inline constexpr std::size_t max_batch_bytes = std::size_t{512} * 1024;
 
 } // namespace kingcuprudder
 
--- a/kingcuprudder/region/region_snapshot.hpp
+++ b/kingcuprudder/region/region_snapshot.hpp
@@ -11,7 +11,7 @@
 {
 
 /// Largest value of a snapshot, in bytes; the store takes up to 1 MB.
-inline constexpr std::size_t max_chunk_bytes = 900 * 1024;
+inline constexpr std::size_t max_chunk_bytes = std::size_t{900} * 1024;
 
 /// What the head of a snapshot says. A state that fits into one value is kept
 /// in the head itself and has no chunks.
--- a/unit_tests/core/fault_store.cpp
+++ b/unit_tests/core/fault_store.cpp
@@ -64,6 +64,13 @@
                : store_value{found->second.m_value, found->second.m_revision};
 }
 
+std::size_t fault_store::count(const std::string& prefix) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_entries.begin(), m_entries.end(),
+        [&](const auto& each) { return each.first.starts_with(prefix); }));
+}
+
 void fault_store::set_down_until(instant until)
 {
     m_down_until = std::max(m_down_until, until);
--- a/unit_tests/core/fault_store.hpp
+++ b/unit_tests/core/fault_store.hpp
@@ -29,6 +29,9 @@
     /// The present value of a key.
     store_value read(const std::string& key);
 
+    /// The number of keys below a prefix.
+    std::size_t count(const std::string& prefix) const;
+
     /// Called after a key has changed or gone, once the watch delivers that.
     void on_change(change_hook hook) { m_on_change = std::move(hook); }
 
