--- a/unit_tests/core/fault_harness.cpp
+++ b/unit_tests/core/fault_harness.cpp
@@ -171,6 +171,13 @@
               });
 }
 
+void fault_harness::call(std::size_t instance, const caller_call& call)
+{
+    deliver(instance, m_nodes[instance].m_life,
+            [this, call](region_owner& owner)
+            { return owner.on_caller_call(call, now()); });
+}
+
 void fault_harness::kill(std::size_t instance, span absence)
 {
     node& killed = m_nodes[instance];
--- a/unit_tests/core/fault_harness.hpp
+++ b/unit_tests/core/fault_harness.hpp
@@ -79,6 +79,10 @@
     /// executes it, reports the outcome.
     void request(const std::string& id);
 
+    /// Hands a call straight to an instance. Its answer is seen by
+    /// harness_hooks::m_on_effects.
+    void call(std::size_t instance, const caller_call& call);
+
     /// Faults. An instance that is killed comes back after `absence`.
     void kill(std::size_t instance, span absence);
     void freeze(std::size_t instance, span time);
