--- a/demo/local_cluster.cpp
+++ b/demo/local_cluster.cpp
@@ -1,3 +1,6 @@
+#include <kingcuprudder/codec/codec.hpp>
+#include <kingcuprudder/region/region_keys.hpp>
+#include <kingcuprudder/region/region_owner.hpp>
 #include <kingcuprudder/store/http_key_value_store.hpp>
 
 #include <demo/free_port.hpp>
@@ -53,6 +56,8 @@
 local_cluster::local_cluster(local_cluster_options options)
     : m_options(std::move(options))
 {
+    // Logs of an earlier run would mix with those of this one.
+    std::filesystem::remove_all(m_options.m_work_folder);
     std::filesystem::create_directories(m_options.m_work_folder);
 }
 
@@ -62,6 +67,7 @@
     write_settings_tree();
     start_workers();
     start_minions();
+    wait_for_stand_ins();
     register_instances();
     for (unsigned i = 0; i < m_options.m_schedulers; ++i)
     {
@@ -90,15 +96,38 @@
     }
 }
 
+void local_cluster::wait_for_stand_ins() const
+{
+    for (const auto* group : {&m_workers, &m_minions})
+    {
+        for (const member_process& each : *group)
+        {
+            const bool started = wait_until(
+                [&] { return answers(each.m_http_address, "/admin/history"); },
+                span::seconds(10));
+            if (!started)
+            {
+                throw std::runtime_error(each.m_name + " did not start; see " +
+                                         log_file(each.m_name));
+            }
+        }
+    }
+}
+
 std::size_t local_cluster::owner_index() const
 {
-    for (std::size_t i = 0; i < m_schedulers.size(); ++i)
+    http_key_value_store store(m_store_address);
+    const store_answer answer =
+        store.call({1, store_get{owner_key(region_id(m_options.m_region))}});
+    const auto* value = std::get_if<store_value>(&answer.m_outcome);
+    if (value == nullptr || value->m_revision == 0)
     {
-        const http_answer answer =
-            http_get(m_schedulers[i].m_http_address, "/owner", probe_timeout);
-        const nlohmann::json state = json_of(answer);
-        if (answer.m_status == http_ok && state.is_object() &&
-            state.value("owning", false))
+        return m_schedulers.size();
+    }
+    const result<owner_record> owner = from_cbor<owner_record>(value->m_value);
+    for (std::size_t i = 0; succeeded(owner) && i < m_schedulers.size(); ++i)
+    {
+        if (m_schedulers[i].m_name == value_of(owner).m_instance.str())
         {
             return i;
         }
@@ -259,8 +288,8 @@
         const std::string address = free_loopback_address();
         m_minions.push_back(
             {name,
-             child_process(program("fake_minion"),
-                           {"--listen", address, "--id", name}, log_file(name)),
+             child_process(program("fake_minion"), {"--listen", address},
+                           log_file(name)),
              address, ""});
     }
 }
