Make the replan grow in proportion to the region

Laying out each slot searched all workers. Searches for the same shape now continue where the last one found room and compare 16 rows of workers. Running jobs are taken over by position and moved instead of looked up and copied.

--- a/kingcuprudder/placement/layout_builder.cpp
+++ b/kingcuprudder/placement/layout_builder.cpp
@@ -77,6 +77,7 @@
 bool layout_builder::pack(const std::vector<std::size_t>& order)
 {
     bool complete = true;
+    contiguous_packer packer(m_ranges);
     for (std::size_t number : order)
     {
         demand& each = m_demands[number];
@@ -84,7 +85,7 @@
         {
             continue;
         }
-        each.m_where = contiguous_fit(m_available, m_ranges, each.m_shape);
+        each.m_where = packer.place(m_available, each.m_shape);
         if (each.m_where.has_value())
         {
             take(m_available, each.m_shape, *each.m_where);
@@ -127,14 +128,18 @@
 std::vector<bool>
 layout_builder::find_holders(std::vector<running_entry>& jobs) const
 {
+    std::map<account_id, std::vector<std::size_t>> numbers;
+    for (std::size_t i = 0; i < m_demands.size(); ++i)
+    {
+        numbers[m_demands[i].m_account].push_back(i);
+    }
     std::vector<bool> held(m_demands.size(), false);
     for (running_entry& job : jobs)
     {
-        for (std::size_t i = 0; i < m_demands.size(); ++i)
+        for (std::size_t i : numbers[job.m_key.m_account])
         {
             const demand& each = m_demands[i];
-            if (each.m_account == job.m_key.m_account && !held[i] &&
-                each.m_where.has_value() &&
+            if (!held[i] && each.m_where.has_value() &&
                 runs_in_slot({each.m_account, each.m_shape, *each.m_where},
                              job.m_shape, job.m_where))
             {
--- a/kingcuprudder/placement/running_table.cpp
+++ b/kingcuprudder/placement/running_table.cpp
@@ -1,7 +1,7 @@
 #include <kingcuprudder/placement/running_table.hpp>
 
 #include <algorithm>
-#include <unordered_map>
+#include <map>
 #include <utility>
 
 namespace kingcuprudder
@@ -10,26 +10,6 @@
 namespace
 {
 
-struct job_key_hash
-{
-    std::size_t operator()(const job_key* key) const
-    {
-        std::size_t account = std::hash<account_id>()(key->m_account);
-        return account * 31 + std::hash<job_id>()(key->m_job);
-    }
-};
-
-struct job_key_equal
-{
-    bool operator()(const job_key* left, const job_key* right) const
-    {
-        return *left == *right;
-    }
-};
-
-using entry_index = std::unordered_map<const job_key*, std::size_t,
-                                       job_key_hash, job_key_equal>;
-
 bool same_run(const running_entry& entry, const running_job& job)
 {
     return entry.m_placed_at == job.m_placed_at &&
@@ -49,16 +29,69 @@
     return entry;
 }
 
-entry_index index_entries(const std::vector<running_entry>& entries)
+/// Finds the entries of the last pass in the order of this pass, which mostly
+/// differs by a few jobs that ended or started.
+class entry_finder
 {
-    entry_index index;
-    index.reserve(entries.size());
-    for (std::size_t i = 0; i < entries.size(); ++i)
+public:
+    explicit entry_finder(const std::vector<running_entry>& entries)
+        : m_entries(entries)
     {
-        index.emplace(&entries[i].m_key, i);
+        for (const running_entry& each : entries)
+        {
+            m_latest = std::max(m_latest, each.m_placed_at);
+        }
     }
-    return index;
-}
+
+    /// The position of the job's entry, or no_entry.
+    std::size_t find(const running_job& job)
+    {
+        if (job.m_placed_at > m_latest)
+        {
+            return no_entry;
+        }
+        std::size_t last = std::min(m_entries.size(), m_next + look_ahead);
+        for (std::size_t i = m_next; i < last; ++i)
+        {
+            if (same_run(m_entries[i], job))
+            {
+                m_next = i + 1;
+                return i;
+            }
+        }
+        return find_anywhere(job);
+    }
+
+    static constexpr std::size_t no_entry = static_cast<std::size_t>(-1);
+
+private:
+    /// Entries compared before the index is used. Jobs that end between two
+    /// passes leave gaps of a few entries.
+    static constexpr std::size_t look_ahead = 8;
+
+    std::size_t find_anywhere(const running_job& job)
+    {
+        if (m_index.empty())
+        {
+            for (std::size_t i = 0; i < m_entries.size(); ++i)
+            {
+                m_index.emplace(m_entries[i].m_key, i);
+            }
+        }
+        auto found = m_index.find(job.m_spec.m_key);
+        if (found == m_index.end() || !same_run(m_entries[found->second], job))
+        {
+            return no_entry;
+        }
+        m_next = found->second + 1;
+        return found->second;
+    }
+
+    const std::vector<running_entry>& m_entries;
+    instant m_latest;
+    std::size_t m_next = 0;
+    std::map<job_key, std::size_t> m_index;
+};
 
 } // namespace
 
@@ -79,45 +112,39 @@
 running_table::synchronize(const cluster& region,
                            const std::vector<running_job>& running)
 {
-    std::size_t kept = 0;
-    while (kept < m_entries.size() && kept < running.size() &&
-           same_run(m_entries[kept], running[kept]))
+    std::vector<std::size_t> sources;
+    sources.reserve(running.size());
+    entry_finder finder(m_entries);
+    for (const running_job& each : running)
     {
-        ++kept;
+        sources.push_back(finder.find(each));
     }
-    std::vector<running_entry> rest(
-        std::make_move_iterator(m_entries.begin() +
-                                static_cast<std::ptrdiff_t>(kept)),
-        std::make_move_iterator(m_entries.end()));
-    m_entries.resize(kept);
-    std::vector<bool> found(rest.size(), false);
-    entry_index index = index_entries(rest);
-    for (std::size_t i = kept; i < running.size(); ++i)
+    std::vector<bool> found(m_entries.size(), false);
+    std::vector<running_entry> entries;
+    entries.reserve(running.size());
+    for (std::size_t i = 0; i < running.size(); ++i)
     {
-        auto old = index.find(&running[i].m_spec.m_key);
-        if (old != index.end() && same_run(rest[old->second], running[i]))
+        if (sources[i] == entry_finder::no_entry)
         {
-            found[old->second] = true;
-            m_entries.push_back(rest[old->second]);
+            entries.push_back(make_entry(region, running[i]));
         }
         else
         {
-            m_entries.push_back(make_entry(region, running[i]));
+            found[sources[i]] = true;
+            entries.push_back(std::move(m_entries[sources[i]]));
         }
-    }
-    for (std::size_t i = 0; i < running.size(); ++i)
-    {
-        m_entries[i].m_stopping = running[i].m_stopping;
-        m_entries[i].m_saved = running[i].m_saved_run_time;
+        entries.back().m_stopping = running[i].m_stopping;
+        entries.back().m_saved = running[i].m_saved_run_time;
     }
     std::vector<running_entry> gone;
-    for (std::size_t i = 0; i < rest.size(); ++i)
+    for (std::size_t i = 0; i < m_entries.size(); ++i)
     {
         if (!found[i])
         {
-            gone.push_back(std::move(rest[i]));
+            gone.push_back(std::move(m_entries[i]));
         }
     }
+    m_entries = std::move(entries);
     return gone;
 }
 
--- a/kingcuprudder/placement/tight_fit.cpp
+++ b/kingcuprudder/placement/tight_fit.cpp
@@ -248,6 +248,56 @@
     return indexed_placement{allocate(table, best, needed.m_tasks, needed)};
 }
 
+/// How many rows of workers are compared. A bound keeps the cost of laying
+/// out many shapes in proportion to their number.
+constexpr std::size_t rows_compared = 16;
+
+struct worker_row
+{
+    worker_range m_workers;
+    std::size_t m_first_found = 0; ///< No row starts before this worker.
+};
+
+/// The shortest row of workers from this one on that holds the gang, with the
+/// least room to spare among rows of the same length.
+std::optional<worker_row> best_row(const free_table& table,
+                                   const worker_ranges& ranges,
+                                   const shape& needed, std::size_t from)
+{
+    std::optional<worker_row> best;
+    std::tuple<std::size_t, std::uint32_t> best_cost;
+    std::size_t found = 0;
+    const auto& all = ranges.of(needed.m_proximity);
+    for (std::size_t number = ranges.range_of(needed.m_proximity, from);
+         number < all.size() && found < rows_compared; ++number)
+    {
+        std::uint32_t tasks = 0;
+        std::size_t first = std::max(from, all[number].m_first);
+        for (std::size_t last = first;
+             last < all[number].m_last && found < rows_compared; ++last)
+        {
+            tasks += tasks_that_fit(table[last], needed);
+            // Drops leading workers that the row does not need.
+            while (tasks >= needed.m_tasks)
+            {
+                std::tuple<std::size_t, std::uint32_t> cost{
+                    last - first, tasks - needed.m_tasks};
+                if (!best.has_value() || cost < best_cost)
+                {
+                    std::size_t first_found =
+                        best.has_value() ? best->m_first_found : first;
+                    best = {{first, last + 1}, first_found};
+                    best_cost = cost;
+                }
+                ++found;
+                tasks -= tasks_that_fit(table[first], needed);
+                ++first;
+            }
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 std::optional<indexed_placement> tight_fit_in(const free_table& table,
@@ -300,39 +350,27 @@
     return best;
 }
 
-std::optional<indexed_placement> contiguous_fit(const free_table& table,
-                                                const worker_ranges& ranges,
-                                                const shape& needed)
+std::optional<indexed_placement>
+contiguous_packer::place(const free_table& table, const shape& needed)
 {
-    using cost_type = std::tuple<std::size_t, std::uint32_t>;
-    std::optional<cost_type> best_cost;
-    worker_range best;
-    for (const worker_range& range : ranges.of(needed.m_proximity))
+    progress& known = m_progress[needed];
+    if (known.m_exhausted)
     {
-        std::uint32_t tasks = 0;
-        std::size_t first = range.m_first;
-        for (std::size_t last = range.m_first; last < range.m_last; ++last)
-        {
-            tasks += tasks_that_fit(table[last], needed);
-            // Drops leading workers that the row does not need.
-            while (tasks >= needed.m_tasks)
-            {
-                cost_type cost{last - first, tasks - needed.m_tasks};
-                if (!best_cost.has_value() || cost < *best_cost)
-                {
-                    best_cost = cost;
-                    best = {first, last + 1};
-                }
-                tasks -= tasks_that_fit(table[first], needed);
-                ++first;
-            }
-        }
+        return std::nullopt;
     }
-    if (!best_cost.has_value())
+    auto row = best_row(table, m_ranges, needed, known.m_next);
+    if (!row.has_value() && known.m_next > 0)
+    {
+        // Rests of the workers that were passed over may make up a row.
+        row = best_row(table, m_ranges, needed, 0);
+    }
+    if (!row.has_value())
     {
+        known.m_exhausted = true;
         return std::nullopt;
     }
-    return tight_fit_in(table, ranges, best, needed);
+    known.m_next = row->m_first_found;
+    return tight_fit_in(table, m_ranges, row->m_workers, needed);
 }
 
 range_room most_room(const free_table& table, const worker_ranges& ranges,
--- a/kingcuprudder/placement/tight_fit.hpp
+++ b/kingcuprudder/placement/tight_fit.hpp
@@ -3,6 +3,8 @@
 
 #include <kingcuprudder/placement/shape_fitting.hpp>
 
+#include <map>
+
 namespace kingcuprudder
 {
 
@@ -13,11 +15,29 @@
                                            const worker_ranges& ranges,
                                            const shape& needed);
 
-/// Places a gang on the shortest row of neighbouring workers, with the least
-/// room to spare among rows of the same length.
-std::optional<indexed_placement> contiguous_fit(const free_table& table,
-                                                const worker_ranges& ranges,
-                                                const shape& needed);
+/// Places gangs on short rows of neighbouring workers while a table is filled
+/// up. Nothing is given back to the table in between, so a search for a shape
+/// continues where the former one for this shape found room.
+class contiguous_packer
+{
+public:
+    explicit contiguous_packer(const worker_ranges& ranges) : m_ranges(ranges)
+    {
+    }
+
+    std::optional<indexed_placement> place(const free_table& table,
+                                           const shape& needed);
+
+private:
+    struct progress
+    {
+        std::size_t m_next = 0; ///< The first worker of the last row found.
+        bool m_exhausted = false;
+    };
+
+    const worker_ranges& m_ranges;
+    std::map<shape, progress> m_progress;
+};
 
 /// The most tasks of this shape that one range can hold, and which range.
 struct range_room
