--- a/performance_test/placement_quality_main.cpp
+++ b/performance_test/placement_quality_main.cpp
@@ -1,11 +1,14 @@
 // Measures the quality of the placement policies in virtual time.
-// Usage: placement_quality [SEED [JOBS [DEPLOYMENT [LOAD [POLICY]]]]]
+// Usage: placement_quality [SEEDS [JOBS [DEPLOYMENT [LOAD [POLICY]]]]]
+// Runs the seeds 1 to SEEDS and prints the mean of each figure, the sums of
+// guarantee misses and lost jobs, and the longest pass.
 
 #include "backfill_baseline.hpp"
 #include "simulation.hpp"
 #include <kingcuprudder/placement/first_fit_policy.hpp>
 #include <kingcuprudder/placement/gang_policy.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
@@ -31,6 +34,14 @@
     return options;
 }
 
+/// The stage of the gang policy before it had reservations.
+gang_policy_options earlier_options()
+{
+    gang_policy_options options;
+    options.m_reservations = 0;
+    return options;
+}
+
 std::vector<named_policy> policies()
 {
     return {
@@ -38,6 +49,8 @@
         {"best_fit",
          [] { return std::make_unique<gang_policy>(best_fit_options()); }},
         {"backfill", [] { return std::make_unique<backfill_baseline>(); }},
+        {"earlier",
+         [] { return std::make_unique<gang_policy>(earlier_options()); }},
         {"gang", [] { return std::make_unique<gang_policy>(); }},
     };
 }
@@ -79,12 +92,46 @@
     std::fflush(stdout);
 }
 
+/// Adds the figures of one run, with this weight for those that are means.
+void add(quality& sum, const quality& one, double weight)
+{
+    sum.m_mean_h += one.m_mean_h * weight;
+    sum.m_p50_h += one.m_p50_h * weight;
+    sum.m_p99_h += one.m_p99_h * weight;
+    sum.m_slowdown += one.m_slowdown * weight;
+    sum.m_bound_ratio += one.m_bound_ratio * weight;
+    sum.m_fragmentation += one.m_fragmentation * weight;
+    sum.m_largest_p99_wait_h += one.m_largest_p99_wait_h * weight;
+    sum.m_guarantee_misses += one.m_guarantee_misses;
+    sum.m_guarantee_requests += one.m_guarantee_requests;
+    sum.m_lost_share += one.m_lost_share * weight;
+    sum.m_lost_jobs += one.m_lost_jobs;
+    sum.m_pass_mean_us += one.m_pass_mean_us * weight;
+    sum.m_pass_max_us = std::max(sum.m_pass_max_us, one.m_pass_max_us);
+}
+
+quality run_seeds(const deployment& where, workload_options options,
+                  std::uint64_t seeds, bool zone_lost,
+                  const named_policy& policy)
+{
+    quality sum;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        options.m_seed = seed;
+        std::vector<generated_job> jobs = generate_jobs(where, options);
+        std::unique_ptr<placement_policy> made = policy.m_make();
+        simulation run(where, jobs, *made, make_loss(where, jobs, zone_lost));
+        add(sum, run.run(), 1 / static_cast<double>(seeds));
+    }
+    return sum;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     workload_options options;
-    options.m_seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+    std::uint64_t seeds = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 3;
     options.m_jobs = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 3000;
     std::string only_deployment = argc > 3 ? argv[3] : "";
     std::string only_scenario = argc > 4 ? argv[4] : "";
@@ -104,17 +151,14 @@
                 continue;
             }
             options.m_load = std::strtod(scenario.c_str(), nullptr) / 100;
-            std::vector<generated_job> jobs = generate_jobs(where, options);
             for (const named_policy& each : policies())
             {
-                if (!only_policy.empty() && each.m_name != only_policy)
+                if (only_policy.empty() || each.m_name == only_policy)
                 {
-                    continue;
+                    print_line(where.m_name, scenario, each.m_name,
+                               run_seeds(where, options, seeds,
+                                         scenario.size() > 2, each));
                 }
-                std::unique_ptr<placement_policy> policy = each.m_make();
-                simulation run(where, jobs, *policy,
-                               make_loss(where, jobs, scenario.size() > 2));
-                print_line(where.m_name, scenario, each.m_name, run.run());
             }
         }
     }
