Judge backfill by the expected run time and drain for overdue gangs

Backfill was judged by the expected run time plus one standard deviation, which kept accelerators unused. It is now judged by the expected run time alone.

That alone starved the largest gang for 400 h when each pass has a new policy and run times are declared ten times too short, as the reservation moved between zones. An overdue gang now always reserves in the range with the most room, which is the one being drained, so that a new owner goes on with it.

--- a/kingcuprudder/placement/guarantee_layout.cpp
+++ b/kingcuprudder/placement/guarantee_layout.cpp
@@ -105,10 +105,7 @@
     free_table table = total_resources(region);
     for (std::size_t i = 0; i < table.size(); ++i)
     {
-        table[i].m_accelerators &= ~m_reserved[i].m_accelerators;
-        table[i].m_cores -= std::min(table[i].m_cores, m_reserved[i].m_cores);
-        table[i].m_memory_mb -=
-            std::min(table[i].m_memory_mb, m_reserved[i].m_memory_mb);
+        table[i] = without(table[i], m_reserved[i]);
     }
     return table;
 }
--- a/kingcuprudder/placement/planning_pass.cpp
+++ b/kingcuprudder/placement/planning_pass.cpp
@@ -237,7 +237,7 @@
 
 instant planning_pass::expected_end(const ordered_job& job) const
 {
-    return m_input.m_now + job.m_conservative;
+    return m_input.m_now + job.m_expected;
 }
 
 bool planning_pass::place(const ordered_job& job)
@@ -352,15 +352,38 @@
     return 1 + (most - 1) * weight / 100;
 }
 
-instant planning_pass::backfill_until(const ordered_job& job,
-                                      instant expected_start) const
+bool planning_pass::is_overdue(const ordered_job& job) const
 {
     const gang_policy_options& options = m_input.m_options;
     span drain_after =
         std::max(options.m_drain_after,
                  job.m_expected * options.m_drain_after_run_times);
-    bool drain = m_input.m_now - job.m_job->m_accepted_at > drain_after;
-    return drain ? m_input.m_now : expected_start;
+    return m_input.m_now - job.m_job->m_accepted_at > drain_after;
+}
+
+std::optional<range_preference>
+planning_pass::preferred_range(const ordered_job& job,
+                               const free_table& excluded) const
+{
+    const job_spec& spec = job.m_job->m_spec;
+    if (is_overdue(job))
+    {
+        // The range that is being drained has the most room, so that a new
+        // owner, which has not seen the earlier passes, goes on with it.
+        free_table left = m_views.base();
+        for (std::size_t i = 0; i < left.size(); ++i)
+        {
+            left[i] = without(left[i], excluded[i]);
+        }
+        range_room room = most_room(left, m_input.m_ranges, spec.m_shape);
+        return range_preference{room.m_range, true};
+    }
+    auto known = m_input.m_reserved_ranges.find(spec.m_key);
+    if (known == m_input.m_reserved_ranges.end())
+    {
+        return std::nullopt;
+    }
+    return range_preference{known->second, false};
 }
 
 bool planning_pass::reserve_for(const ordered_job& job)
@@ -381,22 +404,17 @@
             excluded[i].m_memory_mb += reserved.m_memory_mb;
         }
     }
-    std::optional<std::size_t> preferred;
-    auto known = m_input.m_reserved_ranges.find(spec.m_key);
-    if (known != m_input.m_reserved_ranges.end())
-    {
-        preferred = known->second;
-    }
     auto reserved =
         reserve({m_input.m_ranges, m_views.base(), releases(), excluded},
-                spec.m_shape, m_input.m_now, preferred);
+                spec.m_shape, m_input.m_now, preferred_range(job, excluded));
     if (!reserved.has_value())
     {
         return false;
     }
     ++m_reservation_count;
     m_input.m_reserved_ranges[spec.m_key] = reserved->m_range;
-    m_views.hold(*reserved, backfill_until(job, reserved->m_start));
+    m_views.hold(*reserved,
+                 is_overdue(job) ? m_input.m_now : reserved->m_start);
     for (const indexed_allocation& part : reserved->m_where)
     {
         give_back(m_held, spec.m_shape, part);
--- a/kingcuprudder/placement/planning_pass.hpp
+++ b/kingcuprudder/placement/planning_pass.hpp
@@ -65,8 +65,9 @@
     free_table allowed(const queued_job& job, const free_table& view) const;
     void start(const ordered_job& job, const indexed_placement& where);
     std::size_t reservation_limit() const;
-    instant backfill_until(const ordered_job& job,
-                           instant expected_start) const;
+    bool is_overdue(const ordered_job& job) const;
+    std::optional<range_preference>
+    preferred_range(const ordered_job& job, const free_table& excluded) const;
     bool reserve_for(const ordered_job& job);
     const std::vector<expected_release>& releases();
     instant expected_end(const ordered_job& job) const;
--- a/kingcuprudder/placement/queue_order.cpp
+++ b/kingcuprudder/placement/queue_order.cpp
@@ -43,9 +43,7 @@
     span declared = spec.m_declared_run_time;
     span saved = job.m_saved_run_time;
     span expected = estimator.expected(account, spec.m_class, declared);
-    span conservative = estimator.conservative(account, spec.m_class, declared);
-    return {&job, 0, run_time_estimator::remaining(expected, saved),
-            run_time_estimator::remaining(conservative, saved)};
+    return {&job, 0, run_time_estimator::remaining(expected, saved)};
 }
 
 } // namespace
--- a/kingcuprudder/placement/queue_order.hpp
+++ b/kingcuprudder/placement/queue_order.hpp
@@ -14,9 +14,8 @@
 struct ordered_job
 {
     const queued_job* m_job = nullptr;
-    double m_rank = 0;   ///< Lower ranks are placed first.
-    span m_expected;     ///< Expected remaining run time.
-    span m_conservative; ///< Remaining run time that is rarely exceeded.
+    double m_rank = 0; ///< Lower ranks are placed first.
+    span m_expected;   ///< Expected remaining run time.
 };
 
 /// The queue in the order in which to place jobs: urgent ones first, then by
--- a/kingcuprudder/placement/reservation.cpp
+++ b/kingcuprudder/placement/reservation.cpp
@@ -14,13 +14,6 @@
     return value - std::min(value, amount);
 }
 
-worker_free without(const worker_free& left, const worker_free& excluded)
-{
-    return {left.m_accelerators & ~excluded.m_accelerators,
-            subtract(left.m_cores, excluded.m_cores),
-            subtract(left.m_memory_mb, excluded.m_memory_mb)};
-}
-
 /// Follows the expected releases and keeps count of the tasks that fit into
 /// each range.
 class release_walk
@@ -115,7 +108,7 @@
 
 std::optional<reservation> reserve(const release_forecast& forecast,
                                    const shape& needed, instant now,
-                                   std::optional<std::size_t> preferred_range)
+                                   std::optional<range_preference> preferred)
 {
     release_walk walk(forecast, needed);
     std::optional<reservation> best;
@@ -125,19 +118,20 @@
     }
     for (const expected_release& release : forecast.m_releases)
     {
-        if (best.has_value() && release.m_at - now > (best->m_start - now) * 2)
+        if (best.has_value() && !preferred->m_always &&
+            release.m_at - now > (best->m_start - now) * 2)
         {
             return best;
         }
         auto range = walk.add(release);
-        if (preferred_range.has_value() && walk.has_room(*preferred_range))
+        if (preferred.has_value() && walk.has_room(preferred->m_range))
         {
-            return walk.make(release.m_at, *preferred_range);
+            return walk.make(release.m_at, preferred->m_range);
         }
         if (range.has_value() && !best.has_value())
         {
             best = walk.make(release.m_at, *range);
-            if (!preferred_range.has_value())
+            if (!preferred.has_value())
             {
                 return best;
             }
--- a/kingcuprudder/placement/reservation.hpp
+++ b/kingcuprudder/placement/reservation.hpp
@@ -41,11 +41,18 @@
     const free_table& m_excluded;
 };
 
-/// The earliest expected start of a gang. The preferred range, from an earlier
-/// pass, is kept unless another one is expected in less than half the time.
+/// The range in which a gang should start.
+struct range_preference
+{
+    std::size_t m_range = 0;
+    /// Otherwise a range that is expected in less than half the time wins.
+    bool m_always = false;
+};
+
+/// The earliest expected start of a gang.
 std::optional<reservation> reserve(const release_forecast& forecast,
                                    const shape& needed, instant now,
-                                   std::optional<std::size_t> preferred_range);
+                                   std::optional<range_preference> preferred);
 
 /// Free resources as seen by jobs of different length: a job that ends before
 /// a reservation starts may use what the reservation holds.
--- a/kingcuprudder/placement/run_time_estimator.cpp
+++ b/kingcuprudder/placement/run_time_estimator.cpp
@@ -9,11 +9,7 @@
 namespace
 {
 
-/// Spread of ln(actual / declared) before anything was observed. Declared
-/// times can be wrong by a factor of ten, ln(10) = 2.3, in either direction.
-constexpr double initial_variance = 1.3;
-
-/// How many observations the initial spread counts for.
+/// How many observations the declared time counts for.
 constexpr double initial_count = 2;
 
 /// The weight of one more observation once many have been made.
@@ -44,15 +40,11 @@
                               -largest_log_ratio, largest_log_ratio);
     correction& known =
         m_corrections
-            .try_emplace({account, job_class},
-                         correction{initial_count, 0, initial_variance})
+            .try_emplace({account, job_class}, correction{initial_count, 0})
             .first->second;
     known.m_count += 1;
     double weight = std::max(1 / known.m_count, least_weight);
-    double difference = ratio - known.m_mean;
-    known.m_mean += weight * difference;
-    known.m_variance =
-        (1 - weight) * (known.m_variance + weight * difference * difference);
+    known.m_mean += weight * (ratio - known.m_mean);
 }
 
 run_time_estimator::correction
@@ -60,8 +52,7 @@
                          const job_class_id& job_class) const
 {
     auto found = m_corrections.find({account, job_class});
-    return found == m_corrections.end() ? correction{0, 0, initial_variance}
-                                        : found->second;
+    return found == m_corrections.end() ? correction{} : found->second;
 }
 
 span run_time_estimator::expected(const account_id& account,
@@ -71,15 +62,6 @@
     return scaled(declared, std::exp(find(account, job_class).m_mean));
 }
 
-span run_time_estimator::conservative(const account_id& account,
-                                      const job_class_id& job_class,
-                                      span declared) const
-{
-    correction known = find(account, job_class);
-    return scaled(declared,
-                  std::exp(known.m_mean + std::sqrt(known.m_variance)));
-}
-
 span run_time_estimator::remaining(span expected, span elapsed)
 {
     return std::max(expected - elapsed, elapsed / 2);
--- a/kingcuprudder/placement/run_time_estimator.hpp
+++ b/kingcuprudder/placement/run_time_estimator.hpp
@@ -11,8 +11,7 @@
 {
 
 /// Corrects declared run times by what the jobs of the same account and class
-/// really took. Without observations the declared time counts, with a margin
-/// for an error of unknown direction.
+/// really took. Without observations the declared time counts.
 class run_time_estimator
 {
 public:
@@ -24,21 +23,16 @@
     span expected(const account_id& account, const job_class_id& job_class,
                   span declared) const;
 
-    /// A run time that the job exceeds rarely.
-    span conservative(const account_id& account, const job_class_id& job_class,
-                      span declared) const;
-
     /// How much longer a job with this expected run time runs. The estimate
     /// grows with a job that runs longer than expected.
     static span remaining(span expected, span elapsed);
 
 private:
-    /// Mean and variance of ln(actual / declared), recent jobs count more.
+    /// Mean of ln(actual / declared), recent jobs count more.
     struct correction
     {
         double m_count = 0;
         double m_mean = 0;
-        double m_variance = 0;
     };
 
     correction find(const account_id& account,
--- a/kingcuprudder/placement/shape_fitting.cpp
+++ b/kingcuprudder/placement/shape_fitting.cpp
@@ -193,6 +193,14 @@
     return best != 0 ? best : lowest_set(free, count);
 }
 
+worker_free without(const worker_free& left, const worker_free& excluded)
+{
+    return {left.m_accelerators & ~excluded.m_accelerators,
+            left.m_cores - std::min(left.m_cores, excluded.m_cores),
+            left.m_memory_mb -
+                std::min(left.m_memory_mb, excluded.m_memory_mb)};
+}
+
 bool holds(const worker_free& left, const shape& needed,
            const indexed_allocation& part)
 {
--- a/kingcuprudder/placement/shape_fitting.hpp
+++ b/kingcuprudder/placement/shape_fitting.hpp
@@ -81,6 +81,9 @@
 /// run that is long enough, else the lowest ones.
 std::uint64_t choose_accelerators(std::uint64_t free, std::uint32_t count);
 
+/// What is left of a worker's resources without these.
+worker_free without(const worker_free& left, const worker_free& excluded);
+
 /// Whether the free resources of a worker hold one allocation.
 bool holds(const worker_free& left, const shape& needed,
            const indexed_allocation& part);
