--- a/kingcuprudder/codec/fields.hpp
+++ b/kingcuprudder/codec/fields.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_CODEC_FIELDS_HPP
 
 #include <kingcuprudder/region/owner_io.hpp>
+#include <kingcuprudder/region/region_owner.hpp>
 #include <kingcuprudder/topology/worker.hpp>
 
 #include <array>
@@ -122,7 +123,8 @@
          field{"reason", &job_released::m_reason},
          field{"verdict", &job_released::m_verdict},
          field{"saved_run_time_ms", &job_released::m_saved_run_time},
-         field{"at", &job_released::m_at});
+         field{"at", &job_released::m_at},
+         field{"failed_workers", &job_released::m_failed_workers});
 KCR_WIRE(job_ended, field{"job", &job_ended::m_job},
          field{"attempt", &job_ended::m_attempt},
          field{"outcome", &job_ended::m_outcome},
@@ -202,6 +204,9 @@
 KCR_WIRE(caller_answer, field{"call", &caller_answer::m_call},
          field{"reply", &caller_answer::m_reply});
 
+KCR_WIRE(owner_record, field{"instance", &owner_record::m_instance},
+         field{"address", &owner_record::m_address});
+
 #undef KCR_WIRE
 #undef KCR_ENUM
 
