--- a/kingcuprudder/runtime/http_listener.cpp
+++ b/kingcuprudder/runtime/http_listener.cpp
@@ -16,7 +16,7 @@
 {
 
 // The store's largest value is 1 MB; base64 and JSON add a third.
-constexpr std::size_t max_body_bytes = 1536 * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{1536} * 1024;
 constexpr std::size_t max_calls_per_connection = 1'000'000;
 // An idle connection holds a thread, so it is closed early; clients reconnect.
 constexpr time_t idle_connection_seconds = 5;
--- a/stand_ins/fake_worker.cpp
+++ b/stand_ins/fake_worker.cpp
@@ -60,8 +60,9 @@
 {
 public:
     explicit implementation(const fake_worker_options& options)
-        : m_worker(options.m_worker), m_usage_lag(options.m_usage_lag),
-          m_boot(new_boot_id()), m_tasks(options.m_worker.m_accelerators),
+        : m_worker(options.m_worker), m_relay(options.m_heartbeat_relay),
+          m_usage_lag(options.m_usage_lag), m_boot(new_boot_id()),
+          m_tasks(options.m_worker.m_accelerators),
           m_listener(options.m_worker.m_address, options.m_threads,
                      [this](httplib::Server& server) { install(server); })
     {
@@ -326,10 +327,11 @@
     }
 
     // The URL has the form http://ip:port/path.
-    static httplib::Result post(const std::string& url, const std::string& body)
+    httplib::Result post(const std::string& url, const std::string& body) const
     {
         const std::size_t path = url.find('/', std::string("http://").size());
-        httplib::Client client(url.substr(0, path));
+        httplib::Client client(m_relay.empty() ? url.substr(0, path)
+                                               : "http://" + m_relay);
         client.set_connection_timeout(heartbeat_timeout);
         client.set_read_timeout(heartbeat_timeout);
         client.set_tcp_nodelay(true);
@@ -337,6 +339,7 @@
     }
 
     worker m_worker;
+    std::string m_relay;
     span m_usage_lag;
     std::string m_boot;
     mutable std::mutex m_mutex;
--- a/stand_ins/fake_worker.hpp
+++ b/stand_ins/fake_worker.hpp
@@ -30,6 +30,8 @@
     worker m_worker;
     span m_usage_lag = span::seconds(5);
     std::size_t m_threads = 4;
+    /// Heartbeats go to this "ip:port" instead of the claim's, when set.
+    std::string m_heartbeat_relay;
 };
 
 /// Stands in for a worker of the platform: its HTTP protocol, with tasks that
