--- a/kingcuprudder/service/peer_calls.hpp
+++ b/kingcuprudder/service/peer_calls.hpp
@@ -42,9 +42,12 @@
 class peer_call_handler
 {
 public:
+    /// Sends the answer to one call; may be called later and anywhere.
+    using answerer = std::function<void(const std::string& content)>;
+
     /// Gets the content of a call and the function that answers it.
-    using taker = std::function<void(
-        std::string content, std::function<void(const std::string&)> respond)>;
+    using taker = std::function<void(const std::string& content,
+                                     const answerer& respond)>;
 
     /// The live state must outlive this object and its calls in progress.
     peer_call_handler(live_state& live, taker take);
--- a/kingcuprudder/service/scheduler_service.cpp
+++ b/kingcuprudder/service/scheduler_service.cpp
@@ -85,8 +85,8 @@
                           { take_workers(std::move(workers)); }),
           m_peer_handler(m_live,
                          [this](const std::string& content,
-                                std::function<void(const std::string&)> respond)
-                         { take_call(content, std::move(respond)); })
+                                const peer_call_handler::answerer& respond)
+                         { take_call(content, respond); })
     {
         m_loop.start([this](store_call call)
                      { return m_store_caller.call(std::move(call)); },
@@ -145,7 +145,7 @@
     }
 
     void take_call(const std::string& content,
-                   std::function<void(const std::string&)> respond)
+                   const peer_call_handler::answerer& respond)
     {
         const auto call = from_cbor<caller_call>(content);
         if (!succeeded(call))
--- a/kingcuprudder/stream/client_link.cpp
+++ b/kingcuprudder/stream/client_link.cpp
@@ -37,7 +37,7 @@
         auto& body = *static_cast<client_link::request_body*>(source->ptr);
         const std::size_t count =
             std::min(size, body.m_bytes.size() - body.m_sent);
-        std::memcpy(buffer, body.m_bytes.data() + body.m_sent, count);
+        std::copy_n(body.m_bytes.data() + body.m_sent, count, buffer);
         body.m_sent += count;
         if (body.m_sent == body.m_bytes.size())
         {
--- a/kingcuprudder/stream/server_link.cpp
+++ b/kingcuprudder/stream/server_link.cpp
@@ -3,7 +3,6 @@
 #include <nghttp2/nghttp2.h>
 
 #include <algorithm>
-#include <cstring>
 #include <string_view>
 
 namespace kingcuprudder
@@ -28,7 +27,7 @@
         auto& call = *static_cast<server_link::call_stream*>(source->ptr);
         const std::size_t count =
             std::min(size, call.m_answer.size() - call.m_answer_sent);
-        std::memcpy(buffer, call.m_answer.data() + call.m_answer_sent, count);
+        std::copy_n(call.m_answer.data() + call.m_answer_sent, count, buffer);
         call.m_answer_sent += count;
         if (call.m_answer_sent == call.m_answer.size())
         {
--- a/stand_ins/fake_store.cpp
+++ b/stand_ins/fake_store.cpp
@@ -23,7 +23,7 @@
 
 // One thread is held for each open connection and each waiting watch.
 constexpr std::size_t server_threads = 160;
-constexpr std::size_t max_value_bytes = 1024 * 1024;
+constexpr std::size_t max_value_bytes = std::size_t{1024} * 1024;
 constexpr std::int64_t max_watch_wait_ms = 60'000;
 // How long a silent call holds its thread; longer than any client's timeout.
 constexpr std::chrono::milliseconds silence(3000);
--- a/stand_ins/store_data.cpp
+++ b/stand_ins/store_data.cpp
@@ -68,7 +68,7 @@
 std::string store_data::grant(span time_to_live)
 {
     std::unique_lock lock(m_mutex);
-    const std::string id = "lease-" + std::to_string(++m_last_lease);
+    std::string id = "lease-" + std::to_string(++m_last_lease);
     m_leases[id] =
         lease_entry{time_to_live, steady_milliseconds() + time_to_live.count()};
     // Waiting watches take the new expiry into account.
