--- a/kingcuprudder/service/live_state.cpp
+++ b/kingcuprudder/service/live_state.cpp
@@ -2,6 +2,7 @@
 #include <kingcuprudder/region/region_keys.hpp>
 #include <kingcuprudder/request/backoff.hpp>
 #include <kingcuprudder/runtime/logging.hpp>
+#include <kingcuprudder/runtime/steady_time.hpp>
 #include <kingcuprudder/service/live_state.hpp>
 #include <kingcuprudder/settings/resolve_settings.hpp>
 
@@ -24,6 +25,7 @@
 // this; both together stay below the 3 s in which settings must be in effect.
 constexpr span watch_wait(1500);
 constexpr span first_backoff(100);
+constexpr std::int64_t outage_log_delay_ms = 1000;
 constexpr span longest_backoff = span::seconds(5);
 
 } // namespace
@@ -122,12 +124,24 @@
         }
     }
 
+    // Logs an outage once it lasts; a single lost call is not worth a line.
     void note_reachable(bool reachable)
     {
-        if (reachable != m_reachable)
+        const std::int64_t now = steady_milliseconds();
+        if (reachable && m_outage_logged)
         {
-            m_log.info(reachable ? "the store answers"
-                                 : "the store does not answer");
+            m_log.info("the store answers again");
+            m_outage_logged = false;
+        }
+        if (m_reachable && !reachable)
+        {
+            m_failing_since = now;
+        }
+        if (!reachable && !m_outage_logged &&
+            now - m_failing_since > outage_log_delay_ms)
+        {
+            m_log.warning("the store does not answer");
+            m_outage_logged = true;
         }
         m_reachable = reachable;
     }
@@ -206,6 +220,8 @@
     std::optional<owner_record> m_owner;
     bool m_stopping = false;
     std::atomic<bool> m_reachable = false;
+    std::int64_t m_failing_since = steady_milliseconds();
+    bool m_outage_logged = false;
     std::thread m_thread;
 };
 
--- a/kingcuprudder/service/scheduler_http.cpp
+++ b/kingcuprudder/service/scheduler_http.cpp
@@ -102,7 +102,9 @@
                     take_heartbeat(m_loop, from, to);
                 });
     server.Get("/metrics",
-               [this](const httplib::Request&, httplib::Response& to) {
+               [this](const httplib::Request&, httplib::Response& to)
+               {
+                   m_metrics.set_ownership(m_loop.owning(), m_loop.epoch());
                    to.set_content(m_metrics.text(),
                                   metrics_registry::content_type());
                });
--- a/kingcuprudder/service/scheduler_metrics.cpp
+++ b/kingcuprudder/service/scheduler_metrics.cpp
@@ -59,11 +59,14 @@
     }
 }
 
-void scheduler_metrics::set_state(bool owning, epoch_number epoch,
-                                  std::uint64_t revision)
+void scheduler_metrics::set_ownership(bool owning, epoch_number epoch)
 {
     m_owning.set(owning ? 1 : 0);
     m_epoch.set(static_cast<double>(epoch));
+}
+
+void scheduler_metrics::set_settings_revision(std::uint64_t revision)
+{
     m_settings_revision.set(static_cast<double>(revision));
 }
 
--- a/kingcuprudder/service/scheduler_metrics.hpp
+++ b/kingcuprudder/service/scheduler_metrics.hpp
@@ -22,8 +22,8 @@
     void on_heartbeat() { m_heartbeats.increment(); }
     void on_caller_call() { m_caller_calls.increment(); }
 
-    /// Notes the ownership and the settings in force.
-    void set_state(bool owning, epoch_number epoch, std::uint64_t revision);
+    void set_ownership(bool owning, epoch_number epoch);
+    void set_settings_revision(std::uint64_t revision);
 
     /// All metrics in the Prometheus text format.
     std::string text() const { return m_registry.text(); }
--- a/unit_tests/service/scheduler_test.cpp
+++ b/unit_tests/service/scheduler_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <httplib.h>
+
 namespace kingcuprudder
 {
 namespace
@@ -146,6 +148,23 @@
     }
 }
 
+// Guards against metrics that do not follow the state.
+TEST(scheduler, metrics_show_ownership_and_settings)
+{
+    test_region region(1, 1);
+    ASSERT_TRUE(wait_until([&] { return !region.owner().empty(); }));
+    httplib::Client client("http://" +
+                           region.m_schedulers["scheduler-0"]->http_address());
+    const auto answer = client.Get("/metrics");
+    ASSERT_TRUE(answer);
+    for (const char* line :
+         {"kcr_scheduler_owner_bool 1\n", "kcr_scheduler_epoch 1\n",
+          "kcr_scheduler_settings_revision 1\n"})
+    {
+        EXPECT_NE(answer->body.find(line), std::string::npos) << line;
+    }
+}
+
 // Guards against a call that a standby leaves unanswered or takes up.
 TEST(scheduler, a_standby_names_the_owner)
 {
