Test the loss of a worker in the middle of a gang

The second attempt starts on no worker before the lost one has stopped its part at the end of its task lease. Preallocates vectors as the linter asks.

--- a/performance_test/control_cost_main.cpp
+++ b/performance_test/control_cost_main.cpp
@@ -141,6 +141,7 @@
             << m_relay.add(m_list.address(), "list") << "\"}";
         std::vector<std::string> words = {scheduler, "--settings", m_file};
         std::vector<char*> arguments;
+        arguments.reserve(words.size() + 1);
         for (std::string& each : words)
         {
             arguments.push_back(each.data());
@@ -174,6 +175,7 @@
     const process_usage before = region.usage();
     const std::size_t heartbeats = region.heartbeats();
     std::vector<std::uint64_t> counted;
+    counted.reserve(channels.size());
     for (const std::string& each : channels)
     {
         counted.push_back(region.bytes(each));
--- a/unit_tests/service/scheduler_test.cpp
+++ b/unit_tests/service/scheduler_test.cpp
@@ -127,6 +127,41 @@
     }
 }
 
+// Guards against a second attempt that starts while a lost worker may still
+// run the first one: the lost worker must have stopped it before.
+TEST(scheduler, a_gang_is_repeated_only_after_a_lost_worker_has_stopped)
+{
+    test_region region(9, 1, test_settings(R"({"min_task_lease_s":6})"));
+    const job_spec spec = test_region::gang("j", 64, 9000);
+    ASSERT_TRUE(wait_until([&] { return !region.owner().empty(); }));
+    expect_success(region.submit(spec));
+    ASSERT_TRUE(
+        wait_until([&] { return region.started(spec.m_key)[1] == 64; }));
+    std::size_t lost = 0;
+    while (region.m_workers[lost]->history().empty())
+    {
+        ++lost;
+    }
+    stand_ins::worker_faults faults;
+    faults.m_partition = true;
+    region.m_workers[lost]->set_faults(faults);
+    EXPECT_EQ(region.end_of(spec), "succeeded");
+    EXPECT_EQ(region.started(spec.m_key), (attempts{{1, 64}, {2, 64}}));
+    const auto history = region.m_workers[lost]->history();
+    ASSERT_EQ(history.size(), 2U);
+    EXPECT_EQ(history[1].m_state, task_state::stopped);
+    for (const auto& each : region.m_workers)
+    {
+        for (const stand_ins::task_event& event : each->history())
+        {
+            if (event.m_is_start && event.m_attempt.m_attempt == 2)
+            {
+                EXPECT_GE(event.m_at, history[1].m_at);
+            }
+        }
+    }
+}
+
 // Guards against a target that still gets new work 3 s after it was listed as
 // leaving.
 TEST(scheduler, a_leaving_worker_gets_no_new_work)
--- a/unit_tests/service/test_region.hpp
+++ b/unit_tests/service/test_region.hpp
@@ -52,10 +52,11 @@
 class test_region
 {
 public:
-    explicit test_region(std::size_t workers, std::size_t schedulers)
+    explicit test_region(std::size_t workers, std::size_t schedulers,
+                         const std::string& settings = test_settings())
         : m_caller_store(m_store.address())
     {
-        m_store.put("live/settings", test_settings());
+        m_store.put("live/settings", settings);
         for (std::size_t i = 0; i < workers; ++i)
         {
             add_worker(i);
