--- a/kingcuprudder/runtime/http_listener.cpp
+++ b/kingcuprudder/runtime/http_listener.cpp
@@ -1,6 +1,8 @@
 #include <kingcuprudder/runtime/http_listener.hpp>
 #include <kingcuprudder/runtime/ip_address.hpp>
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <chrono>
 #include <httplib.h>
@@ -18,21 +20,31 @@
 constexpr std::size_t max_calls_per_connection = 1'000'000;
 // An idle connection holds a thread, so it is closed early; clients reconnect.
 constexpr time_t idle_connection_seconds = 5;
+constexpr int listen_backlog = 256;
 constexpr time_t transfer_timeout_seconds = 5;
 
+/// httplib listens with room for 5 waiting connections; when more processes
+/// connect at once, the kernel drops some and they wait a second or longer.
+class server_with_backlog : public httplib::Server
+{
+public:
+    void raise_backlog() { ::listen(svr_sock_, listen_backlog); }
+};
+
 } // namespace
 
 class http_listener::implementation
 {
 public:
     implementation(const std::string& address, std::size_t threads,
-                   const installer& install)
+                   const installer& install, connections reuse)
     {
         m_server.new_task_queue = [threads]
         { return new httplib::ThreadPool(threads); };
         m_server.set_payload_max_length(max_body_bytes);
         m_server.set_tcp_nodelay(true);
-        m_server.set_keep_alive_max_count(max_calls_per_connection);
+        m_server.set_keep_alive_max_count(
+            reuse == connections::kept ? max_calls_per_connection : 1);
         m_server.set_keep_alive_timeout(idle_connection_seconds);
         m_server.set_read_timeout(transfer_timeout_seconds);
         m_server.set_write_timeout(transfer_timeout_seconds);
@@ -80,19 +92,20 @@
         {
             throw std::runtime_error("cannot listen on " + address);
         }
+        m_server.raise_backlog();
         m_address = where.m_host + ":" + std::to_string(where.m_port);
     }
 
-    httplib::Server m_server;
+    server_with_backlog m_server;
     std::string m_address;
     std::atomic<bool> m_ended = false;
     std::thread m_thread;
 };
 
 http_listener::http_listener(const std::string& address, std::size_t threads,
-                             const installer& install)
+                             const installer& install, connections reuse)
     : m_implementation(
-          std::make_unique<implementation>(address, threads, install))
+          std::make_unique<implementation>(address, threads, install, reuse))
 {
 }
 
