--- a/kingcuprudder/service/settings_editor.cpp
+++ b/kingcuprudder/service/settings_editor.cpp
@@ -18,8 +18,9 @@
 /// Bounds the history in the store.
 constexpr std::uint64_t history_slots = 64;
 
-/// With the waits below, an operator learns after about 6 s that the outcome
-/// stays unknown.
+/// An operator learns after this time that the outcome stays unknown. Calls
+/// that time out may take it a few seconds further.
+constexpr span longest_settlement = span::seconds(15);
 constexpr int max_store_attempts = 7;
 constexpr span first_wait = span(100);
 
@@ -104,7 +105,8 @@
 settings_write_outcome settings_editor::carry_out(const attempt& change)
 {
     span wait = first_wait;
-    for (int i = 0; i < max_store_attempts; ++i)
+    const instant give_up = m_around.m_now() + longest_settlement;
+    for (int i = 0; i < max_store_attempts && m_around.m_now() < give_up; ++i)
     {
         // Repeating the same compare-and-swap is safe: at most one of them
         // can take effect, and all write the same text.
--- a/tools/kcrctl/settings_commands.cpp
+++ b/tools/kcrctl/settings_commands.cpp
@@ -6,6 +6,7 @@
 #include <kingcuprudder/runtime/utc_text.hpp>
 #include <kingcuprudder/settings/check_settings.hpp>
 #include <kingcuprudder/settings/resolve_settings.hpp>
+#include <kingcuprudder/settings/settings_json_schema.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -338,6 +339,12 @@
     }
 }
 
+void schema(command_line& line, const arguments& words)
+{
+    line.parse(words);
+    std::cout << settings_json_schema();
+}
+
 } // namespace
 
 std::vector<command> settings_commands()
@@ -348,7 +355,8 @@
             {"settings load", "Replaces the whole tree by a file.", load},
             {"settings diff", "Compares a file with the store.", diff},
             {"settings check", "Lists every problem of a tree.", check},
-            {"settings history", "Shows the last changes.", history}};
+            {"settings history", "Shows the last changes.", history},
+            {"settings schema", "Prints the JSON Schema of the tree.", schema}};
 }
 
 } // namespace kingcuprudder
