Report a region's statistics in numbers

Cause: the metrics need queue length, decisions, reclaims and free accelerators, which the owner showed as text only.

Change: region_owner::statistics() returns them; committed records are counted by kind.

Conclusion: no call or record changes.

--- a/kingcuprudder/region/region_owner.cpp
+++ b/kingcuprudder/region/region_owner.cpp
@@ -44,6 +44,7 @@
     epoch_number epoch() const { return owning() ? m_state.epoch() : 0; }
     bool shut_down() const { return m_stage == stage::shut_down; }
     std::string dump() const;
+    region_statistics statistics() const;
 
 private:
     enum class stage
@@ -275,6 +276,18 @@
     return text;
 }
 
+region_statistics region_owner::implementation::statistics() const
+{
+    region_statistics numbers;
+    if (m_scheduler && owning())
+    {
+        numbers = m_scheduler->statistics();
+    }
+    numbers.m_epoch = epoch();
+    numbers.m_settings_revision = m_settings.m_revision;
+    return numbers;
+}
+
 /// Ends every event: follows up on what has changed, once for the whole event.
 region_owner::effects region_owner::implementation::finish(instant now)
 {
@@ -554,4 +567,9 @@
     return m_implementation->dump();
 }
 
+region_statistics region_owner::statistics() const
+{
+    return m_implementation->statistics();
+}
+
 } // namespace kingcuprudder
--- a/kingcuprudder/region/region_owner.hpp
+++ b/kingcuprudder/region/region_owner.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/placement/placement_policy.hpp>
 #include <kingcuprudder/region/owner_io.hpp>
+#include <kingcuprudder/region/region_statistics.hpp>
 #include <kingcuprudder/settings/effective_settings.hpp>
 
 #include <functional>
@@ -101,6 +102,9 @@
     /// The state for operators, as lines of text.
     std::string dump() const;
 
+    /// The state in numbers, for metrics.
+    region_statistics statistics() const;
+
 private:
     class implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/kingcuprudder/region/region_scheduler.cpp
+++ b/kingcuprudder/region/region_scheduler.cpp
@@ -1,6 +1,7 @@
 #include <kingcuprudder/region/region_scheduler.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace kingcuprudder
@@ -144,6 +145,7 @@
 void region_scheduler::on_committed(const log_record& record, instant now)
 {
     m_now = now;
+    m_decisions.count(record);
     std::visit([&](const auto& each) { committed(each, now); }, record);
 }
 
@@ -210,6 +212,34 @@
     return text;
 }
 
+region_statistics region_scheduler::statistics() const
+{
+    const region_state& state = m_context.m_state;
+    const cluster& workers = m_capacity.view();
+    region_statistics numbers;
+    numbers.m_owning = true;
+    numbers.m_queued_jobs = state.queued().size();
+    numbers.m_active_jobs = state.active().size();
+    numbers.m_open_permits = state.open_permits().size();
+    numbers.m_listed_workers = workers.size();
+    numbers.m_decisions = m_decisions;
+    for (const auto& [worker, entry] : state.set_aside())
+    {
+        numbers.m_set_aside_workers += entry.m_active ? 1 : 0;
+    }
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        const auto free = static_cast<std::uint32_t>(
+            std::popcount(workers.free_at(i).m_accelerators));
+        numbers.m_free_accelerators += free;
+        if (free < workers.worker_at(i).m_accelerators)
+        {
+            numbers.m_scattered_accelerators += free;
+        }
+    }
+    return numbers;
+}
+
 void region_scheduler::committed(const job_accepted& record, instant /*now*/)
 {
     m_jobs.on_accepted(record.m_spec.m_key);
--- a/kingcuprudder/region/region_scheduler.hpp
+++ b/kingcuprudder/region/region_scheduler.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/region/job_desk.hpp>
 #include <kingcuprudder/region/permit_desk.hpp>
+#include <kingcuprudder/region/region_statistics.hpp>
 
 #include <map>
 #include <set>
@@ -53,6 +54,9 @@
 
     std::string dump() const;
 
+    /// The numbers of the region; the owner adds epoch and settings revision.
+    region_statistics statistics() const;
+
 private:
     void committed(const epoch_started&, instant) {}
     void committed(const job_accepted& record, instant now);
@@ -101,6 +105,7 @@
     /// Workers whose set-aside or restoring is being recorded.
     std::set<worker_id> m_pending_workers;
     std::map<job_key, wait_reason> m_wait_reasons;
+    decision_counts m_decisions;
 };
 
 } // namespace kingcuprudder
