Serve metrics of owner and entry processes and the drain path

Cause: owner, epoch and settings revision were declared as metrics but never set; queue length, decisions, reclaims, takeovers and retries were missing; kcrctl drain had no path to call.

Change: /metrics reads the region's statistics; entry processes serve /metrics on their health address; POST /drain on the health address begins the graceful shutdown.

--- a/kingcuprudder/request/request_router.cpp
+++ b/kingcuprudder/request/request_router.cpp
@@ -207,7 +207,9 @@
 
 bool request_router::try_take_retry(const service_id& service)
 {
-    return m_budgets[service].try_take();
+    const bool allowed = m_budgets[service].try_take();
+    ++(allowed ? m_retries : m_refused_retries);
+    return allowed;
 }
 
 } // namespace kingcuprudder
--- a/kingcuprudder/request/request_router.hpp
+++ b/kingcuprudder/request/request_router.hpp
@@ -89,6 +89,10 @@
     const target_table& targets() const { return m_targets; }
     std::uint32_t in_flight() const { return m_in_flight; }
 
+    /// Retries that the budgets allowed, and those that they did not.
+    std::uint64_t retries() const { return m_retries; }
+    std::uint64_t refused_retries() const { return m_refused_retries; }
+
 private:
     std::optional<target_ref> pick_from(const service_id& service,
                                         const std::vector<target_ref>& avoid,
@@ -102,6 +106,8 @@
     std::map<account_id, std::uint32_t> m_account_in_flight;
     std::map<service_id, std::uint32_t> m_service_in_flight;
     std::map<service_id, retry_budget> m_budgets;
+    std::uint64_t m_retries = 0;
+    std::uint64_t m_refused_retries = 0;
 };
 
 } // namespace kingcuprudder
--- a/kingcuprudder/runtime/metrics.cpp
+++ b/kingcuprudder/runtime/metrics.cpp
@@ -49,6 +49,15 @@
     }
 }
 
+void metric_total::raise_to(std::uint64_t total)
+{
+    if (total > m_counted)
+    {
+        m_counter.increment(static_cast<double>(total - m_counted));
+        m_counted = total;
+    }
+}
+
 void metric_gauge::set(double value) const
 {
     if (m_gauge != nullptr)
--- a/kingcuprudder/runtime/metrics.hpp
+++ b/kingcuprudder/runtime/metrics.hpp
@@ -1,7 +1,7 @@
 #ifndef KINGCUPRUDDER_RUNTIME_METRICS_HPP
 #define KINGCUPRUDDER_RUNTIME_METRICS_HPP
 
-#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +36,25 @@
     prometheus::Counter* m_counter = nullptr;
 };
 
+/// A counter that follows a total which others keep. Not safe to use from
+/// several threads.
+class metric_total
+{
+public:
+    explicit metric_total(metric_counter counter) : m_counter(counter) {}
+
+    /// Raises the counter to the total; a smaller total changes nothing.
+    void raise_to(std::uint64_t total);
+
+    /// The next total counts from zero again, as after a takeover; the counter
+    /// keeps what it has.
+    void restart() { m_counted = 0; }
+
+private:
+    metric_counter m_counter;
+    std::uint64_t m_counted = 0;
+};
+
 /// A number that goes up and down. Valid as long as its registry. A default
 /// constructed one keeps nothing.
 class metric_gauge
--- a/kingcuprudder/runtime/signals.cpp
+++ b/kingcuprudder/runtime/signals.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <pthread.h>
+#include <unistd.h>
 #include <utility>
 
 namespace kingcuprudder
@@ -28,6 +29,11 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+void request_termination()
+{
+    kill(getpid(), SIGTERM);
+}
+
 signal_waiter::signal_waiter(callback on_terminate, callback on_dump)
     : m_on_terminate(std::move(on_terminate)), m_on_dump(std::move(on_dump)),
       m_thread([this] { run(); })
--- a/kingcuprudder/runtime/signals.hpp
+++ b/kingcuprudder/runtime/signals.hpp
@@ -13,6 +13,9 @@
 /// a thread without the block ends the process at once.
 void block_signals();
 
+/// Sends this process a SIGTERM, which begins its graceful shutdown.
+void request_termination();
+
 /// Waits for signals on one thread of its own and calls back from there, so
 /// that callbacks may do whatever ordinary code may.
 class signal_waiter
--- a/kingcuprudder/service/entry_service.cpp
+++ b/kingcuprudder/service/entry_service.cpp
@@ -1,7 +1,9 @@
 #include <kingcuprudder/runtime/http_listener.hpp>
 #include <kingcuprudder/runtime/timer_service.hpp>
+#include <kingcuprudder/service/drain_route.hpp>
 #include <kingcuprudder/service/entry_jobs.hpp>
 #include <kingcuprudder/service/entry_membership.hpp>
+#include <kingcuprudder/service/entry_metrics.hpp>
 #include <kingcuprudder/service/entry_requests.hpp>
 #include <kingcuprudder/service/entry_routes.hpp>
 #include <kingcuprudder/service/entry_service.hpp>
@@ -147,6 +149,21 @@
                                  : respond(error_of(answer));
     }
 
+    entry_statistics statistics() const
+    {
+        entry_statistics numbers;
+        numbers.m_waiting_callers = m_jobs.waiting_callers();
+        numbers.m_open_reports = m_requests.open_reports();
+        numbers.m_instance_list_reachable = m_membership.list_reachable();
+        numbers.m_refused_connections = m_http.refused_connections();
+        std::lock_guard lock(m_router_mutex);
+        numbers.m_settings_revision = m_settings ? m_settings->m_revision : 0;
+        numbers.m_requests_in_flight = m_router.in_flight();
+        numbers.m_retries = m_router.retries();
+        numbers.m_refused_retries = m_router.refused_retries();
+        return numbers;
+    }
+
     static service_request make_request(const request_submission& submission,
                                         const effective_settings& settings)
     {
@@ -167,6 +184,13 @@
 
     void install_health_routes(httplib::Server& server)
     {
+        install_drain_route(server);
+        server.Get("/metrics",
+                   [this](const httplib::Request&, httplib::Response& response)
+                   {
+                       response.set_content(m_metrics.text(statistics()),
+                                            metrics_registry::content_type());
+                   });
         server.Get("/health",
                    [this](const httplib::Request&, httplib::Response& response)
                    { answer_health(response); });
@@ -211,6 +235,7 @@
     entry_requests m_requests;
     entry_membership m_membership;
     std::atomic<bool> m_draining = false;
+    entry_metrics m_metrics;
     entry_http_server m_http;
     http_listener m_health;
 };
--- a/kingcuprudder/service/scheduler_event.hpp
+++ b/kingcuprudder/service/scheduler_event.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -61,6 +62,12 @@
     std::function<void(std::string)> m_respond;
 };
 
+/// The metrics are read. Takeovers are counted since the process started.
+struct statistics_event
+{
+    std::function<void(std::pair<region_statistics, std::uint64_t>)> m_respond;
+};
+
 /// The process is to end.
 struct shutdown_event
 {
@@ -70,7 +77,7 @@
 using scheduler_event =
     std::variant<settings_event, owner_key_event, workers_event, store_answer,
                  worker_answer, heartbeat_event, call_event, dump_event,
-                 shutdown_event>;
+                 statistics_event, shutdown_event>;
 
 } // namespace kingcuprudder
 
--- a/kingcuprudder/service/scheduler_http.cpp
+++ b/kingcuprudder/service/scheduler_http.cpp
@@ -1,4 +1,5 @@
 #include <kingcuprudder/codec/codec.hpp>
+#include <kingcuprudder/service/drain_route.hpp>
 #include <kingcuprudder/service/scheduler_http.hpp>
 
 #include <nlohmann/json.hpp>
@@ -101,17 +102,24 @@
                     m_metrics.on_heartbeat();
                     take_heartbeat(m_loop, from, to);
                 });
-    server.Get("/metrics",
-               [this](const httplib::Request&, httplib::Response& to) {
-                   to.set_content(m_metrics.text(),
-                                  metrics_registry::content_type());
-               });
+    server.Get(
+        "/metrics",
+        [this](const httplib::Request&, httplib::Response& to)
+        {
+            using numbers = std::pair<region_statistics, std::uint64_t>;
+            if (const auto now = ask<numbers>(m_loop, statistics_event{}))
+            {
+                m_metrics.set_statistics(now->first, now->second);
+            }
+            to.set_content(m_metrics.text(), metrics_registry::content_type());
+        });
     server.Get("/dump", [this](const httplib::Request&, httplib::Response& to)
                { to.set_content(dump_state(m_loop), "text/plain"); });
 }
 
 void scheduler_http::install_health(httplib::Server& server)
 {
+    install_drain_route(server);
     server.Get("/health",
                [this](const httplib::Request&, httplib::Response& to)
                {
--- a/kingcuprudder/service/scheduler_loop.cpp
+++ b/kingcuprudder/service/scheduler_loop.cpp
@@ -96,6 +96,7 @@
     const bool owning = m_owner->owning();
     if (owning != m_owning)
     {
+        m_takeovers += owning ? 1 : 0;
         m_log.info(owning ? "took the region over"
                           : "no longer owns the region",
                    {"", "", owning ? m_owner->epoch() : m_epoch.load()});
@@ -154,6 +155,11 @@
     event.m_respond(m_owner->dump());
 }
 
+void scheduler_loop::handle(statistics_event& event)
+{
+    event.m_respond({m_owner->statistics(), m_takeovers});
+}
+
 void scheduler_loop::handle(shutdown_event&)
 {
     carry_out(m_owner->begin_shutdown(system_now()));
--- a/kingcuprudder/service/scheduler_loop.hpp
+++ b/kingcuprudder/service/scheduler_loop.hpp
@@ -66,6 +66,7 @@
     void handle(heartbeat_event& event);
     void handle(call_event& event);
     void handle(dump_event& event);
+    void handle(statistics_event& event);
     void handle(shutdown_event& event);
 
     void carry_out(region_owner::effects effects);
@@ -83,6 +84,7 @@
     std::deque<scheduler_event> m_own_events;
     std::map<call_number, open_call> m_calls;
     call_number m_last_call = 0;
+    std::uint64_t m_takeovers = 0;
     logger m_log{"region"};
     std::atomic<bool> m_owning = false;
     std::atomic<epoch_number> m_epoch = 0;
--- a/kingcuprudder/service/scheduler_metrics.hpp
+++ b/kingcuprudder/service/scheduler_metrics.hpp
@@ -2,8 +2,11 @@
 #define KINGCUPRUDDER_SERVICE_SCHEDULER_METRICS_HPP
 
 #include <kingcuprudder/region/owner_io.hpp>
+#include <kingcuprudder/region/region_statistics.hpp>
 #include <kingcuprudder/runtime/metrics.hpp>
 
+#include <mutex>
+
 namespace kingcuprudder
 {
 
@@ -22,8 +25,10 @@
     void on_heartbeat() { m_heartbeats.increment(); }
     void on_caller_call() { m_caller_calls.increment(); }
 
-    /// Notes the ownership and the settings in force.
-    void set_state(bool owning, epoch_number epoch, std::uint64_t revision);
+    /// Takes over the region's numbers and the takeovers since the process
+    /// started. Safe to use from several threads.
+    void set_statistics(const region_statistics& numbers,
+                        std::uint64_t takeovers);
 
     /// All metrics in the Prometheus text format.
     std::string text() const { return m_registry.text(); }
@@ -41,6 +46,21 @@
     metric_gauge m_owning;
     metric_gauge m_epoch;
     metric_gauge m_settings_revision;
+    metric_gauge m_queued_jobs;
+    metric_gauge m_active_jobs;
+    metric_gauge m_open_permits;
+    metric_gauge m_listed_workers;
+    metric_gauge m_set_aside_workers;
+    metric_gauge m_free_accelerators;
+    metric_gauge m_scattered_accelerators;
+    metric_total m_placements;
+    metric_total m_reclaims;
+    metric_total m_released_attempts;
+    metric_total m_ended_jobs;
+    metric_total m_takeovers;
+
+    std::mutex m_mutex;
+    std::uint64_t m_last_takeovers = 0;
 };
 
 } // namespace kingcuprudder
