--- a/unit_tests/service/kcrctl_test.cpp
+++ b/unit_tests/service/kcrctl_test.cpp
@@ -1,12 +1,10 @@
+#include "kcrctl_run.hpp"
 #include <kingcuprudder/runtime/http_listener.hpp>
 
 #include <gtest/gtest.h>
 #include <stand_ins/fake_instance_list.hpp>
 #include <stand_ins/fake_store.hpp>
-#include <sys/wait.h>
 
-#include <array>
-#include <cstdio>
 #include <future>
 #include <httplib.h>
 #include <sstream>
@@ -19,44 +17,10 @@
 /// Nothing listens on port 1 of the loopback interface.
 const std::string dead = "127.0.0.1:1";
 
-struct outcome
-{
-    int m_code = -1;
-    std::string m_output; ///< Both streams.
-
-    bool says(const std::string& text) const
-    {
-        return m_output.find(text) != std::string::npos;
-    }
-};
-
-outcome run_kcrctl(const std::string& words)
-{
-    const std::string command =
-        std::string(KCR_BINARY_DIR) + "/bin/kcrctl " + words + " 2>&1";
-    outcome seen;
-    FILE* pipe = popen(command.c_str(), "r");
-    std::array<char, 4096> buffer{};
-    std::size_t count = 0;
-    while ((count = fread(buffer.data(), 1, buffer.size(), pipe)) > 0)
-    {
-        seen.m_output.append(buffer.data(), count);
-    }
-    seen.m_code = WEXITSTATUS(pclose(pipe));
-    return seen;
-}
-
-void expect_outcome(const outcome& seen, int code, const std::string& text)
-{
-    EXPECT_EQ(seen.m_code, code) << seen.m_output;
-    EXPECT_TRUE(seen.says(text))
-        << "expected: " << text << "\nfound: " << seen.m_output;
-}
-
 // Guards against a command without help or one that is not listed.
 TEST(kcrctl, each_command_has_help)
 {
-    const outcome overview = run_kcrctl("--help");
+    const command_outcome overview = run_kcrctl("--help");
     ASSERT_EQ(overview.m_code, 0);
     std::istringstream lines(overview.m_output);
     std::string line;
@@ -68,7 +32,7 @@
             continue;
         }
         const std::string name = line.substr(2, line.find("  ", 2) - 2);
-        const outcome help = run_kcrctl(name + " --help");
+        const command_outcome help = run_kcrctl(name + " --help");
         expect_outcome(help, 0, "--json");
         ++commands;
     }
@@ -147,9 +111,10 @@
                                         [end](const auto&, httplib::Response&)
                                         { end.wait(); });
                         });
-    const outcome seen = run_kcrctl("jobs submit a j --class c --timeout-ms "
-                                    "300 --entry " +
-                                    entry.address());
+    const command_outcome seen =
+        run_kcrctl("jobs submit a j --class c --timeout-ms "
+                   "300 --entry " +
+                   entry.address());
     done.set_value();
     expect_outcome(seen, 6,
                    "entry process at " + entry.address() + " did not answer");
@@ -171,7 +136,7 @@
         m_store.put("live/settings", tree);
     }
 
-    outcome settings(const std::string& words) const
+    command_outcome settings(const std::string& words) const
     {
         return run_kcrctl("settings " + words + " --region r --store " +
                           m_store.address() + " --instance-list " +
@@ -203,7 +168,7 @@
     const std::string path = "regions.r.accounts.a.priority";
     const auto seen = m_store.get("live/settings").m_revision;
     ASSERT_EQ(settings("set " + path + " 7 --by eva").m_code, 0);
-    const outcome late =
+    const command_outcome late =
         settings("set " + path + " 8 --revision " + std::to_string(seen));
     expect_outcome(late, 4, "nothing was written");
     EXPECT_TRUE(late.says("by eva")) << late.m_output;
@@ -219,9 +184,10 @@
                    "expected an integer, found the string \"high\"");
     expect_outcome(settings("set regions.r.accounts.b.priority 1"), 3,
                    "unknown account 'b'; did you mean 'a'?");
-    const outcome too_much = settings("set regions.r.accounts.a.guarantees "
-                                      "'[{\"count\":2,\"shape\":{\"tasks\":1,"
-                                      "\"accelerators_per_task\":8}}]'");
+    const command_outcome too_much =
+        settings("set regions.r.accounts.a.guarantees "
+                 "'[{\"count\":2,\"shape\":{\"tasks\":1,"
+                 "\"accelerators_per_task\":8}}]'");
     expect_outcome(too_much, 3, "a lacks");
     EXPECT_EQ(stored(), tree);
 }
