--- a/kingcuprudder/region/region_owner.cpp
+++ b/kingcuprudder/region/region_owner.cpp
@@ -92,4 +92,9 @@
     return m_implementation->dump();
 }
 
+region_statistics region_owner::statistics() const
+{
+    return m_implementation->statistics();
+}
+
 } // namespace kingcuprudder
--- a/kingcuprudder/region/region_owner_implementation.cpp
+++ b/kingcuprudder/region/region_owner_implementation.cpp
@@ -172,6 +172,18 @@
     return m_ownership.certain(now) || m_ownership.store_silent();
 }
 
+region_statistics region_owner::implementation::statistics() const
+{
+    region_statistics numbers;
+    if (m_scheduler && owning())
+    {
+        numbers = m_scheduler->statistics();
+    }
+    numbers.m_epoch = epoch();
+    numbers.m_settings_revision = m_settings.m_revision;
+    return numbers;
+}
+
 std::string region_owner::implementation::dump() const
 {
     std::string text = "region " + m_options.m_region.str() + "\n";
--- a/kingcuprudder/region/region_owner_implementation.hpp
+++ b/kingcuprudder/region/region_owner_implementation.hpp
@@ -38,6 +38,7 @@
     epoch_number epoch() const { return owning() ? m_state.epoch() : 0; }
     bool shut_down() const { return m_stage == stage::shut_down; }
     std::string dump() const;
+    region_statistics statistics() const;
 
 private:
     enum class stage
