--- a/kingcuprudder/service/entry_json.cpp
+++ b/kingcuprudder/service/entry_json.cpp
@@ -122,6 +122,10 @@
     {
         return parse(parse_json_without_duplicates(text));
     }
+    catch (const nlohmann::json::exception& problem)
+    {
+        return malformed(std::string("not valid JSON: ") + problem.what());
+    }
     catch (const std::runtime_error& problem)
     {
         return malformed(problem.what());
--- a/tools/kcr_load/load_runner.cpp
+++ b/tools/kcr_load/load_runner.cpp
@@ -208,6 +208,7 @@
         begin + std::chrono::milliseconds(m_options.m_job_timeout.count());
     const std::string path =
         "/v1/jobs/" + subject + "?wait_ms=" + std::to_string(wait_step.count());
+    bool known = false;
     for (std::size_t i = 0; clock::now() < end; ++i)
     {
         const history_call number =
@@ -221,11 +222,19 @@
             note_end(subject, status);
             return;
         }
+        known = status.is_object() && status.contains("phase");
         if (!received.m_answered || received.m_status >= first_error_status)
         {
             pause(repeat_pause);
         }
     }
+    if (known)
+    {
+        // It still waits or runs, so that it is not lost.
+        std::lock_guard lock(m_mutex);
+        ++m_report.m_kinds["job"].m_outcomes["unfinished"];
+        ++m_unfinished;
+    }
 }
 
 load_runner::reply load_runner::send(std::size_t entry, const std::string& path,
--- a/tools/kcr_load/load_runner.hpp
+++ b/tools/kcr_load/load_runner.hpp
@@ -47,6 +47,9 @@
     /// Names that this run did not use count as idempotent.
     bool idempotent(const std::string& subject) const;
 
+    /// Jobs that had not ended when their callers gave up waiting.
+    std::size_t unfinished_jobs() const { return m_unfinished; }
+
     /// How many workers a job ended on; zero when that is not known.
     std::uint32_t parts_of(const std::string& subject) const;
 
@@ -83,6 +86,7 @@
     load_report m_report;
     std::map<std::string, bool> m_idempotent;
     std::map<std::string, std::uint32_t> m_parts;
+    std::size_t m_unfinished = 0;
 };
 
 } // namespace kingcuprudder::load
