--- a/stand_ins/main/fake_minion.cpp
+++ b/stand_ins/main/fake_minion.cpp
@@ -26,8 +26,7 @@
         options.m_address = listen.getValue();
         options.m_slots = slots.getValue();
         options.m_connections = connections.getValue();
-        options.m_service_time =
-            kingcuprudder::span(service_time.getValue());
+        options.m_service_time = kingcuprudder::span(service_time.getValue());
         fake_minion minion(options);
         std::cout << "fake_minion listens on " << minion.address() << std::endl;
         wait_for_termination_signal();
