--- a/kingcuprudder/request/request_router.cpp
+++ b/kingcuprudder/request/request_router.cpp
@@ -1,6 +1,6 @@
 #include <kingcuprudder/base/assert.hpp>
 #include <kingcuprudder/request/request_router.hpp>
-#include <kingcuprudder/settings/nearest_name.hpp>
+#include <kingcuprudder/request/unknown_name.hpp>
 
 #include <algorithm>
 #include <array>
@@ -17,18 +17,6 @@
     return error{code, std::move(message), verdict::not_run};
 }
 
-template <class Id, class Value>
-error unknown(error_code code, std::string_view kind, const Id& id,
-              const std::map<Id, Value>& known)
-{
-    std::vector<std::string> names;
-    for (const auto& [name, value] : known)
-    {
-        names.push_back(name.str());
-    }
-    return refusal(code, unknown_name_message(kind, id.str(), names));
-}
-
 template <class Id>
 void decrease(std::map<Id, std::uint32_t>& counts, const Id& id)
 {
@@ -68,14 +56,14 @@
     auto account_found = m_settings->m_accounts.find(account);
     if (account_found == m_settings->m_accounts.end())
     {
-        return unknown(error_code::unknown_account, "account", account,
-                       m_settings->m_accounts);
+        return unknown_name(error_code::unknown_account, "account", account,
+                            m_settings->m_accounts);
     }
     auto service_found = m_settings->m_services.find(service);
     if (service_found == m_settings->m_services.end())
     {
-        return unknown(error_code::unknown_service, "service", service,
-                       m_settings->m_services);
+        return unknown_name(error_code::unknown_service, "service", service,
+                            m_settings->m_services);
     }
     if (count_of(m_account_in_flight, account) >=
         account_found->second.m_max_requests_in_flight)
--- a/kingcuprudder/service/entry_http_server.hpp
+++ b/kingcuprudder/service/entry_http_server.hpp
@@ -24,7 +24,7 @@
     std::size_t m_threads = 64;
     /// Connections that wait for a thread; further ones are refused with 429.
     std::size_t m_max_queued = 64;
-    std::size_t m_max_body_bytes = 1024 * 1024;
+    std::size_t m_max_body_bytes = std::size_t{1024} * 1024;
     std::size_t m_max_calls_per_connection = 1000;
     /// An idle connection holds a thread, so it is closed early.
     span m_idle_timeout = span::seconds(2);
--- a/kingcuprudder/service/entry_jobs.cpp
+++ b/kingcuprudder/service/entry_jobs.cpp
@@ -1,6 +1,6 @@
+#include <kingcuprudder/request/unknown_name.hpp>
 #include <kingcuprudder/runtime/timer_service.hpp>
 #include <kingcuprudder/service/entry_jobs.hpp>
-#include <kingcuprudder/settings/nearest_name.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -12,19 +12,6 @@
 namespace
 {
 
-template <class Id, class Value>
-error unknown_name(error_code code, std::string_view kind, const Id& name,
-                   const std::map<Id, Value>& known)
-{
-    std::vector<std::string> names;
-    for (const auto& [id, value] : known)
-    {
-        names.push_back(id.str());
-    }
-    return error{code, unknown_name_message(kind, name.str(), names),
-                 verdict::not_run};
-}
-
 /// A wait is carried out in steps, between which a shutdown can end it.
 constexpr span longest_step = span::seconds(10);
 
--- a/kingcuprudder/service/entry_json.cpp
+++ b/kingcuprudder/service/entry_json.cpp
@@ -19,7 +19,7 @@
 constexpr std::int64_t max_accelerators_per_task = 64;
 constexpr std::int64_t max_cores_per_task = 4096;
 constexpr std::int64_t max_memory_mb_per_task = 64LL * 1024 * 1024;
-constexpr span max_run_time = span::hours(24 * 90);
+constexpr span max_run_time = span::hours(std::int64_t{24} * 90);
 constexpr span max_request_timeout = span::minutes(10);
 /// Keeps sums of instants and spans far from overflow.
 constexpr std::int64_t max_instant = 1LL << 52;
--- a/kingcuprudder/service/entry_socket_stream.cpp
+++ b/kingcuprudder/service/entry_socket_stream.cpp
@@ -17,7 +17,7 @@
 
 /// Unread input makes the kernel reset the connection on close, which can
 /// destroy the answer before the other side has read it.
-constexpr std::size_t max_discarded_bytes = 256 * 1024;
+constexpr std::size_t max_discarded_bytes = std::size_t{256} * 1024;
 constexpr span discard_timeout = span(200);
 
 void describe(const sockaddr_storage& address, std::string& ip, int& port)
