--- a/kingcuprudder/service/scheduler_service.cpp
+++ b/kingcuprudder/service/scheduler_service.cpp
@@ -120,7 +120,6 @@
     {
         m_log.info("settings revision " + std::to_string(settings->m_revision) +
                    " is in force");
-        m_metrics.set_settings_revision(settings->m_revision);
         m_loop.push(settings_event{std::move(settings)});
     }
 
