--- a/kingcuprudder/service/scheduler_http.cpp
+++ b/kingcuprudder/service/scheduler_http.cpp
@@ -106,6 +106,7 @@
         "/metrics",
         [this](const httplib::Request&, httplib::Response& to)
         {
+            m_metrics.set_ownership(m_loop.owning(), m_loop.epoch());
             using numbers = std::pair<region_statistics, std::uint64_t>;
             if (const auto now = ask<numbers>(m_loop, statistics_event{}))
             {
--- a/kingcuprudder/service/scheduler_metrics.cpp
+++ b/kingcuprudder/service/scheduler_metrics.cpp
@@ -98,9 +98,6 @@
     {
         return; // Read before those that were taken over last.
     }
-    m_owning.set(numbers.m_owning ? 1 : 0);
-    m_epoch.set(static_cast<double>(numbers.m_epoch));
-    m_settings_revision.set(static_cast<double>(numbers.m_settings_revision));
     m_queued_jobs.set(static_cast<double>(numbers.m_queued_jobs));
     m_active_jobs.set(static_cast<double>(numbers.m_active_jobs));
     m_open_permits.set(static_cast<double>(numbers.m_open_permits));
@@ -124,4 +121,15 @@
     m_ended_jobs.raise_to(numbers.m_decisions.m_ended_jobs);
 }
 
+void scheduler_metrics::set_ownership(bool owning, epoch_number epoch)
+{
+    m_owning.set(owning ? 1 : 0);
+    m_epoch.set(static_cast<double>(epoch));
+}
+
+void scheduler_metrics::set_settings_revision(std::uint64_t revision)
+{
+    m_settings_revision.set(static_cast<double>(revision));
+}
+
 } // namespace kingcuprudder
--- a/kingcuprudder/service/scheduler_metrics.hpp
+++ b/kingcuprudder/service/scheduler_metrics.hpp
@@ -30,6 +30,9 @@
     void set_statistics(const region_statistics& numbers,
                         std::uint64_t takeovers);
 
+    void set_ownership(bool owning, epoch_number epoch);
+    void set_settings_revision(std::uint64_t revision);
+
     /// All metrics in the Prometheus text format.
     std::string text() const { return m_registry.text(); }
 
