Name the call handlers by what they do

job_desk, permit_desk and call_desk used a figure of speech; they are job_call_handler, permit_call_handler and waiting_call_table. The message for a duplicate key says that it is given twice; its test follows.

--- a/kingcuprudder/region/job_desk.cpp
+++ b/kingcuprudder/region/job_call_handler.cpp
@@ -1,4 +1,4 @@
-#include <kingcuprudder/region/job_desk.hpp>
+#include <kingcuprudder/region/job_call_handler.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -6,15 +6,16 @@
 namespace kingcuprudder
 {
 
-job_desk::job_desk(scheduler_context& context, gang_table& gangs,
-                   const placement_policy& policy,
-                   const region_capacity& capacity)
+job_call_handler::job_call_handler(scheduler_context& context,
+                                   gang_table& gangs,
+                                   const placement_policy& policy,
+                                   const region_capacity& capacity)
     : m_context(context), m_gangs(gangs), m_policy(policy), m_capacity(capacity)
 {
 }
 
-void job_desk::on_submit(call_number call, const submit_job& request,
-                         instant now)
+void job_call_handler::on_submit(call_number call, const submit_job& request,
+                                 instant now)
 {
     const job_spec& spec = request.m_spec;
     const job_entry* entry = m_context.m_state.find_job(spec.m_key);
@@ -50,7 +51,8 @@
     m_submitting.add({call, spec.m_key, now + record_wait_limit, true});
 }
 
-void job_desk::on_query(call_number call, const query_job& request, instant now)
+void job_call_handler::on_query(call_number call, const query_job& request,
+                                instant now)
 {
     const job_entry* entry = m_context.m_state.find_job(request.m_job);
     if (entry == nullptr)
@@ -67,7 +69,7 @@
     m_querying.add({call, request.m_job, request.m_deadline, false});
 }
 
-void job_desk::on_list(call_number call, const list_jobs& request)
+void job_call_handler::on_list(call_number call, const list_jobs& request)
 {
     const region_state::job_map& jobs = m_context.m_state.jobs();
     std::vector<job_status> list;
@@ -90,8 +92,8 @@
     m_context.m_effects.answer(call, caller_reply(std::move(list)));
 }
 
-void job_desk::on_cancel(call_number call, const cancel_job& request,
-                         instant now)
+void job_call_handler::on_cancel(call_number call, const cancel_job& request,
+                                 instant now)
 {
     const job_entry* entry = m_context.m_state.find_job(request.m_job);
     if (entry == nullptr)
@@ -118,17 +120,17 @@
     cancel(*entry, now);
 }
 
-void job_desk::on_accepted(const job_key& job)
+void job_call_handler::on_accepted(const job_key& job)
 {
     forget_submission(job);
     const job_entry* entry = m_context.m_state.find_job(job);
-    for (const desk::waiting_call& each : m_submitting.take(job))
+    for (const call_table::waiting_call& each : m_submitting.take(job))
     {
         answer_status(each.m_call, *entry);
     }
 }
 
-void job_desk::on_placed(const job_key& job, instant now)
+void job_call_handler::on_placed(const job_key& job, instant now)
 {
     m_pending.erase(job);
     auto found = m_stop_when_placed.find(job);
@@ -140,12 +142,12 @@
     }
 }
 
-void job_desk::on_stopping(const job_key& job)
+void job_call_handler::on_stopping(const job_key& job)
 {
     m_cancelling.lift_limits(job);
 }
 
-void job_desk::on_queued_again(const job_key& job, instant now)
+void job_call_handler::on_queued_again(const job_key& job, instant now)
 {
     // A cancellation that came while the attempt was being released.
     const job_entry* entry = m_context.m_state.find_job(job);
@@ -155,55 +157,55 @@
     }
 }
 
-void job_desk::on_ended(const job_key& job)
+void job_call_handler::on_ended(const job_key& job)
 {
     m_pending.erase(job);
     m_stop_when_placed.erase(job);
     const job_entry* entry = m_context.m_state.find_job(job);
-    for (desk* each : {&m_querying, &m_cancelling})
+    for (call_table* each : {&m_querying, &m_cancelling})
     {
-        for (const desk::waiting_call& call : each->take(job))
+        for (const call_table::waiting_call& call : each->take(job))
         {
             answer_status(call.m_call, *entry);
         }
     }
 }
 
-void job_desk::place(const job_entry& entry, const placement& where,
-                     instant now)
+void job_call_handler::place(const job_entry& entry, const placement& where,
+                             instant now)
 {
     const job_key& job = entry.m_spec.m_key;
     m_pending.emplace(job, m_context.m_log.append(job_placed{
                                job, entry.m_attempt + 1, where, now}));
 }
 
-void job_desk::on_tick(instant now)
+void job_call_handler::on_tick(instant now)
 {
     expire_deadlines(now);
-    for (const desk::waiting_call& each : m_submitting.take_expired(now))
+    for (const call_table::waiting_call& each : m_submitting.take_expired(now))
     {
         expire_submission(each);
     }
-    for (const desk::waiting_call& each : m_cancelling.take_expired(now))
+    for (const call_table::waiting_call& each : m_cancelling.take_expired(now))
     {
         expire_cancellation(each, now);
     }
-    for (const desk::waiting_call& each : m_querying.take_expired(now))
+    for (const call_table::waiting_call& each : m_querying.take_expired(now))
     {
         answer_status(each.m_call, *m_context.m_state.find_job(each.m_key));
     }
 }
 
-void job_desk::step_down(const std::string& owner)
+void job_call_handler::step_down(const std::string& owner)
 {
-    for (const desk::waiting_call& each : m_submitting.take_all())
+    for (const call_table::waiting_call& each : m_submitting.take_all())
     {
         refuse(each.m_call, error_code::not_owner, owner,
                verdict::may_have_run);
     }
-    for (desk* calls : {&m_querying, &m_cancelling})
+    for (call_table* calls : {&m_querying, &m_cancelling})
     {
-        for (const desk::waiting_call& each : calls->take_all())
+        for (const call_table::waiting_call& each : calls->take_all())
         {
             refuse(each.m_call, error_code::not_owner, owner,
                    verdict::may_have_run);
@@ -211,7 +213,8 @@
     }
 }
 
-std::optional<error> job_desk::refusal(const job_spec& spec, instant now) const
+std::optional<error> job_call_handler::refusal(const job_spec& spec,
+                                               instant now) const
 {
     const effective_settings& settings = m_context.m_settings;
     if (!settings.m_accounts.contains(spec.m_key.m_account))
@@ -253,7 +256,7 @@
     return std::nullopt;
 }
 
-std::optional<error> job_desk::limit_refusal(const job_spec& spec) const
+std::optional<error> job_call_handler::limit_refusal(const job_spec& spec) const
 {
     const effective_settings& settings = m_context.m_settings;
     const account_id& account = spec.m_key.m_account;
@@ -279,7 +282,7 @@
     return std::nullopt;
 }
 
-void job_desk::cancel(const job_entry& entry, instant now)
+void job_call_handler::cancel(const job_entry& entry, instant now)
 {
     const job_key& job = entry.m_spec.m_key;
     if (m_gangs.contains(job))
@@ -296,8 +299,8 @@
     }
 }
 
-void job_desk::end_queued(const job_entry& entry, job_outcome outcome,
-                          instant now)
+void job_call_handler::end_queued(const job_entry& entry, job_outcome outcome,
+                                  instant now)
 {
     const job_key& job = entry.m_spec.m_key;
     m_pending.emplace(
@@ -306,7 +309,7 @@
             job, entry.m_attempt, outcome, entry.earlier_verdict(), {}, now}));
 }
 
-void job_desk::forget_submission(const job_key& job)
+void job_call_handler::forget_submission(const job_key& job)
 {
     if (m_submissions.erase(job) == 0)
     {
@@ -319,7 +322,7 @@
     }
 }
 
-void job_desk::expire_submission(const desk::waiting_call& call)
+void job_call_handler::expire_submission(const call_table::waiting_call& call)
 {
     // The append in flight may yet take effect, or already has: only a record
     // that was never sent is certain not to run.
@@ -337,14 +340,15 @@
     forget_submission(call.m_key);
     refuse(call.m_call, error_code::store_unavailable,
            "the store does not answer", verdict::not_run);
-    for (const desk::waiting_call& other : m_submitting.take(call.m_key))
+    for (const call_table::waiting_call& other : m_submitting.take(call.m_key))
     {
         refuse(other.m_call, error_code::store_unavailable,
                "the store does not answer", verdict::not_run);
     }
 }
 
-void job_desk::expire_cancellation(const desk::waiting_call& call, instant now)
+void job_call_handler::expire_cancellation(const call_table::waiting_call& call,
+                                           instant now)
 {
     const job_key& job = call.m_key;
     bool withdrawn = m_stop_when_placed.erase(job) > 0;
@@ -371,14 +375,14 @@
     {
         return;
     }
-    for (const desk::waiting_call& other : m_cancelling.take(job))
+    for (const call_table::waiting_call& other : m_cancelling.take(job))
     {
         refuse(other.m_call, error_code::store_unavailable,
                "the store does not answer", verdict::not_run);
     }
 }
 
-void job_desk::expire_deadlines(instant now)
+void job_call_handler::expire_deadlines(instant now)
 {
     for (const auto& [deadline, job] : m_context.m_state.deadlines())
     {
@@ -402,13 +406,13 @@
     }
 }
 
-void job_desk::answer_status(call_number call, const job_entry& entry)
+void job_call_handler::answer_status(call_number call, const job_entry& entry)
 {
     m_context.m_effects.answer(call, caller_reply(status_of(entry)));
 }
 
-void job_desk::refuse(call_number call, error_code code, std::string message,
-                      verdict ran)
+void job_call_handler::refuse(call_number call, error_code code,
+                              std::string message, verdict ran)
 {
     m_context.m_effects.answer(call, error{code, std::move(message), ran});
 }
--- a/kingcuprudder/region/job_desk.hpp
+++ b/kingcuprudder/region/job_call_handler.hpp
@@ -1,10 +1,10 @@
-#ifndef KINGCUPRUDDER_REGION_JOB_DESK_HPP
-#define KINGCUPRUDDER_REGION_JOB_DESK_HPP
+#ifndef KINGCUPRUDDER_REGION_JOB_CALL_HANDLER_HPP
+#define KINGCUPRUDDER_REGION_JOB_CALL_HANDLER_HPP
 
 #include <kingcuprudder/placement/placement_policy.hpp>
-#include <kingcuprudder/region/call_desk.hpp>
 #include <kingcuprudder/region/gang_table.hpp>
 #include <kingcuprudder/region/region_capacity.hpp>
+#include <kingcuprudder/region/waiting_call_table.hpp>
 
 #include <map>
 #include <set>
@@ -16,11 +16,12 @@
 
 /// Takes callers' job calls: submissions, queries and cancellations, and the
 /// deadlines of jobs.
-class job_desk
+class job_call_handler
 {
 public:
-    job_desk(scheduler_context& context, gang_table& gangs,
-             const placement_policy& policy, const region_capacity& capacity);
+    job_call_handler(scheduler_context& context, gang_table& gangs,
+                     const placement_policy& policy,
+                     const region_capacity& capacity);
 
     void on_submit(call_number call, const submit_job& request, instant now);
     void on_query(call_number call, const query_job& request, instant now);
@@ -47,7 +48,7 @@
     void step_down(const std::string& owner);
 
 private:
-    using desk = call_desk<job_key>;
+    using call_table = waiting_call_table<job_key>;
 
     struct submission
     {
@@ -60,8 +61,8 @@
     void cancel(const job_entry& entry, instant now);
     void end_queued(const job_entry& entry, job_outcome outcome, instant now);
     void forget_submission(const job_key& job);
-    void expire_submission(const desk::waiting_call& call);
-    void expire_cancellation(const desk::waiting_call& call, instant now);
+    void expire_submission(const call_table::waiting_call& call);
+    void expire_cancellation(const call_table::waiting_call& call, instant now);
     void expire_deadlines(instant now);
     void answer_status(call_number call, const job_entry& entry);
     void refuse(call_number call, error_code code, std::string message,
@@ -72,9 +73,9 @@
     const placement_policy& m_policy;
     const region_capacity& m_capacity;
 
-    desk m_submitting;
-    desk m_querying;
-    desk m_cancelling;
+    call_table m_submitting;
+    call_table m_querying;
+    call_table m_cancelling;
     /// Jobs whose acceptance is under way.
     std::map<job_key, submission> m_submissions;
     std::map<account_id, std::size_t> m_submitted_by;
--- a/kingcuprudder/region/permit_desk.cpp
+++ b/kingcuprudder/region/permit_call_handler.cpp
@@ -1,4 +1,4 @@
-#include <kingcuprudder/region/permit_desk.hpp>
+#include <kingcuprudder/region/permit_call_handler.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -6,8 +6,8 @@
 namespace kingcuprudder
 {
 
-void permit_desk::on_request(call_number call, const request_permit& request,
-                             instant now)
+void permit_call_handler::on_request(call_number call,
+                                     const request_permit& request, instant now)
 {
     const permit_entry* entry =
         m_context.m_state.find_permit(request.m_request);
@@ -55,8 +55,8 @@
     wait(call, request.m_request, now + record_wait_limit, true);
 }
 
-void permit_desk::on_end(call_number call, const end_request& request,
-                         instant now)
+void permit_call_handler::on_end(call_number call, const end_request& request,
+                                 instant now)
 {
     const permit_entry* entry =
         m_context.m_state.find_permit(request.m_request);
@@ -81,7 +81,8 @@
     m_ending.add({call, request.m_request, now + record_wait_limit, true});
 }
 
-void permit_desk::on_committed(const request_permitted& record, instant now)
+void permit_call_handler::on_committed(const request_permitted& record,
+                                       instant now)
 {
     m_pending.erase(record.m_request);
     const bool late = now >= record.m_deadline;
@@ -92,7 +93,7 @@
             m_context.m_log.append(
                 request_ended{record.m_request, verdict::not_run, {}, now}));
     }
-    for (const desk::waiting_call& each :
+    for (const call_table::waiting_call& each :
          m_asking.take_for_record(record.m_request))
     {
         if (late)
@@ -106,59 +107,60 @@
     }
 }
 
-void permit_desk::on_committed(const request_ended& record)
+void permit_call_handler::on_committed(const request_ended& record)
 {
     m_pending_ends.erase(record.m_request);
-    for (const desk::waiting_call& each : m_asking.take(record.m_request))
+    for (const call_table::waiting_call& each : m_asking.take(record.m_request))
     {
         m_context.m_effects.answer(
             each.m_call,
             caller_reply(permit_ended{record.m_verdict, record.m_answer}));
     }
-    for (const desk::waiting_call& each : m_ending.take(record.m_request))
+    for (const call_table::waiting_call& each : m_ending.take(record.m_request))
     {
         m_context.m_effects.answer(each.m_call, caller_reply(ok()));
     }
 }
 
-void permit_desk::on_tick(instant now)
+void permit_call_handler::on_tick(instant now)
 {
     expire_permits(now);
-    for (const desk::waiting_call& each : m_asking.take_expired(now))
+    for (const call_table::waiting_call& each : m_asking.take_expired(now))
     {
         expire_call(each);
     }
-    for (const desk::waiting_call& each : m_ending.take_expired(now))
+    for (const call_table::waiting_call& each : m_ending.take_expired(now))
     {
         refuse(each.m_call, error_code::store_unavailable,
                "the outcome is not recorded yet", verdict::may_have_run);
     }
 }
 
-void permit_desk::step_down(const std::string& owner)
+void permit_call_handler::step_down(const std::string& owner)
 {
     // A holder that gets no permit does not dispatch: nothing ran for it.
-    for (const desk::waiting_call& each : m_asking.take_all())
+    for (const call_table::waiting_call& each : m_asking.take_all())
     {
         const verdict ran =
             each.m_for_record ? verdict::not_run : verdict::may_have_run;
         refuse(each.m_call, error_code::not_owner, owner, ran);
     }
-    for (const desk::waiting_call& each : m_ending.take_all())
+    for (const call_table::waiting_call& each : m_ending.take_all())
     {
         refuse(each.m_call, error_code::not_owner, owner,
                verdict::may_have_run);
     }
 }
 
-void permit_desk::wait(call_number call, const request_key& key,
-                       instant expires, bool for_record)
+void permit_call_handler::wait(call_number call, const request_key& key,
+                               instant expires, bool for_record)
 {
     m_asking.add({call, key, expires, for_record});
 }
 
-void permit_desk::answer_open(call_number call, const request_permit& request,
-                              const permit_entry& entry, instant now)
+void permit_call_handler::answer_open(call_number call,
+                                      const request_permit& request,
+                                      const permit_entry& entry, instant now)
 {
     if (entry.m_permit.m_content_hash != request.m_content_hash)
     {
@@ -184,7 +186,7 @@
     }
 }
 
-void permit_desk::expire_call(const desk::waiting_call& call)
+void permit_call_handler::expire_call(const call_table::waiting_call& call)
 {
     if (!call.m_for_record)
     {
@@ -205,14 +207,14 @@
         return;
     }
     m_pending.erase(pending);
-    for (const desk::waiting_call& other : m_asking.take(call.m_key))
+    for (const call_table::waiting_call& other : m_asking.take(call.m_key))
     {
         refuse(other.m_call, error_code::store_unavailable,
                "the store does not answer", verdict::not_run);
     }
 }
 
-void permit_desk::expire_permits(instant now)
+void permit_call_handler::expire_permits(instant now)
 {
     for (const auto& [deadline, key] : m_context.m_state.open_permits())
     {
@@ -229,8 +231,8 @@
     }
 }
 
-void permit_desk::refuse(call_number call, error_code code, std::string message,
-                         verdict ran)
+void permit_call_handler::refuse(call_number call, error_code code,
+                                 std::string message, verdict ran)
 {
     m_context.m_effects.answer(call, error{code, std::move(message), ran});
 }
--- a/kingcuprudder/region/permit_desk.hpp
+++ b/kingcuprudder/region/permit_call_handler.hpp
@@ -1,7 +1,7 @@
-#ifndef KINGCUPRUDDER_REGION_PERMIT_DESK_HPP
-#define KINGCUPRUDDER_REGION_PERMIT_DESK_HPP
+#ifndef KINGCUPRUDDER_REGION_PERMIT_CALL_HANDLER_HPP
+#define KINGCUPRUDDER_REGION_PERMIT_CALL_HANDLER_HPP
 
-#include <kingcuprudder/region/call_desk.hpp>
+#include <kingcuprudder/region/waiting_call_table.hpp>
 
 #include <map>
 #include <string>
@@ -10,10 +10,13 @@
 {
 
 /// Grants each request that is not idempotent once, and keeps its outcome.
-class permit_desk
+class permit_call_handler
 {
 public:
-    explicit permit_desk(scheduler_context& context) : m_context(context) {}
+    explicit permit_call_handler(scheduler_context& context)
+        : m_context(context)
+    {
+    }
 
     void on_request(call_number call, const request_permit& request,
                     instant now);
@@ -30,20 +33,20 @@
     void step_down(const std::string& owner);
 
 private:
-    using desk = call_desk<request_key>;
+    using call_table = waiting_call_table<request_key>;
 
     void wait(call_number call, const request_key& key, instant expires,
               bool for_record);
     void answer_open(call_number call, const request_permit& request,
                      const permit_entry& entry, instant now);
-    void expire_call(const desk::waiting_call& call);
+    void expire_call(const call_table::waiting_call& call);
     void expire_permits(instant now);
     void refuse(call_number call, error_code code, std::string message,
                 verdict ran);
 
     scheduler_context& m_context;
-    desk m_asking; ///< Calls of on_request.
-    desk m_ending; ///< Calls of on_end.
+    call_table m_asking; ///< Calls of on_request.
+    call_table m_ending; ///< Calls of on_end.
     /// Permits whose record is under way.
     std::map<request_key, std::pair<record_ticket, request_permitted>>
         m_pending;
--- a/kingcuprudder/region/region_scheduler.hpp
+++ b/kingcuprudder/region/region_scheduler.hpp
@@ -1,8 +1,8 @@
 #ifndef KINGCUPRUDDER_REGION_REGION_SCHEDULER_HPP
 #define KINGCUPRUDDER_REGION_REGION_SCHEDULER_HPP
 
-#include <kingcuprudder/region/job_desk.hpp>
-#include <kingcuprudder/region/permit_desk.hpp>
+#include <kingcuprudder/region/job_call_handler.hpp>
+#include <kingcuprudder/region/permit_call_handler.hpp>
 #include <kingcuprudder/region/region_statistics.hpp>
 
 #include <map>
@@ -89,8 +89,8 @@
     region_capacity m_capacity;
     worker_table m_workers;
     gang_table m_gangs;
-    job_desk m_jobs;
-    permit_desk m_permits;
+    job_call_handler m_jobs;
+    permit_call_handler m_permits;
 
     bool m_fenced = false;
     bool m_planning = true;
--- a/kingcuprudder/region/call_desk.hpp
+++ b/kingcuprudder/region/waiting_call_table.hpp
@@ -1,5 +1,5 @@
-#ifndef KINGCUPRUDDER_REGION_CALL_DESK_HPP
-#define KINGCUPRUDDER_REGION_CALL_DESK_HPP
+#ifndef KINGCUPRUDDER_REGION_WAITING_CALL_TABLE_HPP
+#define KINGCUPRUDDER_REGION_WAITING_CALL_TABLE_HPP
 
 #include <kingcuprudder/region/scheduler_context.hpp>
 
@@ -15,7 +15,7 @@
 /// Callers' calls that cannot be answered at once, by what they wait for. Each
 /// is answered exactly once.
 template <class Key>
-class call_desk
+class waiting_call_table
 {
 public:
     /// One waiting call.
--- a/kingcuprudder/settings/settings_json.cpp
+++ b/kingcuprudder/settings/settings_json.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// Watches the parser's events for a key that stands twice in one object.
+/// Watches the parser's events for a duplicate key in one object.
 class duplicate_key_check
 {
 public:
@@ -41,7 +41,7 @@
         if (!m_open.back().insert(key).second)
         {
             throw std::runtime_error("the key '" + key +
-                                     "' stands twice in one object");
+                                     "' is given twice in one object");
         }
     }
 
--- a/kingcuprudder/settings/settings_json.hpp
+++ b/kingcuprudder/settings/settings_json.hpp
@@ -10,7 +10,7 @@
 {
 
 /// Parses JSON text. Throws std::runtime_error with the place of the fault;
-/// a key that stands twice in one object is a fault, since one of its two
+/// a duplicate key in one object is a fault, since one of its two
 /// values would be dropped silently.
 nlohmann::json parse_json_without_duplicates(std::string_view text);
 
--- a/unit_tests/core/settings_check_test.cpp
+++ b/unit_tests/core/settings_check_test.cpp
@@ -37,7 +37,7 @@
     const std::string scheduler = R"({"regions":{"r":{"scheduler":{)";
     const std::pair<std::string, std::string> table[] = {
         {"{", "settings: not valid JSON: "},
-        {R"({"regions":{"r":{},"r":{}}})", "the key 'r' stands twice"},
+        {R"({"regions":{"r":{},"r":{}}})", "the key 'r' is given twice"},
         {"[]", "settings: expected an object, found an array"},
         {"{}", "regions: is missing"},
         {R"({"regions":{}})", "regions: at least one region is needed"},
