--- /dev/null
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -0,0 +1,251 @@
+#include <kingcuprudder/codec/dispatch_codec.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace kingcuprudder::dispatch
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json step_json(const job_step& step)
+{
+    return {{"count", step.m_count},
+            {"cpu_millis", step.m_demand.m_cpu_millis},
+            {"memory_mb", step.m_demand.m_memory_mb},
+            {"gpus", step.m_demand.m_gpus},
+            {"estimate_ms", step.m_estimate.count()},
+            {"after", step.m_after},
+            {"checkpoints", step.m_checkpoints},
+            {"gang", step.m_gang},
+            {"same_rack", step.m_same_rack},
+            {"required_label", step.m_required_label},
+            {"data_rack", step.m_data_rack},
+            {"max_per_worker", step.m_max_per_worker},
+            {"speculative", step.m_speculative},
+            {"persistent", step.m_persistent},
+            {"fills", step.m_fills},
+            {"max_unavailable", step.m_max_unavailable},
+            {"image", step.m_image},
+            {"target_latency_ms", step.m_target_latency.count()}};
+}
+
+job_step step_from(const json& value)
+{
+    job_step step;
+    step.m_count = value.at("count");
+    step.m_demand = {value.at("cpu_millis"), value.at("memory_mb"),
+                     value.at("gpus")};
+    step.m_estimate = span(value.at("estimate_ms").get<std::int64_t>());
+    step.m_after = value.at("after").get<std::vector<int>>();
+    step.m_checkpoints = value.at("checkpoints");
+    step.m_gang = value.at("gang");
+    step.m_same_rack = value.at("same_rack");
+    step.m_required_label = value.at("required_label");
+    step.m_data_rack = value.at("data_rack");
+    step.m_max_per_worker = value.at("max_per_worker");
+    step.m_speculative = value.at("speculative");
+    step.m_persistent = value.at("persistent");
+    step.m_fills = value.at("fills");
+    step.m_max_unavailable = value.at("max_unavailable");
+    step.m_image = value.at("image");
+    step.m_target_latency =
+        span(value.at("target_latency_ms").get<std::int64_t>());
+    return step;
+}
+
+json policy_json(const queue_policy& policy)
+{
+    return {{"pool", policy.m_pool},
+            {"priority", policy.m_priority},
+            {"max_attempts", policy.m_max_attempts},
+            {"stretch", policy.m_stretch},
+            {"start_allowance_ms", policy.m_start_allowance.count()},
+            {"needs_advice", policy.m_needs_advice}};
+}
+
+queue_policy policy_from(const json& value)
+{
+    queue_policy policy;
+    policy.m_pool = value.at("pool");
+    policy.m_priority = value.at("priority");
+    policy.m_max_attempts = value.at("max_attempts");
+    policy.m_stretch = value.at("stretch");
+    policy.m_start_allowance =
+        span(value.at("start_allowance_ms").get<std::int64_t>());
+    policy.m_needs_advice = value.at("needs_advice");
+    return policy;
+}
+
+// Most tasks of a stored job wait untouched or are done, so these two have
+// forms of one digit.
+constexpr int untouched_task = 0;
+constexpr int done_task = 1;
+
+json task_json(const task_progress& task)
+{
+    if (task == task_progress())
+    {
+        return untouched_task;
+    }
+    if (task.m_done)
+    {
+        return done_task;
+    }
+    return json::array({task.m_last_run, task.m_worker, task.m_worker_started,
+                        task.m_failed_runs, task.m_checkpoint});
+}
+
+task_progress task_from(const json& value)
+{
+    task_progress task;
+    if (value.is_number())
+    {
+        task.m_done = value.get<int>() == done_task;
+        return task;
+    }
+    task.m_last_run = value.at(0);
+    task.m_worker = value.at(1);
+    task.m_worker_started = value.at(2);
+    task.m_failed_runs = value.at(3).get<std::vector<int>>();
+    task.m_checkpoint = value.at(4);
+    return task;
+}
+
+} // namespace
+
+std::string encode_submission(const job_submission& submission)
+{
+    json steps = json::array();
+    for (const job_step& step : submission.m_steps)
+    {
+        steps.push_back(step_json(step));
+    }
+    return json{{"id", submission.m_id},
+                {"account", submission.m_account},
+                {"queue", submission.m_queue},
+                {"policy", policy_json(submission.m_policy)},
+                {"spec", submission.m_spec},
+                {"steps", steps},
+                {"repeats", submission.m_repeats},
+                {"first_due_ms", submission.m_first_due.count()},
+                {"interval_ms", submission.m_interval.count()},
+                {"accepted_at_ms", submission.m_accepted_at.count()}}
+        .dump();
+}
+
+std::optional<job_submission> decode_submission(const std::string& text)
+{
+    try
+    {
+        const json value = json::parse(text);
+        job_submission submission;
+        submission.m_id = value.at("id");
+        submission.m_account = value.at("account");
+        submission.m_queue = value.at("queue");
+        submission.m_policy = policy_from(value.at("policy"));
+        submission.m_spec = value.at("spec");
+        for (const json& step : value.at("steps"))
+        {
+            submission.m_steps.push_back(step_from(step));
+        }
+        submission.m_repeats = value.at("repeats");
+        submission.m_first_due =
+            instant(value.at("first_due_ms").get<std::int64_t>());
+        submission.m_interval =
+            span(value.at("interval_ms").get<std::int64_t>());
+        submission.m_accepted_at =
+            instant(value.at("accepted_at_ms").get<std::int64_t>());
+        return submission;
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+std::string encode_progress(const job_progress& progress)
+{
+    json value{{"state", to_string(progress.m_state)},
+               {"account", progress.m_account}};
+    if (!is_final(progress.m_state))
+    {
+        json& tasks = value["tasks"] = json::array();
+        for (const auto& repeat : progress.m_tasks)
+        {
+            json& steps = tasks.emplace_back(json::array());
+            for (const auto& step : repeat)
+            {
+                json& entries = steps.emplace_back(json::array());
+                for (const task_progress& task : step)
+                {
+                    entries.push_back(task_json(task));
+                }
+            }
+        }
+    }
+    return value.dump();
+}
+
+std::optional<job_progress> decode_progress(const std::string& text)
+{
+    try
+    {
+        const json value = json::parse(text);
+        job_progress progress;
+        const std::optional<job_state> state =
+            job_state_from_string(value.at("state").get<std::string>());
+        if (!state)
+        {
+            return std::nullopt;
+        }
+        progress.m_state = *state;
+        progress.m_account = value.at("account");
+        for (const json& repeat : value.value("tasks", json::array()))
+        {
+            auto& steps = progress.m_tasks.emplace_back();
+            for (const json& step : repeat)
+            {
+                auto& tasks = steps.emplace_back();
+                for (const json& task : step)
+                {
+                    tasks.push_back(task_from(task));
+                }
+            }
+        }
+        return progress;
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+std::string encode_summary(const queue_summary& summary)
+{
+    return json{{"waiting", summary.m_waiting},
+                {"written_at_ms", summary.m_written_at.count()}}
+        .dump();
+}
+
+std::optional<queue_summary> decode_summary(const std::string& text)
+{
+    try
+    {
+        const json value = json::parse(text);
+        queue_summary summary;
+        summary.m_waiting =
+            value.at("waiting").get<std::map<std::string, int>>();
+        summary.m_written_at =
+            instant(value.at("written_at_ms").get<std::int64_t>());
+        return summary;
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace kingcuprudder::dispatch
--- /dev/null
+++ b/kingcuprudder/dispatch/decision_log.hpp
@@ -0,0 +1,22 @@
+#ifndef KINGCUPRUDDER_DISPATCH_DECISION_LOG_HPP
+#define KINGCUPRUDDER_DISPATCH_DECISION_LOG_HPP
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kingcuprudder::dispatch
+{
+
+/// The named inputs and the outcome of a decision, in order.
+using decision_fields = std::vector<std::pair<std::string, std::string>>;
+
+/// Receives each decision: its kind, the request or job it concerns, and its
+/// fields.
+using decision_log = std::function<void(
+    const std::string& event, const std::string& id, decision_fields fields)>;
+
+} // namespace kingcuprudder::dispatch
+
+#endif
--- /dev/null
+++ b/kingcuprudder/dispatch/job_progress.hpp
@@ -0,0 +1,60 @@
+#ifndef KINGCUPRUDDER_DISPATCH_JOB_PROGRESS_HPP
+#define KINGCUPRUDDER_DISPATCH_JOB_PROGRESS_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kingcuprudder::dispatch
+{
+
+enum class job_state
+{
+    queued,    ///< Accepted, nothing has started.
+    running,   ///< A task has started.
+    completed, ///< All tasks ended well.
+    failed,    ///< A task used up its attempts.
+    cancelled, ///< The caller cancelled it.
+};
+
+std::string_view to_string(job_state state);
+std::optional<job_state> job_state_from_string(std::string_view name);
+
+/// Whether the job needs no more work.
+bool is_final(job_state state);
+
+/// What must outlive the scheduler about one task.
+struct task_progress
+{
+    bool m_done = false;
+    /// The number of the newest run that was ordered; 0 for none.
+    int m_last_run = 0;
+    /// The worker that the newest run was ordered from and that may still
+    /// hold it; empty when the task waits or is done.
+    std::string m_worker;
+    /// The start time of that worker's process, which tells its lives apart.
+    std::int64_t m_worker_started = 0;
+    /// The runs that ended as failed.
+    std::vector<int> m_failed_runs;
+    /// The newest checkpoint; empty for none.
+    std::string m_checkpoint;
+
+    friend bool operator==(const task_progress&,
+                           const task_progress&) = default;
+};
+
+/// The stored progress of a job: [repetition][step][task].
+struct job_progress
+{
+    job_state m_state = job_state::queued;
+    std::string m_account;
+    std::vector<std::vector<std::vector<task_progress>>> m_tasks;
+
+    friend bool operator==(const job_progress&, const job_progress&) = default;
+};
+
+} // namespace kingcuprudder::dispatch
+
+#endif
--- /dev/null
+++ b/kingcuprudder/dispatch/job_table.cpp
@@ -0,0 +1,196 @@
+#include <kingcuprudder/base/assert.hpp>
+#include <kingcuprudder/dispatch/job_table.hpp>
+
+#include <algorithm>
+
+namespace kingcuprudder::dispatch
+{
+
+namespace
+{
+
+// A record needs its expected revision and its new value; that of an ended job
+// also removes the submission and the request to cancel it.
+constexpr std::size_t entries_of_record = 2;
+constexpr std::size_t entries_of_final_record = 4;
+
+/// The longest chain of declared work that starts with each step.
+std::vector<span> chains_from(const std::vector<job_step>& steps)
+{
+    std::vector<span> chains(steps.size());
+    for (std::size_t at = steps.size(); at-- > 0;)
+    {
+        span longest;
+        for (std::size_t later = at + 1; later < steps.size(); ++later)
+        {
+            const std::vector<int>& after = steps[later].m_after;
+            if (std::find(after.begin(), after.end(), static_cast<int>(at)) !=
+                after.end())
+            {
+                longest = std::max(longest, chains[later]);
+            }
+        }
+        chains[at] = steps[at].m_estimate + longest;
+    }
+    return chains;
+}
+
+bool has_ended_tasks_only(const job_entry& job)
+{
+    for (const auto& repeat : job.m_tasks)
+    {
+        for (const auto& step : repeat)
+        {
+            for (const task_entry& task : step)
+            {
+                if (task.m_active)
+                {
+                    return false;
+                }
+            }
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+bool job_entry::has(const task_ref& ref) const
+{
+    return ref.m_repeat < static_cast<int>(m_tasks.size()) &&
+           ref.m_step < static_cast<int>(m_tasks[ref.m_repeat].size()) &&
+           ref.m_index <
+               static_cast<int>(m_tasks[ref.m_repeat][ref.m_step].size());
+}
+
+job_entry& job_table::add(const job_submission& submission,
+                          const std::optional<job_progress>& progress,
+                          std::int64_t revision, instant accepted_at)
+{
+    job_entry job;
+    job.m_submission = submission;
+    job.m_accepted_at = accepted_at;
+    job.m_revision = revision;
+    job.m_chain_from = chains_from(submission.m_steps);
+    for (const span chain : job.m_chain_from)
+    {
+        job.m_chain = std::max(job.m_chain, chain);
+    }
+    job.m_tasks.resize(submission.m_repeats);
+    for (auto& repeat : job.m_tasks)
+    {
+        repeat.resize(submission.m_steps.size());
+        for (std::size_t step = 0; step < repeat.size(); ++step)
+        {
+            repeat[step].resize(submission.m_steps[step].m_count);
+        }
+    }
+    if (progress)
+    {
+        job.m_state = progress->m_state;
+        for (std::size_t repeat = 0; repeat < progress->m_tasks.size();
+             ++repeat)
+        {
+            for (std::size_t step = 0; step < progress->m_tasks[repeat].size();
+                 ++step)
+            {
+                const auto& tasks = progress->m_tasks[repeat][step];
+                for (std::size_t index = 0; index < tasks.size(); ++index)
+                {
+                    job.m_tasks.at(repeat).at(step).at(index).m_progress =
+                        tasks[index];
+                }
+            }
+        }
+    }
+    return m_jobs.insert_or_assign(submission.m_id, std::move(job))
+        .first->second;
+}
+
+job_entry* job_table::find(const std::string& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+job_entry* job_table::find_task(const task_ref& ref)
+{
+    job_entry* job = find(ref.m_job);
+    return job != nullptr && job->has(ref) ? job : nullptr;
+}
+
+void job_table::touch(job_entry& job)
+{
+    ++job.m_version;
+    m_unstored.insert(job.m_submission.m_id);
+}
+
+std::vector<job_write> job_table::take_writes(std::size_t most_entries)
+{
+    std::vector<job_write> writes;
+    std::size_t entries = 0;
+    while (!m_unstored.empty())
+    {
+        const std::string id = *m_unstored.begin();
+        const job_entry* job = find(id);
+        KCR_ASSERT(job != nullptr);
+        entries += is_final(job->m_state) ? entries_of_final_record
+                                          : entries_of_record;
+        if (entries > most_entries)
+        {
+            break;
+        }
+        m_unstored.erase(m_unstored.begin());
+        writes.push_back({id, job->m_revision, job->m_version,
+                          progress_of(*job)});
+    }
+    return writes;
+}
+
+void job_table::write_failed(const std::string& id)
+{
+    if (find(id) != nullptr)
+    {
+        m_unstored.insert(id);
+    }
+}
+
+void job_table::stored(const std::string& id, std::int64_t version,
+                       std::int64_t revision)
+{
+    job_entry* job = find(id);
+    if (job == nullptr)
+    {
+        return;
+    }
+    job->m_revision = revision;
+    job->m_stored_version = std::max(job->m_stored_version, version);
+    if (is_final(job->m_state) && job->m_stored_version == job->m_version &&
+        has_ended_tasks_only(*job))
+    {
+        m_unstored.erase(id);
+        m_jobs.erase(id);
+    }
+}
+
+job_progress job_table::progress_of(const job_entry& job) const
+{
+    job_progress progress;
+    progress.m_state = job.m_state;
+    progress.m_account = job.m_submission.m_account;
+    for (const auto& repeat : job.m_tasks)
+    {
+        auto& steps = progress.m_tasks.emplace_back();
+        for (const auto& step : repeat)
+        {
+            auto& tasks = steps.emplace_back();
+            for (const task_entry& task : step)
+            {
+                tasks.push_back(task.m_progress);
+            }
+        }
+    }
+    return progress;
+}
+
+} // namespace kingcuprudder::dispatch
--- /dev/null
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -0,0 +1,92 @@
+#ifndef KINGCUPRUDDER_DISPATCH_PLANNER_HPP
+#define KINGCUPRUDDER_DISPATCH_PLANNER_HPP
+
+#include <kingcuprudder/dispatch/dispatcher.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kingcuprudder::dispatch
+{
+
+/// The tasks of one step that may start now.
+struct waiting_step
+{
+    job_entry* m_job = nullptr;
+    task_ref m_step; ///< The index is not used.
+    std::vector<int> m_waiting;
+    queue_policy m_policy;
+    /// The job can no longer meet its objective.
+    bool m_late = false;
+    /// The job can no longer earn anything by ending.
+    bool m_hopeless = false;
+    /// When the job must end to meet its objective.
+    instant m_objective;
+};
+
+/// Whether the left step is served before the right one.
+bool goes_first(const waiting_step& left, const waiting_step& right);
+
+/// One planning pass over all waiting steps.
+class planner
+{
+public:
+    planner(dispatcher& state, instant now, instant wall_now);
+
+    void run();
+
+private:
+    std::vector<waiting_step> collect();
+    void collect_job(job_entry& job, std::vector<waiting_step>& steps);
+    bool step_is_due(const job_entry& job, int repeat, int step) const;
+
+    void place_tasks(waiting_step& step);
+    void place_gang(waiting_step& step);
+    bool may_reclaim(const waiting_step& step) const;
+
+    bool eligible(const worker_entry& where, const waiting_step& step) const;
+    /// How many more tasks of the step the worker can take.
+    int fitting(const worker_entry& where, const waiting_step& step,
+                const resources& free) const;
+    int on_worker(const worker_entry& where, const waiting_step& step) const;
+    worker_entry* best_worker(const waiting_step& step);
+
+    using share = std::pair<worker_entry*, int>;
+    /// Workers and task counts that hold the whole gang; empty when it does
+    /// not fit.
+    std::vector<share> gang_shares(const waiting_step& step,
+                                   std::vector<worker_entry*> candidates);
+    std::vector<std::vector<worker_entry*>>
+    gang_domains(const waiting_step& step);
+    bool fits_some_rack(const waiting_step& step);
+    void assign_gang(waiting_step& step, const std::vector<share>& shares);
+
+    struct victim
+    {
+        job_entry* m_job = nullptr;
+        task_ref m_task;
+        double m_loss = 0;
+    };
+    std::vector<victim> victims_on(const worker_entry& where,
+                                   const waiting_step& step);
+    double loss_of(const job_entry& job, const task_ref& ref) const;
+    /// The cheapest victims that make room for the demand, with their loss;
+    /// nothing when there are not enough.
+    std::optional<std::pair<std::vector<victim>, double>>
+    cheapest_victims(const worker_entry& where, const waiting_step& step,
+                     resources missing);
+    bool reclaim_for_task(waiting_step& step);
+    bool reclaim_for_gang(waiting_step& step);
+
+    dispatcher& m_state;
+    instant m_now;
+    instant m_wall_now;
+};
+
+} // namespace kingcuprudder::dispatch
+
+#endif
--- /dev/null
+++ b/kingcuprudder/node/clocks.cpp
@@ -0,0 +1,33 @@
+#include <kingcuprudder/node/clocks.hpp>
+
+#include <ctime>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+instant read_clock(clockid_t clock)
+{
+    constexpr std::int64_t millis_per_second = 1000;
+    constexpr std::int64_t nanos_per_milli = 1'000'000;
+    timespec time{};
+    clock_gettime(clock, &time);
+    return instant(time.tv_sec * millis_per_second +
+                   time.tv_nsec / nanos_per_milli);
+}
+
+} // namespace
+
+instant boot_now()
+{
+    return read_clock(CLOCK_BOOTTIME);
+}
+
+instant wall_now()
+{
+    return read_clock(CLOCK_REALTIME);
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/kingcuprudder/node/job_service.cpp
@@ -0,0 +1,389 @@
+#include <kingcuprudder/codec/dispatch_codec.hpp>
+#include <kingcuprudder/node/clocks.hpp>
+#include <kingcuprudder/node/job_service.hpp>
+#include <kingcuprudder/node/record_keys.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+// A key that was taken away must stop working within seconds, so a
+// configuration is confirmed at least this often before it is used.
+constexpr span configuration_max_age = span(1500);
+constexpr span store_call_timeout = span(900);
+constexpr span shortest_call = span(50);
+constexpr span answer_margin = span(60);
+constexpr std::chrono::milliseconds retry_pause(60);
+constexpr span summary_max_age = span(1800);
+constexpr span waiting_cache_age = span(400);
+
+span time_left(instant deadline)
+{
+    return deadline - boot_now() - answer_margin;
+}
+
+span call_timeout(instant deadline)
+{
+    return std::max(shortest_call,
+                    std::min(store_call_timeout, time_left(deadline)));
+}
+
+/// The jobs that no task has been started for, by queue.
+std::map<std::string, int> count_records(const record_list& jobs,
+                                         const record_list& progress)
+{
+    std::map<std::string, std::string> queue_of;
+    for (const record& each : jobs.m_records)
+    {
+        if (!each.m_key.starts_with(record_keys::submission_prefix))
+        {
+            continue;
+        }
+        if (const auto job = dispatch::decode_submission(each.m_value))
+        {
+            queue_of[job->m_id] = job->m_queue;
+        }
+    }
+    std::map<std::string, int> waiting;
+    for (const record& each : progress.m_records)
+    {
+        const auto state = dispatch::decode_progress(each.m_value);
+        const auto queue = queue_of.find(
+            each.m_key.substr(record_keys::progress_prefix.size()));
+        if (state && state->m_state == dispatch::job_state::queued &&
+            queue != queue_of.end())
+        {
+            ++waiting[queue->second];
+        }
+    }
+    return waiting;
+}
+
+} // namespace
+
+std::string_view to_string(refusal reason)
+{
+    switch (reason)
+    {
+    case refusal::not_configured:
+        return "not_configured";
+    case refusal::unknown_queue:
+        return "unknown_queue";
+    case refusal::unknown_key:
+        return "unknown_key";
+    case refusal::unknown_job:
+        return "unknown_job";
+    case refusal::invalid:
+        return "invalid";
+    case refusal::unavailable:
+        return "unavailable";
+    case refusal::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+job_service::job_service(record_store& store,
+                         configuration_view& configuration, event_log& log)
+    : m_store(store), m_configuration(configuration), m_log(log)
+{
+}
+
+service_result<caller_access>
+job_service::authorize(const caller_request& request)
+{
+    const configuration_view::snapshot snapshot = m_configuration.confirmed(
+        configuration_max_age, call_timeout(request.m_deadline));
+    if (!snapshot)
+    {
+        return m_configuration.current() ? refusal::unavailable
+                                         : refusal::not_configured;
+    }
+    const dispatch::service_configuration& configuration =
+        snapshot->m_configuration;
+    const dispatch::queue_configuration* queue =
+        configuration.find_queue(request.m_host, request.m_path);
+    if (queue == nullptr)
+    {
+        return refusal::unknown_queue;
+    }
+    caller_access access;
+    access.m_queue = *queue;
+    access.m_path = request.m_path.substr(queue->m_path_prefix.size());
+    access.m_configuration_revision = snapshot->m_revision;
+    const dispatch::account_configuration* account =
+        configuration.account_with_key(request.m_key);
+    if (account != nullptr)
+    {
+        access.m_account = account->m_name;
+    }
+    else if (!queue->m_public)
+    {
+        return refusal::unknown_key;
+    }
+    return access;
+}
+
+std::optional<refusal> job_service::submit(const caller_request& request,
+                                           dispatch::job_submission submission)
+{
+    const instant began = boot_now();
+    submission.m_accepted_at = wall_now();
+    const std::optional<refusal> refused = store_job(request, submission);
+    m_log.write("jobs", refused ? "job_refused" : "job_accepted",
+                submission.m_id,
+                {{"reason", refused ? std::string(to_string(*refused)) : ""},
+                 {"queue", submission.m_queue},
+                 {"account", submission.m_account},
+                 {"configuration_age_ms",
+                  std::to_string(
+                      (boot_now() - m_configuration.confirmed_at()).count())},
+                 {"took_ms", std::to_string((boot_now() - began).count())}});
+    return refused;
+}
+
+std::optional<refusal>
+job_service::store_job(const caller_request& request,
+                       const dispatch::job_submission& job)
+{
+    dispatch::job_progress progress;
+    progress.m_account = job.m_account;
+    const std::string progress_key = record_keys::progress(job.m_id);
+    // Once an attempt has an unknown outcome, no later answer proves that the
+    // job was not stored.
+    bool may_be_stored = false;
+    while (true)
+    {
+        const service_result<caller_access> access = authorize(request);
+        if (!std::holds_alternative<caller_access>(access))
+        {
+            const refusal reason = std::get<refusal>(access);
+            return may_be_stored ? refusal::unknown : reason;
+        }
+        const caller_access& allowed = std::get<caller_access>(access);
+        store_transaction transaction;
+        transaction.m_expected = {
+            {m_configuration.key(), allowed.m_configuration_revision},
+            {progress_key, 0}};
+        dispatch::job_submission stored = job;
+        stored.m_queue = allowed.m_queue.m_name;
+        stored.m_policy = allowed.m_queue.m_policy;
+        stored.m_account = allowed.m_account;
+        transaction.m_writes = {
+            {record_keys::submission(job.m_id),
+             dispatch::encode_submission(stored), 0},
+            {progress_key, dispatch::encode_progress(progress), 0}};
+        const instant sent = boot_now();
+        const store_result<commit_answer> outcome = m_store.commit(
+            transaction, call_timeout(request.m_deadline));
+        if (is_ok(outcome) &&
+            std::holds_alternative<std::int64_t>(std::get<0>(outcome)))
+        {
+            return std::nullopt;
+        }
+        if (is_ok(outcome))
+        {
+            for (const record& found :
+                 std::get<store_conflict>(std::get<0>(outcome)).m_records)
+            {
+                if (found.m_key == progress_key && found.m_revision != 0)
+                {
+                    return std::nullopt; // Accepted by an earlier call.
+                }
+                if (found.m_revision != 0)
+                {
+                    m_configuration.adopt(found, sent);
+                }
+            }
+        }
+        else if (std::get<1>(outcome) != store_failure::not_done)
+        {
+            may_be_stored = true;
+        }
+        if (time_left(request.m_deadline) < shortest_call)
+        {
+            return may_be_stored ? refusal::unknown : refusal::unavailable;
+        }
+        if (!is_ok(outcome))
+        {
+            if (!may_be_stored)
+            {
+                return refusal::unavailable;
+            }
+            std::this_thread::sleep_for(retry_pause);
+        }
+    }
+}
+
+std::optional<std::optional<dispatch::job_progress>>
+job_service::read_progress(const std::string& id, instant deadline)
+{
+    const store_result<std::optional<record>> found = m_store.read(
+        record_keys::progress(id), call_timeout(deadline));
+    if (!is_ok(found))
+    {
+        return std::nullopt;
+    }
+    if (!std::get<0>(found))
+    {
+        return std::optional<dispatch::job_progress>();
+    }
+    return dispatch::decode_progress(std::get<0>(found)->m_value);
+}
+
+service_result<dispatch::job_state>
+job_service::state(const caller_request& request, const std::string& id)
+{
+    const service_result<caller_access> access = authorize(request);
+    if (const refusal* refused = std::get_if<refusal>(&access))
+    {
+        return *refused;
+    }
+    const auto progress = read_progress(id, request.m_deadline);
+    if (!progress)
+    {
+        return refusal::unavailable;
+    }
+    const std::string& account = std::get<0>(access).m_account;
+    if (!*progress || (**progress).m_account != account)
+    {
+        return refusal::unknown_job;
+    }
+    return (**progress).m_state;
+}
+
+std::optional<refusal> job_service::cancel(const caller_request& request,
+                                           const std::string& id)
+{
+    const std::string key = record_keys::cancellation(id);
+    bool may_be_stored = false;
+    while (true)
+    {
+        const service_result<dispatch::job_state> found = state(request, id);
+        if (const refusal* refused = std::get_if<refusal>(&found))
+        {
+            return may_be_stored ? refusal::unknown : *refused;
+        }
+        if (dispatch::is_final(std::get<0>(found)))
+        {
+            return std::nullopt;
+        }
+        const configuration_view::snapshot snapshot =
+            m_configuration.current();
+        store_transaction transaction;
+        transaction.m_expected = {
+            {m_configuration.key(), snapshot->m_revision}, {key, 0}};
+        transaction.m_writes = {{key, "{}", 0}};
+        const instant sent = boot_now();
+        const store_result<commit_answer> outcome = m_store.commit(
+            transaction, call_timeout(request.m_deadline));
+        const bool answered = is_ok(outcome);
+        if (answered &&
+            std::holds_alternative<std::int64_t>(std::get<0>(outcome)))
+        {
+            m_log.write("jobs", "cancellation_stored", id, {});
+            return std::nullopt;
+        }
+        if (answered)
+        {
+            for (const record& conflict :
+                 std::get<store_conflict>(std::get<0>(outcome)).m_records)
+            {
+                if (conflict.m_key == key && conflict.m_revision != 0)
+                {
+                    return std::nullopt;
+                }
+                if (conflict.m_revision != 0)
+                {
+                    m_configuration.adopt(conflict, sent);
+                }
+            }
+        }
+        else if (std::get<1>(outcome) == store_failure::not_done)
+        {
+            return may_be_stored ? refusal::unknown : refusal::unavailable;
+        }
+        else
+        {
+            may_be_stored = true;
+            std::this_thread::sleep_for(retry_pause);
+        }
+        if (time_left(request.m_deadline) < shortest_call)
+        {
+            return may_be_stored ? refusal::unknown : refusal::unavailable;
+        }
+    }
+}
+
+service_result<int> job_service::waiting(const caller_request& request)
+{
+    const service_result<caller_access> access = authorize(request);
+    if (const refusal* refused = std::get_if<refusal>(&access))
+    {
+        return *refused;
+    }
+    const std::optional<std::map<std::string, int>> counts =
+        count_waiting(request.m_deadline);
+    if (!counts)
+    {
+        return refusal::unavailable;
+    }
+    const auto found =
+        counts->find(std::get<0>(access).m_queue.m_name);
+    return found == counts->end() ? 0 : found->second;
+}
+
+std::optional<std::map<std::string, int>>
+job_service::count_waiting(instant deadline)
+{
+    {
+        std::lock_guard lock(m_waiting_mutex);
+        if (boot_now() - m_waiting_read_at < waiting_cache_age)
+        {
+            return m_waiting;
+        }
+    }
+    const instant sent = boot_now();
+    std::map<std::string, int> waiting;
+    const store_result<std::optional<record>> found =
+        m_store.read(record_keys::summary, call_timeout(deadline));
+    if (!is_ok(found))
+    {
+        return std::nullopt;
+    }
+    std::optional<dispatch::queue_summary> summary;
+    if (std::get<0>(found))
+    {
+        summary = dispatch::decode_summary(std::get<0>(found)->m_value);
+    }
+    if (summary && wall_now() - summary->m_written_at < summary_max_age &&
+        summary->m_written_at - wall_now() < summary_max_age)
+    {
+        waiting = summary->m_waiting;
+    }
+    else
+    {
+        // No scheduler keeps the summary at the moment.
+        const store_result<record_list> jobs =
+            m_store.list(record_keys::live_prefix, call_timeout(deadline));
+        const store_result<record_list> progress =
+            m_store.list(record_keys::progress_prefix, call_timeout(deadline));
+        if (!is_ok(jobs) || !is_ok(progress))
+        {
+            return std::nullopt;
+        }
+        waiting = count_records(std::get<0>(jobs), std::get<0>(progress));
+    }
+    std::lock_guard lock(m_waiting_mutex);
+    m_waiting = waiting;
+    m_waiting_read_at = sent;
+    return waiting;
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/kingcuprudder/node/leadership.cpp
@@ -0,0 +1,256 @@
+#include <kingcuprudder/node/clocks.hpp>
+#include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/record_keys.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+constexpr span lease_time = span(2500);
+constexpr span renewal_interval = span(600);
+constexpr span renewal_retry = span(150);
+constexpr span call_timeout = span(800);
+// The holder stops before its lease can run out at the store.
+constexpr span safety_margin = span(300);
+constexpr span watch_wait = span(2000);
+constexpr span follow_retry = span(200);
+
+std::string random_name()
+{
+    std::random_device device;
+    std::uniform_int_distribution<std::uint64_t> any;
+    return std::to_string(any(device));
+}
+
+} // namespace
+
+bool term::is_valid() const
+{
+    return !m_ended && boot_now().count() < m_valid_until;
+}
+
+leadership::leadership(record_store& store, event_log& log, std::string node,
+                       span start_delay, hooks calls)
+    : m_store(store), m_log(log), m_node(std::move(node)),
+      m_process(random_name()), m_start_delay(start_delay),
+      m_hooks(std::move(calls)), m_thread([this] { run(); })
+{
+}
+
+leadership::~leadership()
+{
+    resign();
+}
+
+void leadership::resign()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable())
+    {
+        m_thread.join();
+    }
+}
+
+std::string leadership::own_value() const
+{
+    return nlohmann::json{{"node", m_node}, {"process", m_process}}.dump();
+}
+
+std::optional<leadership::holder>
+leadership::read_holder(const std::string& value)
+{
+    try
+    {
+        const nlohmann::json json = nlohmann::json::parse(value);
+        return holder{json.at("node"), json.at("process")};
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+void leadership::run()
+{
+    while (!m_stopping)
+    {
+        if (m_term)
+        {
+            lead();
+        }
+        else
+        {
+            follow();
+        }
+    }
+    if (m_term)
+    {
+        end_term("resigned");
+        m_store.end_lease(m_lease, call_timeout);
+        m_hooks.m_ended();
+    }
+}
+
+void leadership::follow()
+{
+    const store_result<std::optional<record>> found =
+        m_store.read(record_keys::leader, call_timeout);
+    if (!is_ok(found))
+    {
+        pause(follow_retry);
+        return;
+    }
+    const std::optional<record>& leader = std::get<0>(found);
+    if (!leader)
+    {
+        pause(m_start_delay);
+        if (!m_stopping)
+        {
+            try_to_lead(0);
+        }
+        return;
+    }
+    const std::optional<holder> held_by = read_holder(leader->m_value);
+    if (held_by && held_by->m_node == m_node)
+    {
+        // An earlier process of this node is gone, as its addresses are ours.
+        try_to_lead(leader->m_revision);
+        return;
+    }
+    const std::string name = held_by ? held_by->m_node : "";
+    if (name != m_seen_holder)
+    {
+        m_log.write("leadership", "leader_seen", "",
+                    {{"node", name},
+                     {"revision", std::to_string(leader->m_revision)}});
+        m_seen_holder = name;
+    }
+    const store_result<record_changes> changed = m_store.watch(
+        record_keys::leader, leader->m_revision, watch_wait);
+    if (!is_ok(changed))
+    {
+        pause(follow_retry);
+    }
+}
+
+void leadership::try_to_lead(std::int64_t expected_revision)
+{
+    const instant lease_sent = boot_now();
+    const store_result<std::int64_t> granted =
+        m_store.grant_lease(lease_time, call_timeout);
+    if (!is_ok(granted))
+    {
+        pause(follow_retry);
+        return;
+    }
+    m_lease = std::get<0>(granted);
+    store_transaction transaction;
+    transaction.m_expected = {{record_keys::leader, expected_revision}};
+    transaction.m_writes = {{record_keys::leader, own_value(), m_lease}};
+    const store_result<commit_answer> outcome =
+        m_store.commit(transaction, call_timeout);
+    std::int64_t revision = 0;
+    if (is_ok(outcome))
+    {
+        if (const auto* won = std::get_if<std::int64_t>(&std::get<0>(outcome)))
+        {
+            revision = *won;
+        }
+    }
+    else
+    {
+        // The answer may be lost; the record tells who holds it.
+        const store_result<std::optional<record>> found =
+            m_store.read(record_keys::leader, call_timeout);
+        if (is_ok(found) && std::get<0>(found) &&
+            std::get<0>(found)->m_value == own_value())
+        {
+            revision = std::get<0>(found)->m_revision;
+        }
+    }
+    if (revision == 0 || !own_record(revision, lease_sent))
+    {
+        m_store.end_lease(m_lease, call_timeout);
+        m_lease = 0;
+        pause(follow_retry);
+    }
+}
+
+bool leadership::own_record(std::int64_t revision, instant lease_sent)
+{
+    const instant valid_until = lease_sent + lease_time - safety_margin;
+    if (boot_now() >= valid_until)
+    {
+        return false;
+    }
+    m_term = std::make_shared<term>(revision, valid_until);
+    m_seen_holder = m_node;
+    m_log.write("leadership", "term_began", "",
+                {{"fence", std::to_string(revision)}});
+    m_hooks.m_began(m_term);
+    return true;
+}
+
+void leadership::lead()
+{
+    if (m_term->ended())
+    {
+        end_term("a newer term exists");
+        m_store.end_lease(m_lease, call_timeout);
+        m_hooks.m_ended();
+        return;
+    }
+    const instant sent = boot_now();
+    const store_result<std::monostate> renewed =
+        m_store.renew_lease(m_lease, call_timeout);
+    if (is_ok(renewed))
+    {
+        m_term->extend(sent + lease_time - safety_margin);
+        pause(renewal_interval);
+    }
+    else if (std::get<1>(renewed) == store_failure::lease_ended)
+    {
+        end_term("lease ended");
+        m_hooks.m_ended();
+        return;
+    }
+    else
+    {
+        pause(renewal_retry);
+    }
+    if (m_term && !m_term->is_valid() && !m_stopping)
+    {
+        end_term("lease not renewed in time");
+        m_hooks.m_ended();
+    }
+}
+
+void leadership::end_term(const std::string& reason)
+{
+    m_log.write("leadership", "term_ended", "",
+                {{"fence", std::to_string(m_term->fence())},
+                 {"reason", reason}});
+    m_term->end();
+    m_term.reset();
+}
+
+void leadership::pause(span time)
+{
+    std::unique_lock lock(m_mutex);
+    m_wake.wait_for(lock, std::chrono::milliseconds(time.count()),
+                    [this] { return m_stopping.load(); });
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/kingcuprudder/node/node.cpp
@@ -0,0 +1,80 @@
+#include <kingcuprudder/node/clocks.hpp>
+#include <kingcuprudder/node/node.hpp>
+
+#include <algorithm>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+// Callers are sent elsewhere when the store has not answered for this long.
+constexpr span ready_max_age = span(2500);
+// Instances with more processor time are the first to take the lead.
+constexpr double start_delay_per_missing_core_ms = 200;
+
+span start_delay(const node_settings& settings)
+{
+    const double missing = std::max(0.0, 1.0 - settings.m_processor_share);
+    return span(static_cast<std::int64_t>(missing *
+                                          start_delay_per_missing_core_ms));
+}
+
+} // namespace
+
+node::node(const node_settings& settings, record_store& store,
+           external_records records, worker_calls_factory worker_calls,
+           event_log& log)
+    : m_settings(settings), m_store(store), m_log(log),
+      m_records(std::move(records)), m_worker_calls(std::move(worker_calls)),
+      m_configuration(store, m_records, log),
+      m_jobs(store, m_configuration, log)
+{
+    leadership::hooks hooks;
+    hooks.m_began = [this](const std::shared_ptr<term>& held)
+    { begin_term(held); };
+    hooks.m_ended = [this]
+    {
+        std::lock_guard lock(m_mutex);
+        m_scheduler.reset();
+    };
+    m_leadership =
+        std::make_unique<leadership>(store, log, settings.m_name,
+                                     start_delay(settings), std::move(hooks));
+}
+
+node::~node()
+{
+    m_leadership.reset();
+}
+
+void node::begin_term(const std::shared_ptr<term>& held)
+{
+    std::lock_guard lock(m_mutex);
+    m_scheduler = std::make_unique<scheduler>(
+        scheduler_environment{m_store, m_log, m_configuration, m_records,
+                              m_worker_calls, m_settings.m_limits,
+                              m_settings.m_status_time},
+        held);
+}
+
+bool node::is_ready() const
+{
+    return !m_shutting_down && m_configuration.current() &&
+           boot_now() - m_configuration.confirmed_at() < ready_max_age;
+}
+
+void node::begin_shutdown()
+{
+    m_shutting_down = true;
+    m_leadership->resign();
+}
+
+std::string node::dump()
+{
+    std::lock_guard lock(m_mutex);
+    return m_scheduler ? m_scheduler->dump() : "{\"leads\":false}";
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/kingcuprudder/node/node.hpp
@@ -0,0 +1,59 @@
+#ifndef KINGCUPRUDDER_NODE_NODE_HPP
+#define KINGCUPRUDDER_NODE_NODE_HPP
+
+#include <kingcuprudder/node/configuration_view.hpp>
+#include <kingcuprudder/node/event_log.hpp>
+#include <kingcuprudder/node/external_records.hpp>
+#include <kingcuprudder/node/job_service.hpp>
+#include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/node_settings.hpp>
+#include <kingcuprudder/node/record_store.hpp>
+#include <kingcuprudder/node/scheduler.hpp>
+#include <kingcuprudder/node/worker_calls.hpp>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace kingcuprudder::node
+{
+
+/// One process: takes callers' jobs, and decides for all while it leads.
+class node
+{
+public:
+    node(const node_settings& settings, record_store& store,
+         external_records records, worker_calls_factory worker_calls,
+         event_log& log);
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    job_service& jobs() { return m_jobs; }
+    /// Whether callers should be sent here.
+    bool is_ready() const;
+    /// Gives up the lead and reports not ready; callers are still served.
+    void begin_shutdown();
+    /// A description of the state for operators.
+    std::string dump();
+
+private:
+    void begin_term(const std::shared_ptr<term>& held);
+
+    node_settings m_settings;
+    record_store& m_store;
+    event_log& m_log;
+    external_records m_records;
+    worker_calls_factory m_worker_calls;
+    configuration_view m_configuration;
+    job_service m_jobs;
+    std::atomic<bool> m_shutting_down = false;
+    std::mutex m_mutex;
+    std::unique_ptr<scheduler> m_scheduler;
+    std::unique_ptr<leadership> m_leadership;
+};
+
+} // namespace kingcuprudder::node
+
+#endif
--- /dev/null
+++ b/kingcuprudder/node/node_settings.hpp
@@ -0,0 +1,39 @@
+#ifndef KINGCUPRUDDER_NODE_NODE_SETTINGS_HPP
+#define KINGCUPRUDDER_NODE_NODE_SETTINGS_HPP
+
+#include <kingcuprudder/dispatch/dispatcher.hpp>
+
+#include <string>
+#include <variant>
+
+namespace kingcuprudder::node
+{
+
+/// What one process needs to know at its start.
+struct node_settings
+{
+    std::string m_name;
+    std::string m_zone;
+    std::string m_caller_address;    ///< "ip:port" for callers.
+    std::string m_readiness_address; ///< "ip:port" of the readiness check.
+    std::string m_metrics_address;   ///< "ip:port" of metrics and dumps.
+    std::string m_store_address;     ///< "ip:port" of the key-value service.
+    /// Share of a core that the instance has.
+    double m_processor_share = 1;
+    dispatch::dispatch_limits m_limits;
+    /// How long the state of an ended job can be asked for.
+    span m_status_time = span::seconds(120);
+    /// The time from a request to stop until the process is killed.
+    span m_shutdown_grace = span::seconds(6);
+
+    friend bool operator==(const node_settings&,
+                           const node_settings&) = default;
+};
+
+/// The settings in a JSON text, or a sentence that names the field at fault.
+std::variant<node_settings, std::string>
+parse_node_settings(const std::string& text);
+
+} // namespace kingcuprudder::node
+
+#endif
--- /dev/null
+++ b/kingcuprudder/node/record_watcher.cpp
@@ -0,0 +1,121 @@
+#include <kingcuprudder/node/clocks.hpp>
+#include <kingcuprudder/node/record_watcher.hpp>
+
+#include <chrono>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+constexpr span list_timeout = span(1500);
+constexpr std::chrono::milliseconds retry_pause(150);
+
+} // namespace
+
+record_watcher::record_watcher(record_store& store, event_log& log,
+                               std::string prefix, span wait, hooks calls)
+    : m_store(store), m_log(log), m_prefix(std::move(prefix)), m_wait(wait),
+      m_hooks(std::move(calls)), m_thread([this] { run(); })
+{
+}
+
+record_watcher::~record_watcher()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    m_thread.join();
+}
+
+void record_watcher::run()
+{
+    while (!m_stopping)
+    {
+        if (!list_all())
+        {
+            pause();
+            continue;
+        }
+        while (!m_stopping && follow())
+        {
+        }
+    }
+}
+
+bool record_watcher::list_all()
+{
+    const instant sent = boot_now();
+    const store_result<record_list> listed =
+        m_store.list(m_prefix, list_timeout);
+    if (!is_ok(listed))
+    {
+        note_answer(false, to_string(std::get<1>(listed)));
+        return false;
+    }
+    note_answer(true, "listed");
+    const record_list& list = std::get<0>(listed);
+    m_revision = list.m_revision;
+    m_hooks.m_listed(list);
+    if (m_hooks.m_fresh)
+    {
+        m_hooks.m_fresh(sent);
+    }
+    return true;
+}
+
+bool record_watcher::follow()
+{
+    const instant sent = boot_now();
+    const store_result<record_changes> watched =
+        m_store.watch(m_prefix, m_revision, m_wait);
+    if (is_ok(watched))
+    {
+        note_answer(true, "watched");
+        const record_changes& changes = std::get<0>(watched);
+        m_revision = changes.m_revision;
+        if (!changes.m_changes.empty())
+        {
+            m_hooks.m_changed(changes);
+        }
+        if (m_hooks.m_fresh)
+        {
+            m_hooks.m_fresh(sent);
+        }
+        return true;
+    }
+    if (std::get<1>(watched) == store_failure::compacted)
+    {
+        m_log.write("watch", "history_dropped", m_prefix,
+                    {{"revision", std::to_string(m_revision)}});
+        return false;
+    }
+    // The connection may have been cut while changes were lost with it; the
+    // list is cheap and certain.
+    note_answer(false, to_string(std::get<1>(watched)));
+    pause();
+    return false;
+}
+
+void record_watcher::note_answer(bool answered, std::string_view reason)
+{
+    if (answered != m_answers)
+    {
+        m_log.write("watch", answered ? "store_regained" : "store_lost",
+                    m_prefix,
+                    {{"reason", std::string(reason)},
+                     {"revision", std::to_string(m_revision)}});
+    }
+    m_answers = answered;
+}
+
+void record_watcher::pause()
+{
+    std::unique_lock lock(m_mutex);
+    m_wake.wait_for(lock, retry_pause, [this] { return m_stopping.load(); });
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/kingcuprudder/node/scheduler.cpp
@@ -0,0 +1,622 @@
+#include <kingcuprudder/codec/dispatch_codec.hpp>
+#include <kingcuprudder/node/clocks.hpp>
+#include <kingcuprudder/node/record_keys.hpp>
+#include <kingcuprudder/node/scheduler.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <future>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+constexpr std::size_t max_waiting_events = 20'000;
+constexpr std::size_t max_waiting_writes = 8;
+constexpr std::chrono::milliseconds tick(40);
+constexpr std::size_t max_events_per_step = 200;
+constexpr span store_timeout = span(1500);
+constexpr span load_retry = span(150);
+constexpr span write_retry = span(80);
+constexpr span watch_wait = span(1500);
+constexpr span summary_interval = span(500);
+constexpr span removal_interval = span(5000);
+// Ended jobs stay a while longer than promised, as clocks differ.
+constexpr span removal_margin = span(60'000);
+// One entry of each transaction checks the leader record.
+constexpr std::size_t max_record_entries = max_transaction_entries - 1;
+
+std::string after_prefix(const std::string& key, const std::string& prefix)
+{
+    return key.substr(prefix.size());
+}
+
+} // namespace
+
+scheduler::scheduler(scheduler_environment environment,
+                     std::shared_ptr<term> held)
+    : m_environment(std::move(environment)), m_term(std::move(held)),
+      m_dispatcher(m_environment.m_limits,
+                   [this](const std::string& event, const std::string& id,
+                          const dispatch::decision_fields& fields) {
+                       m_environment.m_log.write("scheduler", event, id,
+                                                 fields);
+                   }),
+      m_events(max_waiting_events), m_write_queue(max_waiting_writes),
+      m_writer([this] { run_writer(); }), m_thread([this] { run(); })
+{
+}
+
+scheduler::~scheduler()
+{
+    m_stopping = true;
+    m_events.close();
+    m_write_queue.close();
+    m_thread.join();
+    m_worker_watcher.reset();
+    m_job_watcher.reset();
+    m_sessions.clear();
+    m_writer.join();
+}
+
+void scheduler::post(event next)
+{
+    m_events.push(std::move(next));
+}
+
+void scheduler::run()
+{
+    m_dispatcher.begin(boot_now());
+    while (!m_stopping && !load())
+    {
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(load_retry.count()));
+    }
+    while (!m_stopping)
+    {
+        std::optional<event> next = m_events.pop(tick);
+        for (std::size_t handled = 0; next && handled < max_events_per_step;
+             ++handled)
+        {
+            (*next)();
+            next = m_events.pop(std::chrono::milliseconds(0));
+        }
+        if (next)
+        {
+            (*next)();
+        }
+        if (!m_stopping && m_term->is_valid())
+        {
+            step();
+        }
+    }
+}
+
+bool scheduler::load()
+{
+    record_store& store = m_environment.m_store;
+    const store_result<record_list> workers =
+        store.list(m_environment.m_records.m_workers_prefix, store_timeout);
+    const store_result<record_list> live =
+        store.list(record_keys::live_prefix, store_timeout);
+    const store_result<record_list> progress =
+        store.list(record_keys::progress_prefix, store_timeout);
+    if (!is_ok(workers) || !is_ok(live) || !is_ok(progress))
+    {
+        return false;
+    }
+    take_worker_list(std::get<0>(workers));
+    load_jobs(std::get<0>(live), std::get<0>(progress));
+    m_environment.m_log.write(
+        "scheduler", "state_loaded", "",
+        {{"workers",
+          std::to_string(std::get<0>(workers).m_records.size())},
+         {"jobs", std::to_string(m_dispatcher.jobs().size())},
+         {"revision", std::to_string(std::get<0>(live).m_revision)},
+         {"fence", std::to_string(m_term->fence())}});
+    follow_records(std::get<0>(live).m_revision);
+    return true;
+}
+
+void scheduler::load_jobs(const record_list& live, const record_list& progress)
+{
+    std::map<std::string, const record*> progress_of;
+    for (const record& each : progress.m_records)
+    {
+        progress_of[after_prefix(each.m_key, record_keys::progress_prefix)] =
+            &each;
+    }
+    for (const record& each : live.m_records)
+    {
+        if (!each.m_key.starts_with(record_keys::submission_prefix))
+        {
+            continue;
+        }
+        const std::string id =
+            after_prefix(each.m_key, record_keys::submission_prefix);
+        const auto found = progress_of.find(id);
+        if (found == progress_of.end())
+        {
+            continue; // Accepted after the progress was read; follows by watch.
+        }
+        const auto decoded =
+            dispatch::decode_progress(found->second->m_value);
+        if (decoded && !dispatch::is_final(decoded->m_state))
+        {
+            add_submission(each, decoded, found->second->m_revision);
+        }
+    }
+    for (const record& each : live.m_records)
+    {
+        if (each.m_key.starts_with(record_keys::cancellation_prefix))
+        {
+            take_live_record(each);
+        }
+    }
+    const instant now = boot_now();
+    for (const auto& [id, each] : progress_of)
+    {
+        const auto decoded = dispatch::decode_progress(each->m_value);
+        if (decoded && dispatch::is_final(decoded->m_state))
+        {
+            m_ended.insert(id);
+            m_removals.emplace(
+                now + m_environment.m_status_time + removal_margin, id);
+        }
+    }
+}
+
+void scheduler::follow_records(std::int64_t)
+{
+    m_job_watcher = std::make_unique<record_watcher>(
+        m_environment.m_store, m_environment.m_log, record_keys::live_prefix,
+        watch_wait,
+        record_watcher::hooks{
+            [this](const record_list& list)
+            {
+                post(
+                    [this, list]
+                    {
+                        for (const record& each : list.m_records)
+                        {
+                            take_live_record(each);
+                        }
+                    });
+            },
+            [this](const record_changes& changes)
+            {
+                post(
+                    [this, changes]
+                    {
+                        for (const auto& change : changes.m_changes)
+                        {
+                            if (!change.m_removed)
+                            {
+                                take_live_record(change.m_record);
+                            }
+                        }
+                    });
+            },
+            nullptr});
+    m_worker_watcher = std::make_unique<record_watcher>(
+        m_environment.m_store, m_environment.m_log,
+        m_environment.m_records.m_workers_prefix, watch_wait,
+        record_watcher::hooks{
+            [this](const record_list& list)
+            { post([this, list] { take_worker_list(list); }); },
+            [this](const record_changes& changes)
+            {
+                post(
+                    [this, changes]
+                    {
+                        for (const auto& change : changes.m_changes)
+                        {
+                            take_worker_record(change.m_record,
+                                               change.m_removed);
+                        }
+                    });
+            },
+            nullptr});
+}
+
+void scheduler::add_submission(
+    const record& found,
+    const std::optional<dispatch::job_progress>& progress,
+    std::int64_t progress_revision)
+{
+    const auto decoded = dispatch::decode_submission(found.m_value);
+    if (!decoded)
+    {
+        m_environment.m_log.write(
+            "scheduler", "job_record_not_read", found.m_key,
+            {{"revision", std::to_string(found.m_revision)}});
+        return;
+    }
+    m_dispatcher.add_job(*decoded, progress, progress_revision, boot_now(),
+                         wall_now());
+}
+
+void scheduler::take_live_record(const record& found)
+{
+    if (found.m_key.starts_with(record_keys::submission_prefix))
+    {
+        const std::string id =
+            after_prefix(found.m_key, record_keys::submission_prefix);
+        if (!m_dispatcher.knows_job(id) && !m_ended.contains(id))
+        {
+            // The submission and the first progress record are one write.
+            add_submission(found, std::nullopt, found.m_revision);
+        }
+    }
+    else if (found.m_key.starts_with(record_keys::cancellation_prefix))
+    {
+        m_dispatcher.cancel_job(
+            after_prefix(found.m_key, record_keys::cancellation_prefix),
+            boot_now());
+    }
+}
+
+void scheduler::take_worker_record(const record& found, bool removed)
+{
+    const std::string id =
+        after_prefix(found.m_key, m_environment.m_records.m_workers_prefix);
+    if (removed)
+    {
+        m_dispatcher.worker_unlisted(id, boot_now());
+        return;
+    }
+    const auto decoded =
+        m_environment.m_records.m_decode_worker(id, found.m_value);
+    if (decoded)
+    {
+        m_dispatcher.worker_listed(*decoded, boot_now());
+    }
+    else
+    {
+        m_environment.m_log.write(
+            "scheduler", "worker_record_not_read", id,
+            {{"revision", std::to_string(found.m_revision)}});
+        m_dispatcher.worker_unlisted(id, boot_now());
+    }
+}
+
+void scheduler::take_worker_list(const record_list& list)
+{
+    std::set<std::string> listed;
+    for (const record& each : list.m_records)
+    {
+        listed.insert(
+            after_prefix(each.m_key, m_environment.m_records.m_workers_prefix));
+        take_worker_record(each, false);
+    }
+    for (const auto& [id, worker] : m_dispatcher.workers())
+    {
+        if (!listed.contains(id))
+        {
+            m_dispatcher.worker_unlisted(id, boot_now());
+        }
+    }
+}
+
+void scheduler::step()
+{
+    if (const configuration_view::snapshot snapshot =
+            m_environment.m_configuration.current())
+    {
+        m_dispatcher.configure(snapshot->m_configuration);
+    }
+    const dispatch::dispatch_effects effects =
+        m_dispatcher.step(boot_now(), wall_now());
+    if (effects.m_deposed)
+    {
+        m_environment.m_log.write(
+            "scheduler", "fence_refused", "",
+            {{"fence", std::to_string(m_term->fence())}});
+        m_term->end();
+        return;
+    }
+    update_sessions();
+    give_orders(effects);
+    begin_write();
+    publish_summary();
+    remove_old_records();
+}
+
+void scheduler::give_orders(const dispatch::dispatch_effects& effects)
+{
+    for (const dispatch::stop_order& order : effects.m_stops)
+    {
+        const auto found = m_sessions.find(order.m_worker);
+        if (found != m_sessions.end())
+        {
+            found->second->send(order);
+        }
+    }
+    for (const dispatch::start_order& order : effects.m_starts)
+    {
+        const auto found = m_sessions.find(order.m_worker);
+        if (found != m_sessions.end())
+        {
+            found->second->send(order);
+        }
+        else
+        {
+            m_dispatcher.start_finished(
+                order, dispatch::order_outcome::not_sent, boot_now());
+        }
+    }
+}
+
+void scheduler::update_sessions()
+{
+    std::set<std::string> known;
+    for (const dispatch::renewal_request& request : m_dispatcher.renewals())
+    {
+        known.insert(request.m_worker);
+        std::unique_ptr<worker_session>& session =
+            m_sessions[request.m_worker];
+        if (!session || session->address() != request.m_address)
+        {
+            session = std::make_unique<worker_session>(
+                request.m_address,
+                m_environment.m_worker_calls(request.m_worker,
+                                             request.m_address),
+                m_term, m_environment.m_limits.m_worker_lease,
+                session_hooks());
+        }
+        session->update(request);
+    }
+    std::erase_if(m_sessions, [&](const auto& each)
+                  { return !known.contains(each.first); });
+}
+
+worker_session::hooks scheduler::session_hooks()
+{
+    worker_session::hooks hooks;
+    hooks.m_renewal_sent = [this](const std::string& worker, instant sent) {
+        post([this, worker, sent] { m_dispatcher.renewal_sent(worker, sent); });
+    };
+    hooks.m_renewal_answered = [this](const std::string& worker,
+                                      const dispatch::worker_report& report,
+                                      instant sent)
+    {
+        post([this, worker, report, sent]
+             { m_dispatcher.renewal_answered(worker, report, sent, boot_now()); });
+    };
+    hooks.m_renewal_failed = [this](const std::string& worker)
+    {
+        post([this, worker]
+             { m_dispatcher.renewal_failed(worker, boot_now()); });
+    };
+    hooks.m_start_finished =
+        [this](const dispatch::start_order& order,
+               dispatch::order_outcome outcome)
+    {
+        post([this, order, outcome]
+             { m_dispatcher.start_finished(order, outcome, boot_now()); });
+    };
+    hooks.m_stop_finished = [this](const dispatch::stop_order& order,
+                                   dispatch::order_outcome outcome)
+    {
+        post([this, order, outcome]
+             { m_dispatcher.stop_finished(order, outcome, boot_now()); });
+    };
+    return hooks;
+}
+
+void scheduler::begin_write()
+{
+    if (m_write_in_flight || !m_dispatcher.has_writes() ||
+        boot_now() < m_write_pause_until)
+    {
+        return;
+    }
+    write_job next;
+    next.m_writes = m_dispatcher.take_writes(max_record_entries);
+    next.m_transaction = transaction_of(next.m_writes);
+    m_write_in_flight = m_write_queue.try_push(std::move(next));
+    if (!m_write_in_flight)
+    {
+        for (const dispatch::job_write& write : next.m_writes)
+        {
+            m_dispatcher.write_failed(write.m_job);
+        }
+    }
+}
+
+store_transaction scheduler::transaction_of(
+    const std::vector<dispatch::job_write>& writes) const
+{
+    store_transaction transaction;
+    transaction.m_expected.emplace_back(record_keys::leader, m_term->fence());
+    for (const dispatch::job_write& write : writes)
+    {
+        const std::string key = record_keys::progress(write.m_job);
+        transaction.m_expected.emplace_back(key, write.m_revision);
+        transaction.m_writes.push_back(
+            {key, dispatch::encode_progress(write.m_progress), 0});
+        if (dispatch::is_final(write.m_progress.m_state))
+        {
+            transaction.m_removals.push_back(
+                record_keys::submission(write.m_job));
+            transaction.m_removals.push_back(
+                record_keys::cancellation(write.m_job));
+        }
+    }
+    return transaction;
+}
+
+void scheduler::run_writer()
+{
+    constexpr std::chrono::milliseconds idle(1000);
+    while (true)
+    {
+        std::optional<write_job> next = m_write_queue.pop(idle);
+        if (!next)
+        {
+            if (m_write_queue.closed())
+            {
+                return;
+            }
+            continue;
+        }
+        const store_result<commit_answer> outcome =
+            m_term->is_valid()
+                ? m_environment.m_store.commit(next->m_transaction,
+                                               store_timeout)
+                : store_result<commit_answer>(store_failure::not_done);
+        if (!next->m_writes.empty())
+        {
+            post([this, writes = next->m_writes, outcome]
+                 { finish_write(writes, outcome); });
+        }
+    }
+}
+
+void scheduler::finish_write(const std::vector<dispatch::job_write>& writes,
+                             const store_result<commit_answer>& outcome)
+{
+    m_write_in_flight = false;
+    if (!is_ok(outcome))
+    {
+        m_environment.m_log.write(
+            "scheduler", "progress_not_stored", writes.front().m_job,
+            {{"records", std::to_string(writes.size())},
+             {"reason", std::string(to_string(std::get<1>(outcome)))}});
+        for (const dispatch::job_write& write : writes)
+        {
+            m_dispatcher.write_failed(write.m_job);
+        }
+        m_write_pause_until = boot_now() + write_retry;
+        return;
+    }
+    const commit_answer& answer = std::get<0>(outcome);
+    if (const auto* conflict = std::get_if<store_conflict>(&answer))
+    {
+        resolve_conflict(writes, *conflict);
+        return;
+    }
+    for (const dispatch::job_write& write : writes)
+    {
+        if (dispatch::is_final(write.m_progress.m_state) &&
+            m_ended.insert(write.m_job).second)
+        {
+            m_removals.emplace(
+                boot_now() + m_environment.m_status_time + removal_margin,
+                write.m_job);
+        }
+        m_dispatcher.write_stored(write.m_job, write.m_version,
+                                  std::get<std::int64_t>(answer));
+    }
+}
+
+void scheduler::resolve_conflict(
+    const std::vector<dispatch::job_write>& writes,
+    const store_conflict& conflict)
+{
+    for (const record& found : conflict.m_records)
+    {
+        if (found.m_key == record_keys::leader &&
+            found.m_revision != m_term->fence())
+        {
+            m_environment.m_log.write(
+                "scheduler", "leader_replaced", "",
+                {{"fence", std::to_string(m_term->fence())},
+                 {"revision", std::to_string(found.m_revision)}});
+            m_term->end();
+            return;
+        }
+        if (found.m_key.starts_with(record_keys::progress_prefix))
+        {
+            m_dispatcher.revision_seen(
+                after_prefix(found.m_key, record_keys::progress_prefix),
+                found.m_revision);
+        }
+    }
+    for (const dispatch::job_write& write : writes)
+    {
+        m_dispatcher.write_failed(write.m_job);
+    }
+}
+
+void scheduler::publish_summary()
+{
+    const instant now = boot_now();
+    if (now - m_summary_at < summary_interval)
+    {
+        return;
+    }
+    m_summary_at = now;
+    write_job next;
+    next.m_transaction.m_expected.emplace_back(record_keys::leader,
+                                               m_term->fence());
+    next.m_transaction.m_writes.push_back(
+        {record_keys::summary,
+         dispatch::encode_summary(
+             {m_dispatcher.waiting_by_queue(), wall_now()}),
+         0});
+    m_write_queue.try_push(std::move(next));
+}
+
+void scheduler::remove_old_records()
+{
+    const instant now = boot_now();
+    if (now - m_removed_at < removal_interval)
+    {
+        return;
+    }
+    m_removed_at = now;
+    write_job next;
+    next.m_transaction.m_expected.emplace_back(record_keys::leader,
+                                               m_term->fence());
+    while (!m_removals.empty() && m_removals.begin()->first <= now &&
+           next.m_transaction.m_removals.size() < max_record_entries)
+    {
+        const std::string id = m_removals.begin()->second;
+        m_removals.erase(m_removals.begin());
+        m_ended.erase(id);
+        next.m_transaction.m_removals.push_back(record_keys::progress(id));
+    }
+    if (!next.m_transaction.m_removals.empty())
+    {
+        m_write_queue.try_push(std::move(next));
+    }
+}
+
+std::string scheduler::dump()
+{
+    auto promise = std::make_shared<std::promise<std::string>>();
+    std::future<std::string> text = promise->get_future();
+    post(
+        [this, promise]
+        {
+            nlohmann::ordered_json dump;
+            dump["fence"] = m_term->fence();
+            for (const auto& [id, worker] : m_dispatcher.workers())
+            {
+                dump["workers"][id] = {
+                    {"listed", worker.m_listed},
+                    {"reachable", worker.m_reachable},
+                    {"synced", worker.m_synced},
+                    {"tasks", worker.m_tasks.size()},
+                    {"gpus_held", worker.m_held.m_gpus},
+                    {"acknowledged", worker.m_acknowledged}};
+            }
+            for (const auto& [id, job] : m_dispatcher.jobs())
+            {
+                dump["jobs"][id] = {
+                    {"state", dispatch::to_string(job.m_state)},
+                    {"queue", job.m_submission.m_queue},
+                    {"age_ms", (boot_now() - job.m_accepted_at).count()}};
+            }
+            promise->set_value(dump.dump());
+        });
+    constexpr std::chrono::seconds longest(1);
+    return text.wait_for(longest) == std::future_status::ready ? text.get()
+                                                               : "{}";
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/kingcuprudder/node/worker_calls.hpp
@@ -0,0 +1,64 @@
+#ifndef KINGCUPRUDDER_NODE_WORKER_CALLS_HPP
+#define KINGCUPRUDDER_NODE_WORKER_CALLS_HPP
+
+#include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/dispatch/worker_description.hpp>
+#include <kingcuprudder/dispatch/worker_orders.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace kingcuprudder::node
+{
+
+/// The answer to an order.
+struct order_answer
+{
+    dispatch::order_outcome m_outcome = dispatch::order_outcome::not_sent;
+    /// The worker's clock in milliseconds, if it told it.
+    std::optional<std::int64_t> m_clock;
+};
+
+/// What a lease renewal asks for.
+struct renewal_call
+{
+    std::int64_t m_fence = 0;
+    /// The worker may forget ends up to this number.
+    std::int64_t m_acknowledged = 0;
+    /// When the lease ends on the worker's clock; none to leave it as it is.
+    std::optional<std::int64_t> m_lease_end_clock;
+    /// How long the worker may wait for an end before it answers.
+    span m_wait;
+};
+
+/// A renewal's report, or why there is none.
+using renewal_answer =
+    std::variant<dispatch::worker_report, dispatch::order_outcome>;
+
+/// Calls to one worker. Safe to use from several threads.
+class worker_calls
+{
+public:
+    virtual ~worker_calls() = default;
+
+    virtual order_answer start(const dispatch::start_order& order,
+                               std::int64_t fence,
+                               std::int64_t lease_end_clock, span timeout) = 0;
+    virtual order_answer stop(const dispatch::stop_order& order,
+                              std::int64_t fence, span timeout) = 0;
+    virtual renewal_answer renew(const renewal_call& call, span timeout) = 0;
+    /// Fails the calls in progress and all later ones.
+    virtual void cancel() = 0;
+};
+
+/// Makes the calls to the worker with this id and address.
+using worker_calls_factory = std::function<std::unique_ptr<worker_calls>(
+    const std::string& id, const std::string& address)>;
+
+} // namespace kingcuprudder::node
+
+#endif
--- a/kingcuprudder/runtime/http_connections.cpp
+++ b/kingcuprudder/runtime/http_connections.cpp
@@ -25,24 +25,26 @@
     {
     }
 
-    std::optional<http_answer> run(span timeout, const http_call& call)
+    http_outcome run_once(span timeout, const http_call& call)
     {
         std::unique_ptr<httplib::Client> client = take();
         if (!client)
         {
-            return std::nullopt;
+            return http_failure::not_sent;
         }
         const std::chrono::milliseconds limit(timeout.count());
         client->set_read_timeout(limit);
         client->set_write_timeout(limit);
         const httplib::Result result = call(*client);
-        std::optional<http_answer> answer;
+        give_back(std::move(client), static_cast<bool>(result));
         if (result)
         {
-            answer = http_answer{result->status, result->body};
+            return http_answer{result->status, result->body};
         }
-        give_back(std::move(client), answer.has_value());
-        return answer;
+        return result.error() == httplib::Error::Connection ||
+                       result.error() == httplib::Error::ConnectionTimeout
+                   ? http_failure::not_sent
+                   : http_failure::unanswered;
     }
 
     void stop()
@@ -86,7 +88,11 @@
     {
         std::lock_guard lock(m_mutex);
         m_busy.erase(client.get());
-        if (usable && m_idle.size() < max_idle_connections)
+        if (!usable)
+        {
+            m_idle.clear();
+        }
+        else if (m_idle.size() < max_idle_connections)
         {
             m_idle.push_back(std::move(client));
         }
@@ -112,7 +118,17 @@
 std::optional<http_answer> http_connections::run(span timeout,
                                                  const http_call& call)
 {
-    return m_implementation->run(timeout, call);
+    const http_outcome outcome = m_implementation->run_once(timeout, call);
+    if (const auto* answer = std::get_if<http_answer>(&outcome))
+    {
+        return *answer;
+    }
+    return std::nullopt;
+}
+
+http_outcome http_connections::run_once(span timeout, const http_call& call)
+{
+    return m_implementation->run_once(timeout, call);
 }
 
 void http_connections::stop()
--- a/kingcuprudder/runtime/http_connections.hpp
+++ b/kingcuprudder/runtime/http_connections.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace httplib
 {
@@ -24,6 +25,15 @@
     std::string m_body;
 };
 
+/// Why an HTTP call has no answer.
+enum class http_failure
+{
+    not_sent,   ///< No connection could be opened.
+    unanswered, ///< The call may have been carried out.
+};
+
+using http_outcome = std::variant<http_answer, http_failure>;
+
 /// Kept HTTP connections to one address. Each call uses one that is free or
 /// opens a new one; a connection on which a call failed is closed. Safe to
 /// use from several threads.
@@ -42,6 +52,10 @@
     /// no complete answer.
     std::optional<http_answer> run(span timeout, const http_call& call);
 
+    /// The same, and tells whether an unanswered call was sent. After one, the
+    /// idle connections are closed, as they may be as dead as this one.
+    http_outcome run_once(span timeout, const http_call& call);
+
     /// Fails the calls in progress and all later ones.
     void stop();
 
