--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -121,6 +121,10 @@
           {{"queue", submission.m_queue},
            {"revision", number(revision)},
            {"age_ms", number(age.count())}});
+    if (m_early_cancellations.erase(submission.m_id) > 0)
+    {
+        cancel_job(submission.m_id, now);
+    }
 }
 
 bool dispatcher::knows_job(const std::string& id)
@@ -131,7 +135,12 @@
 void dispatcher::cancel_job(const std::string& id, instant now)
 {
     job_entry* job = m_jobs.find(id);
-    if (job == nullptr || is_final(job->m_state))
+    if (job == nullptr)
+    {
+        m_early_cancellations.insert(id);
+        return;
+    }
+    if (is_final(job->m_state))
     {
         return;
     }
@@ -333,8 +342,12 @@
         run_over(job, ref, reason, now);
         return;
     }
+    if (task.m_active->m_phase == run_phase::unverified)
+    {
+        // Orders of an earlier term are refused, so every report counts.
+        task.m_active->m_listed_from = m_begun;
+    }
     task.m_active->m_phase = run_phase::stopping;
-    task.m_active->m_listed_from.reset();
     task.m_active->m_stop_sent_at.reset();
     worker(task.m_active->m_worker).m_leaving += job.step(ref).m_demand;
     m_log("run_stopping", ref.str(),
@@ -705,6 +718,10 @@
 void dispatcher::stop_finished(const stop_order& order, order_outcome outcome,
                                instant now)
 {
+    m_log("stop_answered", order.m_run.m_task.str(),
+          {{"run", number(order.m_run.m_run)},
+           {"worker", order.m_worker},
+           {"outcome", std::string(to_string(outcome))}});
     if (outcome == order_outcome::refused_fence)
     {
         m_deposed = true;
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,7 @@
                  const std::optional<job_progress>& progress,
                  std::int64_t revision, instant now, instant wall_now);
     bool knows_job(const std::string& id);
+    /// Cancels the job, or remembers that it must be cancelled when it comes.
     void cancel_job(const std::string& id, instant now);
 
     /// The platform's list of workers names this one.
@@ -145,6 +147,8 @@
     /// Runs that no record explains and that must be stopped.
     std::map<std::pair<std::string, run_ref>, std::optional<instant>>
         m_foreign_runs;
+    /// Cancelled before they were added.
+    std::set<std::string> m_early_cancellations;
     instant m_begun;
     bool m_deposed = false;
 };
--- a/kingcuprudder/node/event_log.cpp
+++ b/kingcuprudder/node/event_log.cpp
@@ -26,6 +26,8 @@
 constexpr std::int64_t max_lines_per_second = 600;
 constexpr std::int64_t max_burst_lines = 3000;
 constexpr std::int64_t millis_per_second = 1000;
+constexpr int flush_tries = 50;
+constexpr std::chrono::milliseconds flush_poll(5);
 
 log4cplus::Logger open_stdout_logger()
 {
@@ -75,6 +77,15 @@
         }
     }
 
+    void flush()
+    {
+        m_lines.close();
+        for (int tries = 0; tries < flush_tries && !m_finished; ++tries)
+        {
+            std::this_thread::sleep_for(flush_poll);
+        }
+    }
+
 private:
     std::string format(const std::string& part, const std::string& event,
                        const std::string& id,
@@ -125,6 +136,7 @@
             }
             else if (m_lines.closed())
             {
+                m_finished = true;
                 return;
             }
             report_dropped();
@@ -149,6 +161,7 @@
     std::int64_t m_tokens = max_burst_lines * millis_per_second;
     instant m_refilled_at;
     std::atomic<std::uint64_t> m_dropped = 0;
+    std::atomic<bool> m_finished = false;
     std::thread m_thread;
 };
 
@@ -159,6 +172,11 @@
 
 event_log::~event_log() = default;
 
+void event_log::flush()
+{
+    m_implementation->flush();
+}
+
 void event_log::write(const std::string& part, const std::string& event,
                       const std::string& id,
                       const dispatch::decision_fields& fields)
--- a/kingcuprudder/node/event_log.hpp
+++ b/kingcuprudder/node/event_log.hpp
@@ -24,6 +24,8 @@
 
     void write(const std::string& part, const std::string& event,
                const std::string& id, const dispatch::decision_fields& fields);
+    /// Waits a short while until the lines are written.
+    void flush();
 
 private:
     class implementation;
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -250,8 +250,9 @@
     {
         return refusal::unavailable;
     }
-    const std::string& account = std::get<0>(access).m_account;
-    if (!*progress || (**progress).m_account != account)
+    // Any key that is valid for the queue may ask: an account whose keys were
+    // all replaced still follows its jobs.
+    if (!*progress)
     {
         return refusal::unknown_job;
     }
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -40,9 +40,9 @@
                      std::shared_ptr<term> held)
     : m_environment(std::move(environment)), m_term(std::move(held)),
       m_dispatcher(m_environment.m_limits,
-                   [this](const std::string& event, const std::string& id,
+                   [this](const std::string& kind, const std::string& id,
                           const dispatch::decision_fields& fields) {
-                       m_environment.m_log.write("scheduler", event, id,
+                       m_environment.m_log.write("scheduler", kind, id,
                                                  fields);
                    }),
       m_events(max_waiting_events), m_write_queue(max_waiting_writes),
@@ -253,9 +253,12 @@
     }
     else if (found.m_key.starts_with(record_keys::cancellation_prefix))
     {
-        m_dispatcher.cancel_job(
-            after_prefix(found.m_key, record_keys::cancellation_prefix),
-            boot_now());
+        const std::string id =
+            after_prefix(found.m_key, record_keys::cancellation_prefix);
+        if (!m_ended.contains(id))
+        {
+            m_dispatcher.cancel_job(id, boot_now());
+        }
     }
 }
 
