Metrics, fewer store calls and log lines, lead on the largest instance

Change: changes of worker records are gathered for 300 ms, one line for each end, store calls and callers' answers are counted and timed, an instance smaller than the last leader waits before it takes the lead, and a job counts as begun when a worker has confirmed a run.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -23,6 +23,8 @@
 constexpr span failing_worker_pause = span(4000);
 constexpr span busy_worker_pause = span(1000);
 
+const std::string listed_end = "ended";
+
 std::string number(std::int64_t value)
 {
     return std::to_string(value);
@@ -309,10 +311,6 @@
     task.m_progress.m_last_run = run;
     task.m_progress.m_worker = where.id();
     task.m_progress.m_worker_started = where.m_description.m_started;
-    if (job.m_state == job_state::queued)
-    {
-        job.m_state = job_state::running;
-    }
     m_jobs.touch(job);
     active.m_needs_version = job.m_version;
     task.m_active = active;
@@ -381,11 +379,14 @@
     task.m_active.reset();
     task.m_progress.m_worker.clear();
     m_jobs.touch(job);
-    m_log("run_over", ref.str(),
-          {{"run", number(active.m_number)},
-           {"worker", active.m_worker},
-           {"reason", reason},
-           {"held_ms", number((now - active.m_assigned_at).count())}});
+    if (reason != listed_end) // The end has a line of its own.
+    {
+        m_log("run_over", ref.str(),
+              {{"run", number(active.m_number)},
+               {"worker", active.m_worker},
+               {"reason", reason},
+               {"held_ms", number((now - active.m_assigned_at).count())}});
+    }
     if (job.step(ref).m_gang && !task.m_progress.m_done)
     {
         break_gang(job, ref, "another member ended: " + reason, now);
@@ -455,11 +456,7 @@
         active.m_phase = run_phase::confirmed;
         active.m_listed_from = now;
     }
-    if (!active.m_started_at)
-    {
-        active.m_started_at = now;
-        active.m_percent_changed_at = now;
-    }
+    note_started(*job, active, now);
     if (report.m_percent != active.m_percent)
     {
         active.m_percent = report.m_percent;
@@ -471,6 +468,20 @@
     }
 }
 
+void dispatcher::note_started(job_entry& job, active_run& run, instant now)
+{
+    if (!run.m_started_at)
+    {
+        run.m_started_at = now;
+        run.m_percent_changed_at = now;
+    }
+    if (job.m_state == job_state::queued)
+    {
+        job.m_state = job_state::running;
+        m_jobs.touch(job);
+    }
+}
+
 void dispatcher::apply_end(worker_entry& where, const ended_report& report,
                            instant now)
 {
@@ -496,9 +507,16 @@
     m_log("run_ended", report.m_task,
           {{"run", number(report.m_run)},
            {"worker", where.id()},
-           {"how", number(static_cast<int>(report.m_how))},
+           {"how", std::string(to_string(report.m_how))},
            {"end_number", number(report.m_number)},
-           {"current", was_active ? "true" : "false"}});
+           {"held_ms",
+            was_active
+                ? number((now - task.m_active->m_assigned_at).count())
+                : "not the newest run"}});
+    if (job->m_state == job_state::queued)
+    {
+        job->m_state = job_state::running;
+    }
     if (!report.m_checkpoint.empty())
     {
         task.m_progress.m_checkpoint = report.m_checkpoint;
@@ -518,7 +536,7 @@
     }
     if (was_active && job->task(*ref).m_active)
     {
-        run_over(*job, *ref, "ended", now);
+        run_over(*job, *ref, listed_end, now);
     }
     m_jobs.touch(*job);
     where.m_unstored_ends[report.m_number] = {job->m_submission.m_id,
@@ -668,10 +686,13 @@
                                 order_outcome outcome, instant now)
 {
     const task_ref& ref = order.m_run.m_task;
-    m_log("start_answered", ref.str(),
-          {{"run", number(order.m_run.m_run)},
-           {"worker", order.m_worker},
-           {"outcome", std::string(to_string(outcome))}});
+    if (outcome != order_outcome::accepted)
+    {
+        m_log("start_not_accepted", ref.str(),
+              {{"run", number(order.m_run.m_run)},
+               {"worker", order.m_worker},
+               {"outcome", std::string(to_string(outcome))}});
+    }
     if (outcome == order_outcome::refused_fence)
     {
         m_deposed = true;
@@ -696,11 +717,7 @@
         if (active.m_phase == run_phase::confirmed)
         {
             active.m_listed_from = now;
-            if (!active.m_started_at)
-            {
-                active.m_started_at = now;
-                active.m_percent_changed_at = now;
-            }
+            note_started(*job, active, now);
         }
         return;
     case order_outcome::refused_old:
@@ -737,10 +754,13 @@
 void dispatcher::stop_finished(const stop_order& order, order_outcome outcome,
                                instant now)
 {
-    m_log("stop_answered", order.m_run.m_task.str(),
-          {{"run", number(order.m_run.m_run)},
-           {"worker", order.m_worker},
-           {"outcome", std::string(to_string(outcome))}});
+    if (outcome != order_outcome::accepted)
+    {
+        m_log("stop_not_accepted", order.m_run.m_task.str(),
+              {{"run", number(order.m_run.m_run)},
+               {"worker", order.m_worker},
+               {"outcome", std::string(to_string(outcome))}});
+    }
     if (outcome == order_outcome::refused_fence)
     {
         m_deposed = true;
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -121,6 +121,8 @@
                           instant now);
     void new_life(worker_entry& where, std::int64_t started, instant now);
 
+    /// A worker is known to have begun the run.
+    void note_started(job_entry& job, active_run& run, instant now);
     void apply_running(worker_entry& where, const running_report& report,
                        instant now);
     void apply_end(worker_entry& where, const ended_report& report,
--- a/kingcuprudder/dispatch/worker_description.hpp
+++ b/kingcuprudder/dispatch/worker_description.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kingcuprudder::dispatch
@@ -44,6 +45,8 @@
     gang_missing, ///< The other members did not come in time.
 };
 
+std::string_view to_string(run_end how);
+
 /// A run that a worker holds.
 struct running_report
 {
--- a/kingcuprudder/node/configuration_view.cpp
+++ b/kingcuprudder/node/configuration_view.cpp
@@ -10,7 +10,7 @@
 {
 
 // A watch that stays silent longer than this is not relied on.
-constexpr span watch_wait = span(800);
+constexpr span watch_wait = span(1200);
 
 } // namespace
 
@@ -18,7 +18,7 @@
                                        const external_records& records,
                                        event_log& log)
     : m_store(store), m_records(records), m_log(log),
-      m_watcher(store, log, records.m_configuration_key, watch_wait,
+      m_watcher(store, log, records.m_configuration_key, watch_wait, span(0),
                 {[this](const record_list& list)
                  {
                      for (const record& each : list.m_records)
--- a/kingcuprudder/node/event_log.cpp
+++ b/kingcuprudder/node/event_log.cpp
@@ -21,9 +21,10 @@
 
 constexpr std::size_t max_waiting_lines = 2000;
 constexpr span drain_interval = span(200);
+constexpr span report_interval = span(1000);
 // Lines over this rate are dropped, so that a burst of events cannot fill the
 // collector's disk.
-constexpr std::int64_t max_lines_per_second = 600;
+constexpr std::int64_t max_lines_per_second = 1200;
 constexpr std::int64_t max_burst_lines = 3000;
 constexpr std::int64_t millis_per_second = 1000;
 constexpr int flush_tries = 50;
@@ -145,6 +146,11 @@
 
     void report_dropped()
     {
+        if (boot_now() - m_reported_at < report_interval)
+        {
+            return;
+        }
+        m_reported_at = boot_now();
         const std::uint64_t dropped = m_dropped.exchange(0);
         if (dropped > 0)
         {
@@ -162,6 +168,7 @@
     instant m_refilled_at;
     std::atomic<std::uint64_t> m_dropped = 0;
     std::atomic<bool> m_finished = false;
+    instant m_reported_at;
     std::thread m_thread;
 };
 
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -15,7 +15,7 @@
 
 // A key that was taken away must stop working within seconds, so a
 // configuration is confirmed at least this often before it is used.
-constexpr span configuration_max_age = span(1500);
+constexpr span configuration_max_age = span(2000);
 constexpr span store_call_timeout = span(900);
 constexpr span shortest_call = span(50);
 constexpr span answer_margin = span(60);
--- a/kingcuprudder/node/leadership.cpp
+++ b/kingcuprudder/node/leadership.cpp
@@ -20,6 +20,8 @@
 constexpr span call_timeout = span(800);
 // The holder stops before its lease can run out at the store.
 constexpr span safety_margin = span(300);
+// Instances with more processor time are the first to take the lead.
+constexpr double delay_per_core_ms = 900;
 constexpr span watch_wait = span(2000);
 constexpr span follow_retry = span(200);
 
@@ -38,9 +40,9 @@
 }
 
 leadership::leadership(record_store& store, event_log& log, std::string node,
-                       span start_delay, hooks calls)
+                       double processor_share, hooks calls)
     : m_store(store), m_log(log), m_node(std::move(node)),
-      m_process(random_name()), m_start_delay(start_delay),
+      m_process(random_name()), m_processor_share(processor_share),
       m_hooks(std::move(calls)), m_thread([this] { run(); })
 {
 }
@@ -63,9 +65,19 @@
     }
 }
 
+span leadership::start_delay() const
+{
+    const double missing =
+        std::max(0.0, m_best_share - m_processor_share);
+    return span(static_cast<std::int64_t>(missing * delay_per_core_ms));
+}
+
 std::string leadership::own_value() const
 {
-    return nlohmann::json{{"node", m_node}, {"process", m_process}}.dump();
+    return nlohmann::json{{"node", m_node},
+                          {"process", m_process},
+                          {"processor_share", m_processor_share}}
+        .dump();
 }
 
 std::optional<leadership::holder>
@@ -74,7 +86,8 @@
     try
     {
         const nlohmann::json json = nlohmann::json::parse(value);
-        return holder{json.at("node"), json.at("process")};
+        return holder{json.at("node"), json.at("process"),
+                      json.at("processor_share")};
     }
     catch (const nlohmann::json::exception&)
     {
@@ -115,7 +128,7 @@
     const std::optional<record>& leader = std::get<0>(found);
     if (!leader)
     {
-        pause(m_start_delay);
+        pause(start_delay());
         if (!m_stopping)
         {
             try_to_lead(0);
@@ -130,6 +143,10 @@
         return;
     }
     const std::string name = held_by ? held_by->m_node : "";
+    if (held_by)
+    {
+        m_best_share = held_by->m_processor_share;
+    }
     if (name != m_seen_holder)
     {
         m_log.write("leadership", "leader_seen", "",
--- a/kingcuprudder/node/leadership.hpp
+++ b/kingcuprudder/node/leadership.hpp
@@ -55,7 +55,7 @@
     /// The node name must be unique; a process that starts on a node takes
     /// over at once from an earlier process of the same node, which is gone.
     leadership(record_store& store, event_log& log, std::string node,
-               span start_delay, hooks calls);
+               double processor_share, hooks calls);
     ~leadership();
     leadership(const leadership&) = delete;
     leadership& operator=(const leadership&) = delete;
@@ -68,6 +68,7 @@
     {
         std::string m_node;
         std::string m_process;
+        double m_processor_share = 0;
     };
 
     void run();
@@ -77,6 +78,8 @@
     bool own_record(std::int64_t revision, instant lease_sent);
     void end_term(const std::string& reason);
     void pause(span time);
+    /// How long this process lets others take the lead first.
+    span start_delay() const;
     std::string own_value() const;
     static std::optional<holder> read_holder(const std::string& value);
 
@@ -84,7 +87,9 @@
     event_log& m_log;
     std::string m_node;
     std::string m_process;
-    span m_start_delay;
+    double m_processor_share;
+    /// The most processor time that a leader was seen to have.
+    double m_best_share = 1;
     hooks m_hooks;
     std::int64_t m_lease = 0;
     std::shared_ptr<term> m_term;
--- a/kingcuprudder/node/node.cpp
+++ b/kingcuprudder/node/node.cpp
@@ -11,15 +11,6 @@
 
 // Callers are sent elsewhere when the store has not answered for this long.
 constexpr span ready_max_age = span(2500);
-// Instances with more processor time are the first to take the lead.
-constexpr double start_delay_per_missing_core_ms = 200;
-
-span start_delay(const node_settings& settings)
-{
-    const double missing = std::max(0.0, 1.0 - settings.m_processor_share);
-    return span(static_cast<std::int64_t>(missing *
-                                          start_delay_per_missing_core_ms));
-}
 
 } // namespace
 
@@ -41,7 +32,8 @@
     };
     m_leadership =
         std::make_unique<leadership>(store, log, settings.m_name,
-                                     start_delay(settings), std::move(hooks));
+                                     settings.m_processor_share,
+                                     std::move(hooks));
 }
 
 node::~node()
--- /dev/null
+++ b/kingcuprudder/node/node_metrics.cpp
@@ -0,0 +1,45 @@
+#include <kingcuprudder/node/node_metrics.hpp>
+
+namespace kingcuprudder::node
+{
+
+call_metrics& node_metrics::calls(const std::string& dependency,
+                                  const std::string& kind)
+{
+    std::lock_guard lock(m_mutex);
+    const auto [found, added] =
+        m_calls.try_emplace(std::pair(dependency, kind));
+    if (added)
+    {
+        const metric_labels labels{{"dependency", dependency}, {"call", kind}};
+        found->second.m_answered = m_registry.add_counter(
+            "kcr_calls_answered_total", "Calls that were answered", labels);
+        found->second.m_failed = m_registry.add_counter(
+            "kcr_calls_failed_total", "Calls without a usable answer", labels);
+        found->second.m_latency_ms = m_registry.add_histogram(
+            "kcr_call_duration_ms", "Time until the answer or the failure",
+            latency_bounds_ms(), labels);
+    }
+    return found->second;
+}
+
+void node_metrics::caller_answer(const std::string& method, int status,
+                                 double took_ms)
+{
+    std::lock_guard lock(m_mutex);
+    const auto [found, added] = m_answers.try_emplace(std::pair(method, status));
+    if (added)
+    {
+        const metric_labels labels{{"method", method},
+                                   {"status", std::to_string(status)}};
+        found->second.m_answered = m_registry.add_counter(
+            "kcr_caller_answers_total", "Answers to callers", labels);
+        found->second.m_latency_ms = m_registry.add_histogram(
+            "kcr_caller_answer_duration_ms", "Time until the answer",
+            latency_bounds_ms(), labels);
+    }
+    found->second.m_answered.increment();
+    found->second.m_latency_ms.observe(took_ms);
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/kingcuprudder/node/node_metrics.hpp
@@ -0,0 +1,43 @@
+#ifndef KINGCUPRUDDER_NODE_NODE_METRICS_HPP
+#define KINGCUPRUDDER_NODE_NODE_METRICS_HPP
+
+#include <kingcuprudder/runtime/metrics.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace kingcuprudder::node
+{
+
+/// A counter and a latency histogram of one kind of call.
+struct call_metrics
+{
+    metric_counter m_answered;
+    metric_counter m_failed;
+    metric_histogram m_latency_ms;
+};
+
+/// The metrics of one process, each kind of call under its own label. Safe to
+/// use from several threads.
+class node_metrics
+{
+public:
+    /// The metrics of calls to a dependency, as "store" and "watch".
+    call_metrics& calls(const std::string& dependency, const std::string& kind);
+    /// The metrics of callers' requests by method and status.
+    void caller_answer(const std::string& method, int status, double took_ms);
+    /// All metrics in the Prometheus text format.
+    std::string text() const { return m_registry.text(); }
+
+private:
+    metrics_registry m_registry;
+    std::mutex m_mutex;
+    std::map<std::pair<std::string, std::string>, call_metrics> m_calls;
+    std::map<std::pair<std::string, int>, call_metrics> m_answers;
+};
+
+} // namespace kingcuprudder::node
+
+#endif
--- a/kingcuprudder/node/record_watcher.cpp
+++ b/kingcuprudder/node/record_watcher.cpp
@@ -10,13 +10,14 @@
 {
 
 constexpr span list_timeout = span(1500);
-constexpr std::chrono::milliseconds retry_pause(150);
+constexpr span retry_pause = span(150);
 
 } // namespace
 
 record_watcher::record_watcher(record_store& store, event_log& log,
-                               std::string prefix, span wait, hooks calls)
-    : m_store(store), m_log(log), m_prefix(std::move(prefix)), m_wait(wait),
+                               std::string prefix, span wait, span gather,
+                               hooks calls)
+    : m_store(store), m_log(log), m_prefix(std::move(prefix)), m_wait(wait), m_gather(gather),
       m_hooks(std::move(calls)), m_thread([this] { run(); })
 {
 }
@@ -37,7 +38,7 @@
     {
         if (!list_all())
         {
-            pause();
+            pause(retry_pause);
             continue;
         }
         while (!m_stopping && follow())
@@ -85,6 +86,10 @@
         {
             m_hooks.m_fresh(sent);
         }
+        if (!changes.m_changes.empty() && m_gather.count() > 0)
+        {
+            pause(m_gather);
+        }
         return true;
     }
     if (std::get<1>(watched) == store_failure::compacted)
@@ -96,7 +101,7 @@
     // The connection may have been cut while changes were lost with it; the
     // list is cheap and certain.
     note_answer(false, to_string(std::get<1>(watched)));
-    pause();
+    pause(retry_pause);
     return false;
 }
 
@@ -112,10 +117,11 @@
     m_answers = answered;
 }
 
-void record_watcher::pause()
+void record_watcher::pause(span time)
 {
     std::unique_lock lock(m_mutex);
-    m_wake.wait_for(lock, retry_pause, [this] { return m_stopping.load(); });
+    m_wake.wait_for(lock, std::chrono::milliseconds(time.count()),
+                    [this] { return m_stopping.load(); });
 }
 
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/record_watcher.hpp
+++ b/kingcuprudder/node/record_watcher.hpp
@@ -28,8 +28,10 @@
         std::function<void(instant sent)> m_fresh;
     };
 
+    /// After changes the next call is made no sooner than the given time, so
+    /// that frequent changes come several at a time.
     record_watcher(record_store& store, event_log& log, std::string prefix,
-                   span wait, hooks calls);
+                   span wait, span gather, hooks calls);
     ~record_watcher();
     record_watcher(const record_watcher&) = delete;
     record_watcher& operator=(const record_watcher&) = delete;
@@ -39,13 +41,14 @@
     bool list_all();
     /// False when the list must be read again.
     bool follow();
-    void pause();
+    void pause(span time);
     void note_answer(bool answered, std::string_view reason);
 
     record_store& m_store;
     event_log& m_log;
     std::string m_prefix;
     span m_wait;
+    span m_gather;
     hooks m_hooks;
     std::int64_t m_revision = 0;
     bool m_answers = true;
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -22,6 +22,8 @@
 constexpr span load_retry = span(150);
 constexpr span write_retry = span(80);
 constexpr span watch_wait = span(1500);
+// Each worker writes every second or so, and few of these changes matter.
+constexpr span worker_gather = span(300);
 constexpr span summary_interval = span(500);
 constexpr span removal_interval = span(5000);
 // Ended jobs stay a while longer than promised, as clocks differ.
@@ -173,7 +175,7 @@
 {
     m_job_watcher = std::make_unique<record_watcher>(
         m_environment.m_store, m_environment.m_log, record_keys::live_prefix,
-        watch_wait,
+        watch_wait, span(0),
         record_watcher::hooks{
             [this](const record_list& list)
             {
@@ -203,7 +205,7 @@
             nullptr});
     m_worker_watcher = std::make_unique<record_watcher>(
         m_environment.m_store, m_environment.m_log,
-        m_environment.m_records.m_workers_prefix, watch_wait,
+        m_environment.m_records.m_workers_prefix, watch_wait, worker_gather,
         record_watcher::hooks{
             [this](const record_list& list)
             { post([this, list] { take_worker_list(list); }); },
