--- a/kingcuprudder/codec/dispatch_codec.hpp
+++ b/kingcuprudder/codec/dispatch_codec.hpp
@@ -27,7 +27,8 @@
     std::map<std::string, int> m_waiting;
     instant m_written_at; ///< Wall time.
 
-    friend bool operator==(const queue_summary&, const queue_summary&) = default;
+    friend bool operator==(const queue_summary&,
+                           const queue_summary&) = default;
 };
 
 std::string encode_summary(const queue_summary& summary);
--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -76,8 +76,7 @@
                          const std::optional<job_progress>& progress,
                          std::int64_t revision, instant now, instant wall_now)
 {
-    const span age =
-        std::max(span(0), wall_now - submission.m_accepted_at);
+    const span age = std::max(span(0), wall_now - submission.m_accepted_at);
     job_entry& job = m_jobs.add(submission, progress, revision, now - age);
     job.predict(m_durations);
     for (std::size_t repeat = 0; repeat < job.m_tasks.size(); ++repeat)
@@ -112,10 +111,9 @@
                 }
                 life = stored.m_worker_started;
                 tasks[index].m_active = run;
-                where.m_tasks.insert(task_ref{submission.m_id,
-                                              static_cast<int>(repeat),
-                                              static_cast<int>(step),
-                                              static_cast<int>(index)});
+                where.m_tasks.insert(
+                    task_ref{submission.m_id, static_cast<int>(repeat),
+                             static_cast<int>(step), static_cast<int>(index)});
                 add_held(where, submission.m_steps[step]);
             }
         }
@@ -190,8 +188,8 @@
     }
     found->second.m_listed = false;
     m_log("worker_unlisted", id,
-          {{"tasks", number(static_cast<std::int64_t>(
-                         found->second.m_tasks.size()))},
+          {{"tasks",
+            number(static_cast<std::int64_t>(found->second.m_tasks.size()))},
            {"last_answer_age_ms",
             number((now - found->second.m_last_answer).count())}});
 }
@@ -224,8 +222,8 @@
     if (!where.m_reachable || !where.m_synced)
     {
         m_log("worker_answers", id,
-              {{"running", number(static_cast<std::int64_t>(
-                               report.m_running.size()))},
+              {{"running",
+                number(static_cast<std::int64_t>(report.m_running.size()))},
                {"ended",
                 number(static_cast<std::int64_t>(report.m_ended.size()))}});
     }
@@ -250,10 +248,10 @@
     worker_entry& where = worker(id);
     if (where.m_reachable)
     {
-        m_log("worker_silent", id,
-              {{"tasks",
-                number(static_cast<std::int64_t>(where.m_tasks.size()))},
-               {"lease_left_ms", number((where.m_lease_end - now).count())}});
+        m_log(
+            "worker_silent", id,
+            {{"tasks", number(static_cast<std::int64_t>(where.m_tasks.size()))},
+             {"lease_left_ms", number((where.m_lease_end - now).count())}});
     }
     where.m_reachable = false;
 }
@@ -317,15 +315,15 @@
     where.m_planned += job.step(ref).m_demand;
     where.m_tasks.insert(ref);
     const resources left = where.plannable();
-    m_log("task_assigned", ref.str(),
-          {{"run", number(run)},
-           {"worker", where.id()},
-           {"zone", where.m_description.m_zone},
-           {"rack", where.m_description.m_rack},
-           {"gpus_left", number(left.m_gpus)},
-           {"worker_answer_age_ms",
-            number((now - where.m_last_answer).count())},
-           {"waited_ms", number((now - job.m_accepted_at).count())}});
+    m_log(
+        "task_assigned", ref.str(),
+        {{"run", number(run)},
+         {"worker", where.id()},
+         {"zone", where.m_description.m_zone},
+         {"rack", where.m_description.m_rack},
+         {"gpus_left", number(left.m_gpus)},
+         {"worker_answer_age_ms", number((now - where.m_last_answer).count())},
+         {"waited_ms", number((now - job.m_accepted_at).count())}});
 }
 
 void dispatcher::begin_stopping(job_entry& job, const task_ref& ref,
@@ -416,8 +414,8 @@
         ref.m_step = 0;
         for (auto& step : repeat)
         {
-            for (ref.m_index = 0;
-                 ref.m_index < static_cast<int>(step.size()); ++ref.m_index)
+            for (ref.m_index = 0; ref.m_index < static_cast<int>(step.size());
+                 ++ref.m_index)
             {
                 begin_stopping(job, ref, reason, now);
             }
@@ -464,31 +462,19 @@
     }
 }
 
-bool dispatcher::works_at_full_speed(const job_entry& job,
-                                     const task_ref& ref)
+bool dispatcher::works_at_full_speed(const job_entry& job, const task_ref& ref)
 {
     const job_step& step = job.step(ref);
-    const auto& tasks = job.m_tasks[ref.m_repeat][ref.m_step];
-    if (step.m_persistent || step.m_fills)
+    // The members of a gang stand still together, so their speed does not tell
+    // which worker is slow; and a new start would lose the work of all.
+    if (step.m_persistent || step.m_fills || step.m_gang)
     {
         return false;
     }
-    const std::string& rack =
-        worker(tasks[ref.m_index].m_active->m_worker).m_description.m_rack;
-    if (!step.m_data_rack.empty() && step.m_data_rack != rack)
-    {
-        return false;
-    }
-    return !step.m_gang ||
-           std::all_of(tasks.begin(), tasks.end(),
-                       [&](const task_entry& member)
-                       {
-                           return member.m_active &&
-                                  member.m_active->m_started_at &&
-                                  (!step.m_same_rack ||
-                                   worker(member.m_active->m_worker)
-                                           .m_description.m_rack == rack);
-                       });
+    const task_entry& task = job.m_tasks[ref.m_repeat][ref.m_step][ref.m_index];
+    return step.m_data_rack.empty() ||
+           step.m_data_rack ==
+               worker(task.m_active->m_worker).m_description.m_rack;
 }
 
 void dispatcher::follow_progress(job_entry& job, const task_ref& ref,
@@ -517,14 +503,13 @@
         }
         const run_progress& progress = job->task(ref).m_active->m_progress;
         any_slow = any_slow || progress.is_slow();
-        any_sound = any_sound || (progress.percent() > 0 && !progress.is_slow());
+        any_sound =
+            any_sound || (progress.percent() > 0 && !progress.is_slow());
     }
     if (!any_slow)
     {
         return;
     }
-    // In a gang each member stands still when one worker does, so a worker on
-    // which other runs go on is not the cause.
     if (!any_sound && where.m_avoid_until < now + slow_worker_pause)
     {
         where.m_avoid_until = now + slow_worker_pause;
@@ -591,9 +576,8 @@
            {"how", std::string(to_string(report.m_how))},
            {"end_number", number(report.m_number)},
            {"held_ms",
-            was_active
-                ? number((now - task.m_active->m_assigned_at).count())
-                : "not the newest run"}});
+            was_active ? number((now - task.m_active->m_assigned_at).count())
+                       : "not the newest run"}});
     if (job->m_state == job_state::queued)
     {
         job->m_state = job_state::running;
@@ -667,8 +651,8 @@
     {
         where.m_avoid_until = now + failing_worker_pause;
         m_log("worker_avoided", where.id(),
-              {{"failed_jobs", number(static_cast<std::int64_t>(
-                                   where.m_failed_jobs.size()))},
+              {{"failed_jobs",
+                number(static_cast<std::int64_t>(where.m_failed_jobs.size()))},
                {"for_ms", number(failing_worker_pause.count())}});
     }
     task_ref counted = ref;
@@ -748,10 +732,9 @@
     }
     for (auto each = m_foreign_runs.begin(); each != m_foreign_runs.end();)
     {
-        const bool over =
-            each->first.first == where.id() &&
-            !listed.contains({each->first.second.m_task.str(),
-                              each->first.second.m_run});
+        const bool over = each->first.first == where.id() &&
+                          !listed.contains({each->first.second.m_task.str(),
+                                            each->first.second.m_run});
         each = over ? m_foreign_runs.erase(each) : std::next(each);
     }
 }
@@ -763,8 +746,8 @@
                                : where.m_unstored_ends.begin()->first - 1;
 }
 
-void dispatcher::start_finished(const start_order& order,
-                                order_outcome outcome, instant now)
+void dispatcher::start_finished(const start_order& order, order_outcome outcome,
+                                instant now)
 {
     const task_ref& ref = order.m_run.m_task;
     if (outcome != order_outcome::accepted)
@@ -825,8 +808,7 @@
     if (active.m_sends > 1)
     {
         // An earlier, unanswered send may still be carried out.
-        begin_stopping(*job, ref, "start refused after an unanswered one",
-                       now);
+        begin_stopping(*job, ref, "start refused after an unanswered one", now);
         return;
     }
     run_over(*job, ref, std::string(to_string(outcome)), now);
@@ -874,8 +856,7 @@
     for (auto& [id, where] : m_workers)
     {
         std::erase_if(where.m_unstored_ends,
-                      [&](const auto& each)
-                      {
+                      [&](const auto& each) {
                           return each.second.first == job &&
                                  each.second.second <= version;
                       });
@@ -977,8 +958,7 @@
             const active_run& active = *job->task(ref).m_active;
             const bool unusable = !where.m_reachable || !where.m_synced ||
                                   where.m_description.m_draining;
-            const bool stored =
-                job->m_stored_version >= active.m_needs_version;
+            const bool stored = job->m_stored_version >= active.m_needs_version;
             if (unusable ||
                 (stored && now - active.m_assigned_at > room_wait_limit))
             {
@@ -1011,12 +991,10 @@
             ++members[task.m_active->m_worker];
         }
     }
-    return std::all_of(members.begin(), members.end(),
-                       [&](const auto& each) {
-                           return worker(each.first)
-                               .free_now()
-                               .covers(demand * each.second);
-                       });
+    return std::all_of(
+        members.begin(), members.end(),
+        [&](const auto& each)
+        { return worker(each.first).free_now().covers(demand * each.second); });
 }
 
 void dispatcher::send_starts(instant now, dispatch_effects& effects)
@@ -1050,8 +1028,7 @@
         add_held(where, job.step(ref));
         active.m_phase = run_phase::sent;
     }
-    else if (active.m_phase != run_phase::sent ||
-             active.m_sent_at != instant())
+    else if (active.m_phase != run_phase::sent || active.m_sent_at != instant())
     {
         return;
     }
@@ -1082,10 +1059,9 @@
         request.m_awaits_store = !where.m_unstored_ends.empty();
         request.m_clock = where.m_description.m_clock;
         request.m_clock_read_at = where.m_last_heartbeat;
-        request.m_needed = (where.m_listed &&
-                            (!where.m_synced || !where.m_reachable)) ||
-                           !where.m_tasks.empty() ||
-                           request.m_awaits_store;
+        request.m_needed =
+            (where.m_listed && (!where.m_synced || !where.m_reachable)) ||
+            !where.m_tasks.empty() || request.m_awaits_store;
         requests.push_back(request);
     }
     return requests;
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -21,11 +21,11 @@
 /// Times that the platform sets.
 struct dispatch_limits
 {
-    span m_worker_lease = span(6000);  ///< The longest lease of a worker.
-    span m_stop_timeout = span(400);   ///< The longest a stop takes.
-    span m_reclaim = span(2900);       ///< A guaranteed job has begun by then.
-    double m_distance_factor = 3;      ///< Slowdown away from the data.
-    span m_restore = span(100);        ///< To go on from a checkpoint.
+    span m_worker_lease = span(6000); ///< The longest lease of a worker.
+    span m_stop_timeout = span(400);  ///< The longest a stop takes.
+    span m_reclaim = span(2900);      ///< A guaranteed job has begun by then.
+    double m_distance_factor = 3;     ///< Slowdown away from the data.
+    span m_restore = span(100);       ///< To go on from a checkpoint.
 
     friend bool operator==(const dispatch_limits&,
                            const dispatch_limits&) = default;
@@ -135,8 +135,7 @@
     void apply_end(worker_entry& where, const ended_report& report,
                    instant now);
     /// Learns from a run that worked from its beginning to its end.
-    void learn_duration(const job_entry& job, const task_ref& ref,
-                        instant now);
+    void learn_duration(const job_entry& job, const task_ref& ref, instant now);
     void apply_done(job_entry& job, const task_ref& ref, int run, instant now);
     void apply_failure(job_entry& job, const task_ref& ref, int run,
                        worker_entry& where, instant now);
--- a/kingcuprudder/dispatch/duration_model.cpp
+++ b/kingcuprudder/dispatch/duration_model.cpp
@@ -17,7 +17,8 @@
 
 double log_of(span time)
 {
-    return std::log(static_cast<double>(std::max<std::int64_t>(1, time.count())));
+    return std::log(
+        static_cast<double>(std::max<std::int64_t>(1, time.count())));
 }
 
 double squared(double value)
@@ -35,22 +36,20 @@
     if (past.m_count > 0)
     {
         const double weight = 1 / std::min(past.m_count, longest_memory);
-        past.m_declared_error +=
-            weight *
-            (squared(actual - log_of(declared)) - past.m_declared_error);
-        past.m_mean_error += weight * (squared(actual - past.m_mean_log) -
-                                       past.m_mean_error);
+        past.m_declared_error += weight * (squared(actual - log_of(declared)) -
+                                           past.m_declared_error);
+        past.m_mean_error +=
+            weight * (squared(actual - past.m_mean_log) - past.m_mean_error);
     }
     ++past.m_count;
-    past.m_mean_log += (actual - past.m_mean_log) /
-                       std::min(past.m_count, longest_memory);
+    past.m_mean_log +=
+        (actual - past.m_mean_log) / std::min(past.m_count, longest_memory);
 }
 
 span duration_model::predict(const std::string& queue, span declared) const
 {
     const auto found = m_queues.find(queue);
-    if (found == m_queues.end() ||
-        found->second.m_count < enough_observations)
+    if (found == m_queues.end() || found->second.m_count < enough_observations)
     {
         return declared;
     }
@@ -59,9 +58,9 @@
     const double declared_weight =
         1 / std::max(smallest_error, past.m_declared_error);
     const double mean_weight = 1 / std::max(smallest_error, past.m_mean_error);
-    const double predicted = (declared_weight * log_of(declared) +
-                              mean_weight * past.m_mean_log) /
-                             (declared_weight + mean_weight);
+    const double predicted =
+        (declared_weight * log_of(declared) + mean_weight * past.m_mean_log) /
+        (declared_weight + mean_weight);
     return span(static_cast<std::int64_t>(std::exp(predicted)));
 }
 
--- a/kingcuprudder/dispatch/job_submission.hpp
+++ b/kingcuprudder/dispatch/job_submission.hpp
@@ -62,9 +62,9 @@
     int m_count = 0;
     resources m_demand;
     /// The declared time that a task works; may be far off.
-    span m_estimate;
+    span m_estimate = span(0);
     /// Indexes of steps whose tasks must all be done first.
-    std::vector<int> m_after;
+    std::vector<int> m_after = {};
     /// The tasks write checkpoints from which a later run can go on.
     bool m_checkpoints = false;
     /// All tasks must be present together and end together.
@@ -72,9 +72,9 @@
     /// The tasks work slower when they are spread over several racks.
     bool m_same_rack = false;
     /// A label that the worker must have; empty for none.
-    std::string m_required_label;
+    std::string m_required_label = {};
     /// The rack that holds the data; empty for none.
-    std::string m_data_rack;
+    std::string m_data_rack = {};
     /// The most tasks of the step on one worker; 0 for no limit.
     int m_max_per_worker = 0;
     /// Several copies of a task may run; the first end counts.
@@ -87,9 +87,9 @@
     /// 0 for no limit.
     int m_max_unavailable = 0;
     /// What the tasks run; tasks of one image behave alike.
-    std::string m_image;
+    std::string m_image = {};
     /// The bound on a serving task's tail latency; zero for none.
-    span m_target_latency;
+    span m_target_latency = span(0);
 
     friend bool operator==(const job_step&, const job_step&) = default;
 };
--- a/kingcuprudder/dispatch/job_table.cpp
+++ b/kingcuprudder/dispatch/job_table.cpp
@@ -154,8 +154,8 @@
             break;
         }
         m_unstored.erase(m_unstored.begin());
-        writes.push_back({id, job->m_revision, job->m_version,
-                          progress_of(*job)});
+        writes.push_back(
+            {id, job->m_revision, job->m_version, progress_of(*job)});
     }
     return writes;
 }
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -19,8 +19,8 @@
 constexpr double millis = 1000;
 // Work is stopped for an urgent job only if less of it is lost than this many
 // core-milliseconds and this share of the job's own work.
-constexpr double base_tolerable_loss = 200e3;
-constexpr double tolerable_loss_share = 1.0;
+constexpr double base_tolerable_loss = 400e3;
+constexpr double tolerable_loss_share = 2.0;
 // Stopping others, and starting in their place, takes this long.
 constexpr span promise_lead = span(1500);
 // A task restarted from a checkpoint loses about this much work.
@@ -192,8 +192,7 @@
                 step.m_policy.m_priority == 0 && index == 0 &&
                 m_within_guarantee.contains(job.m_submission.m_account);
             step.m_late = end > step.m_objective;
-            step.m_hopeless =
-                end > job.m_accepted_at + objective * late_factor;
+            step.m_hopeless = end > job.m_accepted_at + objective * late_factor;
             steps.push_back(std::move(step));
         }
     }
@@ -214,10 +213,10 @@
 {
     const auto first = where.m_tasks.lower_bound(step.m_step);
     int count = 0;
-    for (auto each = first; each != where.m_tasks.end() &&
-                            each->m_job == step.m_step.m_job &&
-                            each->m_repeat == step.m_step.m_repeat &&
-                            each->m_step == step.m_step.m_step;
+    for (auto each = first;
+         each != where.m_tasks.end() && each->m_job == step.m_step.m_job &&
+         each->m_repeat == step.m_step.m_repeat &&
+         each->m_step == step.m_step.m_step;
          ++each)
     {
         ++count;
@@ -234,7 +233,8 @@
     {
         if (demand > 0)
         {
-            most = std::min(most, std::max<std::int64_t>(0, available) / demand);
+            most =
+                std::min(most, std::max<std::int64_t>(0, available) / demand);
         }
     };
     limit(free.m_cpu_millis, wanted.m_fills ? 0 : wanted.m_demand.m_cpu_millis);
@@ -242,8 +242,8 @@
     limit(free.m_gpus, wanted.m_demand.m_gpus);
     if (wanted.m_max_per_worker > 0)
     {
-        most = std::min<std::int64_t>(
-            most, wanted.m_max_per_worker - on_worker(where, step));
+        most = std::min<std::int64_t>(most, wanted.m_max_per_worker -
+                                                on_worker(where, step));
     }
     return static_cast<int>(std::max<std::int64_t>(0, most));
 }
@@ -346,11 +346,10 @@
                 fitting(where, step, where.m_description.m_capacity);
         }
     }
-    return std::any_of(room.begin(), room.end(),
-                       [&](const auto& each) {
-                           return each.second >=
-                                  step.m_job->step(step.m_step).m_count;
-                       });
+    return std::any_of(
+        room.begin(), room.end(),
+        [&](const auto& each)
+        { return each.second >= step.m_job->step(step.m_step).m_count; });
 }
 
 std::vector<planner::share>
@@ -467,12 +466,11 @@
         return std::numeric_limits<double>::max();
     }
     const job_step& wanted = step.m_job->step(step.m_step);
-    const double own_work = weight_of(wanted.m_demand) * wanted.m_count *
-                            static_cast<double>(
-                                step.m_job->m_predicted[step.m_step.m_step]
-                                    .count());
-    const double share = step.m_late ? late_share : 1;
-    return share * (base_tolerable_loss + own_work * tolerable_loss_share);
+    const double own_work =
+        weight_of(wanted.m_demand) * wanted.m_count *
+        static_cast<double>(
+            step.m_job->m_predicted[step.m_step.m_step].count());
+    return base_tolerable_loss + own_work * tolerable_loss_share;
 }
 
 double planner::loss_of(const job_entry& job, const task_ref& ref) const
@@ -495,13 +493,12 @@
                            const victim& next)
 {
     // The members of a gang end together, so the first one loses them all.
-    const bool lost_already =
-        next.m_job->step(next.m_task).m_gang &&
-        std::any_of(chosen.begin(), chosen.end(),
-                    [&](const victim& other) {
-                        return other.m_task.step_str() ==
-                               next.m_task.step_str();
-                    });
+    const bool lost_already = next.m_job->step(next.m_task).m_gang &&
+                              std::any_of(chosen.begin(), chosen.end(),
+                                          [&](const victim& other) {
+                                              return other.m_task.step_str() ==
+                                                     next.m_task.step_str();
+                                          });
     return lost_already ? 0 : next.m_loss;
 }
 
@@ -517,8 +514,8 @@
             continue;
         }
         const run_phase phase = job->task(ref).m_active->m_phase;
-        const bool stoppable = phase == run_phase::confirmed ||
-                               phase == run_phase::assigned;
+        const bool stoppable =
+            phase == run_phase::confirmed || phase == run_phase::assigned;
         if (stoppable &&
             m_state.policy_of(*job).m_priority > step.m_policy.m_priority &&
             job->step(ref).m_max_unavailable == 0 &&
@@ -528,7 +525,8 @@
         }
     }
     std::sort(victims.begin(), victims.end(),
-              [](const victim& left, const victim& right) {
+              [](const victim& left, const victim& right)
+              {
                   return std::tuple(left.m_loss, left.m_task) <
                          std::tuple(right.m_loss, right.m_task);
               });
@@ -604,11 +602,11 @@
             // Each further member on this worker is an offer of its own.
             for (int more = 1; more <= wanted.m_count; ++more)
             {
-                auto found = cheapest_victims(*where, step,
-                                              needed - where->plannable());
-                if (!found || fitting(*where, step,
-                                      where->m_description.m_capacity) <
-                                  free + more)
+                auto found =
+                    cheapest_victims(*where, step, needed - where->plannable());
+                if (!found ||
+                    fitting(*where, step, where->m_description.m_capacity) <
+                        free + more)
                 {
                     break;
                 }
@@ -629,9 +627,10 @@
         {
             for (const victim& each : offers[taken].second)
             {
-                const bool known = std::any_of(
-                    chosen.begin(), chosen.end(), [&](const victim& other)
-                    { return other.m_task == each.m_task; });
+                const bool known =
+                    std::any_of(chosen.begin(), chosen.end(),
+                                [&](const victim& other)
+                                { return other.m_task == each.m_task; });
                 if (!known)
                 {
                     loss += added_loss(chosen, each);
@@ -656,8 +655,7 @@
     }
     for (std::vector<worker_entry*>& domain : gang_domains(step))
     {
-        const std::vector<share> shares =
-            gang_shares(step, std::move(domain));
+        const std::vector<share> shares = gang_shares(step, std::move(domain));
         if (!shares.empty())
         {
             assign_gang(step, shares);
--- a/kingcuprudder/dispatch/run_progress.cpp
+++ b/kingcuprudder/dispatch/run_progress.cpp
@@ -45,10 +45,9 @@
     const span elapsed = now - m_since;
     const auto elapsed_ms = static_cast<double>(elapsed.count());
     const double expected_rate =
-        m_best_rate > 0
-            ? m_best_rate
-            : rate_of(static_cast<double>(predicted.count()) *
-                      worst_underestimate);
+        m_best_rate > 0 ? m_best_rate
+                        : rate_of(static_cast<double>(predicted.count()) *
+                                  worst_underestimate);
     const bool moved = percent > m_percent;
     if (elapsed < shortest_interval ||
         (!moved && expected_rate * elapsed_ms < least_expected_percent))
--- a/kingcuprudder/dispatch/run_progress.hpp
+++ b/kingcuprudder/dispatch/run_progress.hpp
@@ -27,7 +27,7 @@
     int m_percent = 0;
     /// The share is known; one that goes on from a checkpoint begins over 0.
     bool m_has_percent = false;
-    instant m_since; ///< When the share was first seen to be this one.
+    instant m_since;        ///< When the share was first seen to be this one.
     double m_best_rate = 0; ///< The highest speed, in percent a millisecond.
     double m_rate = 0;      ///< The speed over the last reports.
     int m_slow_reports = 0;
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -32,7 +32,8 @@
     std::int64_t m_acknowledged = 0;
     std::int64_t m_highest_end = 0;
     /// Ends that are applied but not stored: number to job and version.
-    std::map<std::int64_t, std::pair<std::string, std::int64_t>> m_unstored_ends;
+    std::map<std::int64_t, std::pair<std::string, std::int64_t>>
+        m_unstored_ends;
     /// Resources of the runs that the worker holds or may hold.
     resources m_held;
     /// Of these, runs that are being stopped.
--- a/kingcuprudder/node/event_log.cpp
+++ b/kingcuprudder/node/event_log.cpp
@@ -36,8 +36,8 @@
         log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("events"));
     log4cplus::helpers::SharedObjectPtr<log4cplus::Appender> appender(
         new log4cplus::ConsoleAppender(false, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-        LOG4CPLUS_TEXT("%m%n")));
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
     logger.removeAllAppenders();
     logger.addAppender(appender);
     logger.setAdditivity(false);
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -89,8 +89,8 @@
     return "unknown";
 }
 
-job_service::job_service(record_store& store,
-                         configuration_view& configuration, event_log& log)
+job_service::job_service(record_store& store, configuration_view& configuration,
+                         event_log& log)
     : m_store(store), m_configuration(configuration), m_log(log)
 {
 }
@@ -180,8 +180,8 @@
              dispatch::encode_submission(stored), 0},
             {progress_key, dispatch::encode_progress(progress), 0}};
         const instant sent = boot_now();
-        const store_result<commit_answer> outcome = m_store.commit(
-            transaction, call_timeout(request.m_deadline));
+        const store_result<commit_answer> outcome =
+            m_store.commit(transaction, call_timeout(request.m_deadline));
         if (is_ok(outcome) &&
             std::holds_alternative<std::int64_t>(std::get<0>(outcome)))
         {
@@ -224,8 +224,8 @@
 std::optional<std::optional<dispatch::job_progress>>
 job_service::read_progress(const std::string& id, instant deadline)
 {
-    const store_result<std::optional<record>> found = m_store.read(
-        record_keys::progress(id), call_timeout(deadline));
+    const store_result<std::optional<record>> found =
+        m_store.read(record_keys::progress(id), call_timeout(deadline));
     if (!is_ok(found))
     {
         return std::nullopt;
@@ -275,15 +275,14 @@
         {
             return std::nullopt;
         }
-        const configuration_view::snapshot snapshot =
-            m_configuration.current();
+        const configuration_view::snapshot snapshot = m_configuration.current();
         store_transaction transaction;
-        transaction.m_expected = {
-            {m_configuration.key(), snapshot->m_revision}, {key, 0}};
+        transaction.m_expected = {{m_configuration.key(), snapshot->m_revision},
+                                  {key, 0}};
         transaction.m_writes = {{key, "{}", 0}};
         const instant sent = boot_now();
-        const store_result<commit_answer> outcome = m_store.commit(
-            transaction, call_timeout(request.m_deadline));
+        const store_result<commit_answer> outcome =
+            m_store.commit(transaction, call_timeout(request.m_deadline));
         const bool answered = is_ok(outcome);
         if (answered &&
             std::holds_alternative<std::int64_t>(std::get<0>(outcome)))
@@ -335,8 +334,7 @@
     {
         return refusal::unavailable;
     }
-    const auto found =
-        counts->find(std::get<0>(access).m_queue.m_name);
+    const auto found = counts->find(std::get<0>(access).m_queue.m_name);
     return found == counts->end() ? 0 : found->second;
 }
 
--- a/kingcuprudder/node/leadership.cpp
+++ b/kingcuprudder/node/leadership.cpp
@@ -67,8 +67,7 @@
 
 span leadership::start_delay() const
 {
-    const double missing =
-        std::max(0.0, m_best_share - m_processor_share);
+    const double missing = std::max(0.0, m_best_share - m_processor_share);
     return span(static_cast<std::int64_t>(missing * delay_per_core_ms));
 }
 
@@ -149,13 +148,13 @@
     }
     if (name != m_seen_holder)
     {
-        m_log.write("leadership", "leader_seen", "",
-                    {{"node", name},
-                     {"revision", std::to_string(leader->m_revision)}});
+        m_log.write(
+            "leadership", "leader_seen", "",
+            {{"node", name}, {"revision", std::to_string(leader->m_revision)}});
         m_seen_holder = name;
     }
-    const store_result<record_changes> changed = m_store.watch(
-        record_keys::leader, leader->m_revision, watch_wait);
+    const store_result<record_changes> changed =
+        m_store.watch(record_keys::leader, leader->m_revision, watch_wait);
     if (!is_ok(changed))
     {
         pause(follow_retry);
@@ -256,9 +255,9 @@
 
 void leadership::end_term(const std::string& reason)
 {
-    m_log.write("leadership", "term_ended", "",
-                {{"fence", std::to_string(m_term->fence())},
-                 {"reason", reason}});
+    m_log.write(
+        "leadership", "term_ended", "",
+        {{"fence", std::to_string(m_term->fence())}, {"reason", reason}});
     m_term->end();
     m_term.reset();
 }
--- a/kingcuprudder/node/node.cpp
+++ b/kingcuprudder/node/node.cpp
@@ -30,10 +30,9 @@
         std::lock_guard lock(m_mutex);
         m_scheduler.reset();
     };
-    m_leadership =
-        std::make_unique<leadership>(store, log, settings.m_name,
-                                     settings.m_processor_share,
-                                     std::move(hooks));
+    m_leadership = std::make_unique<leadership>(store, log, settings.m_name,
+                                                settings.m_processor_share,
+                                                std::move(hooks));
 }
 
 node::~node()
--- a/kingcuprudder/node/node_metrics.cpp
+++ b/kingcuprudder/node/node_metrics.cpp
@@ -27,7 +27,8 @@
                                  double took_ms)
 {
     std::lock_guard lock(m_mutex);
-    const auto [found, added] = m_answers.try_emplace(std::pair(method, status));
+    const auto [found, added] =
+        m_answers.try_emplace(std::pair(method, status));
     if (added)
     {
         const metric_labels labels{{"method", method},
--- a/kingcuprudder/node/record_store.hpp
+++ b/kingcuprudder/node/record_store.hpp
@@ -103,9 +103,8 @@
     virtual store_result<record_list> list(const std::string& prefix,
                                            span timeout) = 0;
     /// Waits for changes after the revision, at most so long.
-    virtual store_result<record_changes> watch(const std::string& prefix,
-                                               std::int64_t after,
-                                               span wait) = 0;
+    virtual store_result<record_changes>
+    watch(const std::string& prefix, std::int64_t after, span wait) = 0;
     virtual store_result<commit_answer>
     commit(const store_transaction& transaction, span timeout) = 0;
     /// Returns the lease's id.
--- a/kingcuprudder/node/record_watcher.cpp
+++ b/kingcuprudder/node/record_watcher.cpp
@@ -17,8 +17,8 @@
 record_watcher::record_watcher(record_store& store, event_log& log,
                                std::string prefix, span wait, span gather,
                                hooks calls)
-    : m_store(store), m_log(log), m_prefix(std::move(prefix)), m_wait(wait), m_gather(gather),
-      m_hooks(std::move(calls)), m_thread([this] { run(); })
+    : m_store(store), m_log(log), m_prefix(std::move(prefix)), m_wait(wait),
+      m_gather(gather), m_hooks(std::move(calls)), m_thread([this] { run(); })
 {
 }
 
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <future>
 
@@ -17,6 +18,8 @@
 constexpr std::size_t max_waiting_events = 20'000;
 constexpr std::size_t max_waiting_writes = 8;
 constexpr std::chrono::milliseconds tick(40);
+// Planning looks at the whole fleet, so events are gathered for a moment.
+constexpr span shortest_step_interval = span(10);
 constexpr std::size_t max_events_per_step = 200;
 constexpr span store_timeout = span(1500);
 constexpr span load_retry = span(150);
@@ -44,8 +47,7 @@
       m_dispatcher(m_environment.m_limits,
                    [this](const std::string& kind, const std::string& id,
                           const dispatch::decision_fields& fields) {
-                       m_environment.m_log.write("scheduler", kind, id,
-                                                 fields);
+                       m_environment.m_log.write("scheduler", kind, id, fields);
                    }),
       m_events(max_waiting_events), m_write_queue(max_waiting_writes),
       m_writer([this] { run_writer(); }), m_thread([this] { run(); })
@@ -79,10 +81,11 @@
     }
     while (!m_stopping)
     {
-        std::optional<event> next = m_events.pop(tick);
+        std::optional<event> next = m_events.pop(next_wait());
         for (std::size_t handled = 0; next && handled < max_events_per_step;
              ++handled)
         {
+            m_step_due = true;
             (*next)();
             next = m_events.pop(std::chrono::milliseconds(0));
         }
@@ -90,13 +93,27 @@
         {
             (*next)();
         }
-        if (!m_stopping && m_term->is_valid())
+        if (!m_stopping && m_term->is_valid() &&
+            boot_now() - m_stepped_at >= shortest_step_interval)
         {
+            m_stepped_at = boot_now();
+            m_step_due = false;
             step();
         }
     }
 }
 
+std::chrono::milliseconds scheduler::next_wait() const
+{
+    if (!m_step_due)
+    {
+        return tick;
+    }
+    const span left = shortest_step_interval - (boot_now() - m_stepped_at);
+    return std::chrono::milliseconds(
+        std::clamp<std::int64_t>(left.count(), 1, tick.count()));
+}
+
 bool scheduler::load()
 {
     record_store& store = m_environment.m_store;
@@ -114,8 +131,7 @@
     load_jobs(std::get<0>(live), std::get<0>(progress));
     m_environment.m_log.write(
         "scheduler", "state_loaded", "",
-        {{"workers",
-          std::to_string(std::get<0>(workers).m_records.size())},
+        {{"workers", std::to_string(std::get<0>(workers).m_records.size())},
          {"jobs", std::to_string(m_dispatcher.jobs().size())},
          {"revision", std::to_string(std::get<0>(live).m_revision)},
          {"fence", std::to_string(m_term->fence())}});
@@ -144,8 +160,7 @@
         {
             continue; // Accepted after the progress was read; follows by watch.
         }
-        const auto decoded =
-            dispatch::decode_progress(found->second->m_value);
+        const auto decoded = dispatch::decode_progress(found->second->m_value);
         if (decoded && !dispatch::is_final(decoded->m_state))
         {
             add_submission(each, decoded, found->second->m_revision);
@@ -225,8 +240,7 @@
 }
 
 void scheduler::add_submission(
-    const record& found,
-    const std::optional<dispatch::job_progress>& progress,
+    const record& found, const std::optional<dispatch::job_progress>& progress,
     std::int64_t progress_revision)
 {
     const auto decoded = dispatch::decode_submission(found.m_value);
@@ -317,9 +331,8 @@
         m_dispatcher.step(boot_now(), wall_now());
     if (effects.m_deposed)
     {
-        m_environment.m_log.write(
-            "scheduler", "fence_refused", "",
-            {{"fence", std::to_string(m_term->fence())}});
+        m_environment.m_log.write("scheduler", "fence_refused", "",
+                                  {{"fence", std::to_string(m_term->fence())}});
         m_term->end();
         return;
     }
@@ -361,16 +374,14 @@
     for (const dispatch::renewal_request& request : m_dispatcher.renewals())
     {
         known.insert(request.m_worker);
-        std::unique_ptr<worker_session>& session =
-            m_sessions[request.m_worker];
+        std::unique_ptr<worker_session>& session = m_sessions[request.m_worker];
         if (!session || session->address() != request.m_address)
         {
             session = std::make_unique<worker_session>(
                 request.m_address,
                 m_environment.m_worker_calls(request.m_worker,
                                              request.m_address),
-                m_term, m_environment.m_limits.m_worker_lease,
-                session_hooks());
+                m_term, m_environment.m_limits.m_worker_lease, session_hooks());
         }
         session->update(request);
     }
@@ -388,17 +399,17 @@
                                       const dispatch::worker_report& report,
                                       instant sent)
     {
-        post([this, worker, report, sent]
-             { m_dispatcher.renewal_answered(worker, report, sent, boot_now()); });
+        post(
+            [this, worker, report, sent] {
+                m_dispatcher.renewal_answered(worker, report, sent, boot_now());
+            });
     };
-    hooks.m_renewal_failed = [this](const std::string& worker)
-    {
+    hooks.m_renewal_failed = [this](const std::string& worker) {
         post([this, worker]
              { m_dispatcher.renewal_failed(worker, boot_now()); });
     };
-    hooks.m_start_finished =
-        [this](const dispatch::start_order& order,
-               dispatch::order_outcome outcome)
+    hooks.m_start_finished = [this](const dispatch::start_order& order,
+                                    dispatch::order_outcome outcome)
     {
         post([this, order, outcome]
              { m_dispatcher.start_finished(order, outcome, boot_now()); });
@@ -432,8 +443,8 @@
     }
 }
 
-store_transaction scheduler::transaction_of(
-    const std::vector<dispatch::job_write>& writes) const
+store_transaction
+scheduler::transaction_of(const std::vector<dispatch::job_write>& writes) const
 {
     store_transaction transaction;
     transaction.m_expected.emplace_back(record_keys::leader, m_term->fence());
@@ -509,18 +520,17 @@
         if (dispatch::is_final(write.m_progress.m_state) &&
             m_ended.insert(write.m_job).second)
         {
-            m_removals.emplace(
-                boot_now() + m_environment.m_status_time + removal_margin,
-                write.m_job);
+            m_removals.emplace(boot_now() + m_environment.m_status_time +
+                                   removal_margin,
+                               write.m_job);
         }
         m_dispatcher.write_stored(write.m_job, write.m_version,
                                   std::get<std::int64_t>(answer));
     }
 }
 
-void scheduler::resolve_conflict(
-    const std::vector<dispatch::job_write>& writes,
-    const store_conflict& conflict)
+void scheduler::resolve_conflict(const std::vector<dispatch::job_write>& writes,
+                                 const store_conflict& conflict)
 {
     for (const record& found : conflict.m_records)
     {
@@ -602,13 +612,12 @@
             dump["fence"] = m_term->fence();
             for (const auto& [id, worker] : m_dispatcher.workers())
             {
-                dump["workers"][id] = {
-                    {"listed", worker.m_listed},
-                    {"reachable", worker.m_reachable},
-                    {"synced", worker.m_synced},
-                    {"tasks", worker.m_tasks.size()},
-                    {"gpus_held", worker.m_held.m_gpus},
-                    {"acknowledged", worker.m_acknowledged}};
+                dump["workers"][id] = {{"listed", worker.m_listed},
+                                       {"reachable", worker.m_reachable},
+                                       {"synced", worker.m_synced},
+                                       {"tasks", worker.m_tasks.size()},
+                                       {"gpus_held", worker.m_held.m_gpus},
+                                       {"acknowledged", worker.m_acknowledged}};
             }
             for (const auto& [id, job] : m_dispatcher.jobs())
             {
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -13,6 +13,7 @@
 #include <kingcuprudder/runtime/bounded_ring.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -67,6 +68,8 @@
     void take_worker_record(const record& found, bool removed);
     void take_worker_list(const record_list& list);
 
+    /// How long to wait for the next event.
+    std::chrono::milliseconds next_wait() const;
     void step();
     void give_orders(const dispatch::dispatch_effects& effects);
     void update_sessions();
@@ -92,6 +95,9 @@
     /// When the records of ended jobs may go.
     std::multimap<instant, std::string> m_removals;
     bool m_write_in_flight = false;
+    instant m_stepped_at;
+    /// Events were handled since the last step.
+    bool m_step_due = false;
     instant m_write_pause_until;
     instant m_summary_at;
     instant m_removed_at;
--- a/kingcuprudder/node/worker_calls.hpp
+++ b/kingcuprudder/node/worker_calls.hpp
@@ -46,8 +46,8 @@
     virtual ~worker_calls() = default;
 
     virtual order_answer start(const dispatch::start_order& order,
-                               std::int64_t fence,
-                               std::int64_t lease_end_clock, span timeout) = 0;
+                               std::int64_t fence, std::int64_t lease_end_clock,
+                               span timeout) = 0;
     virtual order_answer stop(const dispatch::stop_order& order,
                               std::int64_t fence, span timeout) = 0;
     virtual renewal_answer renew(const renewal_call& call, span timeout) = 0;
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -27,9 +27,9 @@
                                std::unique_ptr<worker_calls> calls,
                                std::shared_ptr<term> held, span worker_lease,
                                const hooks& calls_back)
-    : m_address(std::move(address)), m_calls(std::move(calls)), m_term(std::move(held)),
-      m_worker_lease(worker_lease), m_hooks(calls_back),
-      m_renewal_thread([this] { run_renewals(); })
+    : m_address(std::move(address)), m_calls(std::move(calls)),
+      m_term(std::move(held)), m_worker_lease(worker_lease),
+      m_hooks(calls_back), m_renewal_thread([this] { run_renewals(); })
 {
 }
 
@@ -89,8 +89,7 @@
 
 bool worker_session::wants_renewal() const
 {
-    return m_request.m_needed ||
-           m_request.m_acknowledged > m_acknowledged_sent;
+    return m_request.m_needed || m_request.m_acknowledged > m_acknowledged_sent;
 }
 
 void worker_session::run_renewals()
@@ -108,8 +107,7 @@
             }
             m_changed.wait_for(
                 lock, std::chrono::milliseconds(store_wait.count()),
-                [this]
-                {
+                [this] {
                     return m_stopping ||
                            m_request.m_acknowledged >= m_highest_end;
                 });
@@ -230,9 +228,9 @@
     }
     const auto& stop = std::get<dispatch::stop_order>(next);
     m_hooks.m_stop_finished(
-        stop, valid ? finish(m_calls->stop(stop, m_term->fence(),
-                                           order_timeout))
-                    : order_outcome::not_sent);
+        stop, valid
+                  ? finish(m_calls->stop(stop, m_term->fence(), order_timeout))
+                  : order_outcome::not_sent);
 }
 
 dispatch::order_outcome worker_session::finish(const order_answer& answer)
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -31,8 +31,7 @@
         std::function<void(const std::string& worker, instant sent)>
             m_renewal_sent;
         std::function<void(const std::string& worker,
-                           const dispatch::worker_report& report,
-                           instant sent)>
+                           const dispatch::worker_report& report, instant sent)>
             m_renewal_answered;
         std::function<void(const std::string& worker)> m_renewal_failed;
         std::function<void(const dispatch::start_order&,
--- a/performance_test/dispatch_load_main.cpp
+++ b/performance_test/dispatch_load_main.cpp
@@ -37,14 +37,13 @@
                     sum.m_classes[name].m_earned += kind.m_earned;
                 }
             }
-            std::printf("%-13s load %.1f worth %.3f earned %.3f waste %.3f "
-                        "stopped %d/%d late reclaims %d violations %d",
-                        sheet.m_name.c_str(), load, worth,
-                        sum.m_earned / sum.m_owed,
-                        sum.m_wasted_core_seconds * sheet.m_waste_price /
-                            sum.m_owed,
-                        sum.m_stopped_runs, sum.m_runs, sum.m_late_reclaims,
-                        sum.m_violations);
+            std::printf(
+                "%-13s load %.1f worth %.3f earned %.3f waste %.3f "
+                "stopped %d/%d late reclaims %d violations %d",
+                sheet.m_name.c_str(), load, worth, sum.m_earned / sum.m_owed,
+                sum.m_wasted_core_seconds * sheet.m_waste_price / sum.m_owed,
+                sum.m_stopped_runs, sum.m_runs, sum.m_late_reclaims,
+                sum.m_violations);
             for (const auto& [name, kind] : sum.m_classes)
             {
                 std::printf("  %s %.3f", name.c_str(),
--- a/performance_test/dispatch_simulation.cpp
+++ b/performance_test/dispatch_simulation.cpp
@@ -67,9 +67,9 @@
 public:
     simulation(const load_sheet& sheet, unsigned seed)
         : m_sheet(sheet), m_random(seed),
-          m_dispatcher(dispatch_limits(), [](const std::string&,
-                                             const std::string&,
-                                             const decision_fields&) {})
+          m_dispatcher(dispatch_limits(),
+                       [](const std::string&, const std::string&,
+                          const decision_fields&) {})
     {
         configure();
         add_workers();
@@ -115,9 +115,8 @@
         }
         for (int account = 0; account < m_sheet.m_accounts; ++account)
         {
-            configuration.m_accounts.push_back({"a" + std::to_string(account),
-                                                {},
-                                                m_sheet.m_guaranteed_gpus});
+            configuration.m_accounts.push_back(
+                {"a" + std::to_string(account), {}, m_sheet.m_guaranteed_gpus});
         }
         m_configuration = configuration;
         m_dispatcher.configure(configuration);
@@ -191,16 +190,16 @@
             m_configuration.queue_named(kind.m_name)->m_policy;
         submission.m_accepted_at = m_now;
         job_step step;
-        step.m_count = static_cast<int>(std::clamp(
-            std::round(around(kind.m_width, width_spread)), 1.0,
-            kind.m_max_width));
+        step.m_count = static_cast<int>(
+            std::clamp(std::round(around(kind.m_width, width_spread)), 1.0,
+                       kind.m_max_width));
         step.m_demand = kind.m_per_task;
         step.m_demand.m_gpus = kind.m_gpus[m_random() % kind.m_gpus.size()];
         const double work = around(kind.m_work_ms, kind.m_work_spread);
         job.m_work_ms.push_back(work);
         step.m_estimate = span(static_cast<std::int64_t>(
-            work * uniform(1 - kind.m_estimate_error,
-                           1 + kind.m_estimate_error)));
+            work *
+            uniform(1 - kind.m_estimate_error, 1 + kind.m_estimate_error)));
         step.m_gang = kind.m_gang;
         step.m_same_rack =
             kind.m_gang && uniform(0, 1) < kind.m_same_rack_share;
@@ -211,14 +210,13 @@
             step.m_data_rack = "r" + std::to_string(m_random() % racks);
         }
         submission.m_steps.push_back(step);
-        const double mean_work = kind.m_width * kind.m_work_ms *
-                                 core_weight(mean_demand(kind));
+        const double mean_work =
+            kind.m_width * kind.m_work_ms * core_weight(mean_demand(kind));
         const double own_work =
             step.m_count * work * core_weight(step.m_demand);
-        job.m_value = kind.m_worth *
-                      std::min(4.0, 0.3 + 0.7 * own_work / mean_work);
-        job.m_guaranteed =
-            kind.m_priority == 0 && within_guarantee(submission);
+        job.m_value =
+            kind.m_worth * std::min(4.0, 0.3 + 0.7 * own_work / mean_work);
+        job.m_guaranteed = kind.m_priority == 0 && within_guarantee(submission);
         if (kind.m_priority == 0 && !job.m_guaranteed)
         {
             end_guarantee(submission.m_account);
@@ -294,8 +292,8 @@
         {
             return factor;
         }
-        const auto key = std::pair(run.m_ref.m_task.step_str(),
-                                   run.m_ref.m_run);
+        const auto key =
+            std::pair(run.m_ref.m_task.step_str(), run.m_ref.m_run);
         const auto& members = m_gangs[key];
         if (static_cast<int>(members.size()) < step.m_count)
         {
@@ -330,12 +328,10 @@
                 const double factor = slowness(worker, run);
                 if (factor > 0)
                 {
-                    run.m_done_ms +=
-                        static_cast<double>(tick.count()) / factor;
+                    run.m_done_ms += static_cast<double>(tick.count()) / factor;
                 }
-                const double needed =
-                    m_jobs.at(run.m_ref.m_task.m_job)
-                        .m_work_ms[run.m_ref.m_task.m_step];
+                const double needed = m_jobs.at(run.m_ref.m_task.m_job)
+                                          .m_work_ms[run.m_ref.m_task.m_step];
                 if (run.m_done_ms >= needed)
                 {
                     end_run(worker, at, run_end::done);
@@ -370,11 +366,11 @@
             }
             const double lost_ms =
                 static_cast<double>((m_now - run.m_present_since).count());
-            const double gained = std::max(
-                0.0, kept - std::atof(m_started_from[name].c_str()));
-            m_outcome.m_wasted_core_seconds +=
-                std::max(0.0, lost_ms - gained) / 1000 *
-                core_weight(step.m_demand);
+            const double gained =
+                std::max(0.0, kept - std::atof(m_started_from[name].c_str()));
+            m_outcome.m_wasted_core_seconds += std::max(0.0, lost_ms - gained) /
+                                               1000 *
+                                               core_weight(step.m_demand);
             ++m_outcome.m_stopped_runs;
         }
         else if (!m_done.insert(name).second)
@@ -404,18 +400,16 @@
             report.m_clock = m_now.count();
             for (const simulated_run& run : worker.m_runs)
             {
-                const double needed =
-                    m_jobs.at(run.m_ref.m_task.m_job)
-                        .m_work_ms[run.m_ref.m_task.m_step];
+                const double needed = m_jobs.at(run.m_ref.m_task.m_job)
+                                          .m_work_ms[run.m_ref.m_task.m_step];
                 report.m_running.push_back(
                     {run.m_ref.m_task.str(), run.m_ref.m_run,
                      step_of(run.m_ref.m_task).m_checkpoints
-                         ? std::to_string(std::floor(
-                               run.m_done_ms /
-                               static_cast<double>(
-                                   checkpoint_interval.count())) *
-                               static_cast<double>(
-                                   checkpoint_interval.count()))
+                         ? std::to_string(
+                               std::floor(run.m_done_ms /
+                                          static_cast<double>(
+                                              checkpoint_interval.count())) *
+                               static_cast<double>(checkpoint_interval.count()))
                          : "",
                      static_cast<int>(100 * run.m_done_ms / needed)});
             }
@@ -519,8 +513,8 @@
             }
             if (job.m_guaranteed)
             {
-                const span begun =
-                    job.m_begun.value_or(m_now) - job.m_submission.m_accepted_at;
+                const span begun = job.m_begun.value_or(m_now) -
+                                   job.m_submission.m_accepted_at;
                 m_outcome.m_late_reclaims +=
                     begun > dispatch_limits().m_reclaim ? 1 : 0;
             }
--- a/scripts/check_style.sh
+++ b/scripts/check_style.sh
@@ -12,7 +12,8 @@
 
 core=(kingcuprudder/base kingcuprudder/topology kingcuprudder/settings
       kingcuprudder/placement kingcuprudder/region kingcuprudder/request
-      kingcuprudder/membership kingcuprudder/history)
+      kingcuprudder/membership kingcuprudder/history
+      kingcuprudder/dispatch)
 banned='#include <(chrono|thread|mutex|condition_variable|atomic|fstream|filesystem|iostream|cstdio|ctime|time\.h|sys/.*|netinet/.*|arpa/.*|unistd\.h|fcntl\.h|poll\.h|pthread\.h|httplib\.h|nghttp2/.*|log4cplus/.*|prometheus/.*)>'
 if grep -rnE "$banned" "${core[@]}"; then
     echo "core: includes a socket, file, thread or clock header" >&2
@@ -20,15 +21,24 @@
 fi
 echo "core includes: clean"
 
+# The platform's names stay in its adapter, the stand-ins and their tests.
+platform_names='kv-(key|range|watch|txn|lease|keep)|fencingToken|lastSeen|run-start|run-stop|"deadlineMs"|drainRemainingMs|requiredLabel|KINGCUPRUDDER_BOOT'
+if git grep -nIE "$platform_names" -- '*.cpp' '*.hpp' ':!platform/*' \
+    ':!stand_ins/*' ':!unit_tests/*'; then
+    echo "a name of the platform stands outside platform/" >&2
+    exit 1
+fi
+echo "platform names: in platform/ only"
+
 # A source is linted again only when it, a header or the linter's settings have
-# changed since its last clean run in this build folder.
-stamps=$build/lint
+# changed since its last clean run on this machine.
+stamps=${KCR_LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/kingcuprudder-lint}
 mkdir -p "$stamps"
 headers=$(git ls-files --cached --others --exclude-standard '*.hpp' \
     .clang-tidy | sort | xargs cat | sha1sum)
 mapfile -t sources < <(git ls-files --cached --others --exclude-standard \
     'kingcuprudder/*.cpp' 'tools/*.cpp' 'stand_ins/*.cpp' \
-    'performance_test/*.cpp')
+    'performance_test/*.cpp' 'platform/*.cpp' 'soak/*.cpp')
 lint_source()
 {
     local stamp
--- /dev/null
+++ b/soak/deployment.cpp
@@ -0,0 +1,88 @@
+#include <demo/free_port.hpp>
+#include <nlohmann/json.hpp>
+#include <soak/deployment.hpp>
+
+#include <csignal>
+#include <fstream>
+
+namespace kingcuprudder::soak
+{
+
+deployment::deployment(std::string program, std::string folder,
+                       const std::string& store_address, int nodes)
+    : m_program(std::move(program)), m_folder(std::move(folder))
+{
+    for (int index = 0; index < nodes; ++index)
+    {
+        one_node node;
+        node.m_caller_address = demo::free_loopback_address();
+        node.m_settings_path =
+            m_folder + "/node-" + std::to_string(index) + ".json";
+        const nlohmann::json settings{
+            {"name", "node-" + std::to_string(index)},
+            {"availability_zone", "zone"},
+            {"caller_address", node.m_caller_address},
+            {"readiness_address", demo::free_loopback_address()},
+            {"metrics_address", demo::free_loopback_address()},
+            {"store_address", store_address},
+            {"processor_share", 1},
+            {"worker_lease_ms", 6000},
+            {"worker_stop_ms", 400},
+            {"reclaim_ms", 2900},
+            {"distance_factor", 3},
+            {"restore_ms", 100},
+            {"status_s", 120},
+            {"shutdown_grace_s", 3}};
+        std::ofstream(node.m_settings_path) << settings.dump();
+        m_nodes.push_back(std::move(node));
+    }
+}
+
+const std::string& deployment::caller_address(int node) const
+{
+    return m_nodes[node].m_caller_address;
+}
+
+void deployment::start(int node)
+{
+    m_nodes[node].m_process = std::make_unique<demo::child_process>(
+        m_program,
+        std::vector<std::string>{"--settings", m_nodes[node].m_settings_path},
+        m_folder + "/node-" + std::to_string(node) + ".log");
+    m_nodes[node].m_leaving = false;
+}
+
+void deployment::kill(int node)
+{
+    m_nodes[node].m_process.reset();
+}
+
+void deployment::terminate(int node)
+{
+    m_nodes[node].m_process->send_signal(SIGTERM);
+    m_nodes[node].m_leaving = true;
+}
+
+bool deployment::restart_if_ended(int node)
+{
+    one_node& each = m_nodes[node];
+    if (each.m_process &&
+        !(each.m_leaving && each.m_process->wait_for_exit(span(0))))
+    {
+        return false;
+    }
+    start(node);
+    return true;
+}
+
+void deployment::pause(int node)
+{
+    m_nodes[node].m_process->send_signal(SIGSTOP);
+}
+
+void deployment::resume(int node)
+{
+    m_nodes[node].m_process->send_signal(SIGCONT);
+}
+
+} // namespace kingcuprudder::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,53 @@
+#include <soak/scenario.hpp>
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+
+// Plays seeds of the fault soak one after the other and prints what each
+// found. Exits with 1 when a promise was broken.
+int main(int argc, char** argv)
+{
+    namespace soak = kingcuprudder::soak;
+    TCLAP::CmdLine line("Runs real processes under random faults.", ' ', "0.1");
+    TCLAP::ValueArg<unsigned> first("", "first-seed", "first seed", false, 1,
+                                    "number", line);
+    TCLAP::ValueArg<unsigned> seeds("", "seeds", "how many seeds", false, 1,
+                                    "number", line);
+    TCLAP::ValueArg<int> seconds("", "seconds", "length of the faults", false,
+                                 10, "number", line);
+    TCLAP::ValueArg<int> nodes("", "nodes", "processes", false, 3, "number",
+                               line);
+    TCLAP::ValueArg<std::string> folder("", "folder", "for settings and logs",
+                                        false, "soak-logs", "path", line);
+    line.parse(argc, argv);
+    int broken = 0;
+    for (unsigned seed = first.getValue();
+         seed < first.getValue() + seeds.getValue(); ++seed)
+    {
+        soak::scenario_options options;
+        options.m_program =
+            (std::filesystem::canonical("/proc/self/exe").parent_path() /
+             "kcr_node")
+                .string();
+        options.m_folder = folder.getValue() + "/" + std::to_string(seed);
+        std::filesystem::create_directories(options.m_folder);
+        options.m_seed = seed;
+        options.m_nodes = nodes.getValue();
+        options.m_length = kingcuprudder::span::seconds(seconds.getValue());
+        const soak::scenario_report report = soak::play(options);
+        std::printf("seed %u: accepted %d refused %d unanswered %d faults %d "
+                    "broken %zu\n",
+                    seed, report.m_accepted, report.m_refused,
+                    report.m_unanswered, report.m_faults,
+                    report.m_broken.size());
+        for (const std::string& each : report.m_broken)
+        {
+            std::printf("  %s\n", each.c_str());
+        }
+        std::fflush(stdout);
+        broken += report.m_broken.empty() ? 0 : 1;
+    }
+    return broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/stand_ins/platform_stand_in.cpp
@@ -0,0 +1,260 @@
+#include <kingcuprudder/codec/base64.hpp>
+
+#include <nlohmann/json.hpp>
+#include <stand_ins/platform_stand_in.hpp>
+
+#include <algorithm>
+#include <httplib.h>
+
+namespace kingcuprudder::stand_ins
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t server_threads = 200;
+constexpr span call_time = span(1000);
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_gone = 410;
+constexpr int status_conditions_failed = 412;
+constexpr int status_unavailable = 503;
+
+json item_json(const node::record& each)
+{
+    return {{"key", each.m_key},
+            {"value", to_base64(each.m_value)},
+            {"revision", each.m_revision}};
+}
+
+/// Answers a failed call: nothing done, history gone, lease gone, or silence.
+void fail(httplib::Response& response, node::store_failure failure)
+{
+    switch (failure)
+    {
+    case node::store_failure::not_done:
+        response.status = status_unavailable;
+        return;
+    case node::store_failure::compacted:
+        response.status = status_gone;
+        return;
+    case node::store_failure::lease_ended:
+        response.status = status_not_found;
+        return;
+    case node::store_failure::unknown:
+        std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+        response.status = 500;
+        return;
+    }
+}
+
+void answer(httplib::Response& response, const json& body,
+            int status = status_ok)
+{
+    response.status = status;
+    response.set_content(body.dump(), "application/json");
+}
+
+node::store_transaction transaction_from(const json& body)
+{
+    node::store_transaction transaction;
+    for (const json& each : body.value("expect", json::array()))
+    {
+        transaction.m_expected.emplace_back(each.at("key"),
+                                            each.at("revision"));
+    }
+    for (const json& each : body.value("writes", json::array()))
+    {
+        transaction.m_writes.push_back(
+            {each.at("key"),
+             from_base64(each.at("value").get<std::string>()).value(),
+             each.value("leaseId", std::int64_t(0))});
+    }
+    for (const json& each : body.value("deletes", json::array()))
+    {
+        transaction.m_removals.push_back(each);
+    }
+    return transaction;
+}
+
+} // namespace
+
+platform_stand_in::platform_stand_in(int minions) : m_minions(m_store, minions)
+{
+    write_configuration(1, "key");
+    m_store_listener = std::make_unique<http_listener>(
+        "127.0.0.1:0", server_threads,
+        [this](httplib::Server& server) { install_store(server); });
+}
+
+const std::string& platform_stand_in::store_address() const
+{
+    return m_store_listener->address();
+}
+
+void platform_stand_in::write_configuration(int version, const std::string& key)
+{
+    const json configuration{
+        {"version", version},
+        {"routes",
+         {{{"name", "q"},
+           {"host", "h.example"},
+           {"prefix", "/q/"},
+           {"backend", "pool"},
+           {"priority", 1},
+           {"maxAttempts", 3},
+           {"stretch", 3.0},
+           {"targetDurationMs", 1000}}}},
+        {"backends", {{{"name", "pool"}}}},
+        {"tenants", {{{"name", "t"}, {"apiKeys", {key}}}}}};
+    node::store_transaction transaction;
+    transaction.m_writes = {{"op/config", configuration.dump(), 0}};
+    m_store.commit(transaction, call_time);
+}
+
+void platform_stand_in::install_store(httplib::Server& server)
+{
+    server.Get(
+        "/kingcuprudder/kv-key",
+        [this](const httplib::Request& request, httplib::Response& response)
+        {
+            const auto found =
+                m_store.read(request.get_param_value("key"), call_time);
+            if (!node::is_ok(found))
+            {
+                fail(response, std::get<1>(found));
+            }
+            else if (!std::get<0>(found))
+            {
+                response.status = status_not_found;
+            }
+            else
+            {
+                answer(response, item_json(*std::get<0>(found)));
+            }
+        });
+    server.Get(
+        "/kingcuprudder/kv-range",
+        [this](const httplib::Request& request, httplib::Response& response)
+        {
+            const auto listed =
+                m_store.list(request.get_param_value("prefix"), call_time);
+            if (!node::is_ok(listed))
+            {
+                fail(response, std::get<1>(listed));
+                return;
+            }
+            // Small pages, so that callers must go on from a key.
+            constexpr std::size_t page_size = 20;
+            const std::string after = request.get_param_value("after");
+            json body{{"items", json::array()},
+                      {"hasMore", false},
+                      {"asOf", std::get<0>(listed).m_revision}};
+            for (const node::record& each : std::get<0>(listed).m_records)
+            {
+                if (each.m_key <= after)
+                {
+                    continue;
+                }
+                if (body["items"].size() == page_size)
+                {
+                    body["hasMore"] = true;
+                    break;
+                }
+                body["items"].push_back(item_json(each));
+            }
+            answer(response, body);
+        });
+    server.Get(
+        "/kingcuprudder/kv-watch",
+        [this](const httplib::Request& request, httplib::Response& response)
+        {
+            const auto watched = m_store.watch(
+                request.get_param_value("prefix"),
+                std::stoll(request.get_param_value("after")),
+                span(std::stoll(request.get_param_value("waitMs"))));
+            if (!node::is_ok(watched))
+            {
+                fail(response, std::get<1>(watched));
+                return;
+            }
+            json body{{"events", json::array()},
+                      {"asOf", std::get<0>(watched).m_revision}};
+            for (const auto& change : std::get<0>(watched).m_changes)
+            {
+                json event = item_json(change.m_record);
+                if (change.m_removed)
+                {
+                    event.erase("value");
+                    event["compacted"] = true;
+                }
+                body["events"].push_back(event);
+            }
+            answer(response, body);
+        });
+    server.Post(
+        "/kingcuprudder/kv-txn",
+        [this](const httplib::Request& request, httplib::Response& response)
+        {
+            const auto outcome = m_store.commit(
+                transaction_from(json::parse(request.body)), call_time);
+            if (!node::is_ok(outcome))
+            {
+                fail(response, std::get<1>(outcome));
+                return;
+            }
+            const node::commit_answer& answered = std::get<0>(outcome);
+            if (const auto* revision = std::get_if<std::int64_t>(&answered))
+            {
+                answer(response, {{"revision", *revision}});
+                return;
+            }
+            json body{{"items", json::array()}};
+            for (const node::record& each :
+                 std::get<node::store_conflict>(answered).m_records)
+            {
+                body["items"].push_back(item_json(each));
+            }
+            answer(response, body, status_conditions_failed);
+        });
+    server.Post(
+        "/kingcuprudder/kv-lease",
+        [this](const httplib::Request& request, httplib::Response& response)
+        {
+            const span time(
+                json::parse(request.body).at("ttlMs").get<std::int64_t>());
+            const auto lease = m_store.grant_lease(time, call_time);
+            if (!node::is_ok(lease))
+            {
+                fail(response, std::get<1>(lease));
+                return;
+            }
+            answer(response,
+                   {{"leaseId", std::get<0>(lease)}, {"ttlMs", time.count()}});
+        });
+    server.Post(
+        R"(/kingcuprudder/kv-keep/(\d+))",
+        [this](const httplib::Request& request, httplib::Response& response)
+        {
+            const auto renewed =
+                m_store.renew_lease(std::stoll(request.matches[1]), call_time);
+            if (!node::is_ok(renewed))
+            {
+                fail(response, std::get<1>(renewed));
+                return;
+            }
+            answer(response, json::object());
+        });
+    server.Delete(
+        R"(/kingcuprudder/kv-lease-end/(\d+))",
+        [this](const httplib::Request& request, httplib::Response& response)
+        {
+            m_store.end_lease(std::stoll(request.matches[1]), call_time);
+            answer(response, json::object());
+        });
+}
+
+} // namespace kingcuprudder::stand_ins
--- a/unit_tests/dispatch/dispatcher_fixture.hpp
+++ b/unit_tests/dispatch/dispatcher_fixture.hpp
@@ -17,9 +17,9 @@
 {
 protected:
     dispatcher_fixture()
-        : m_dispatcher(dispatch_limits(), [](const std::string&,
-                                             const std::string&,
-                                             const decision_fields&) {})
+        : m_dispatcher(dispatch_limits(),
+                       [](const std::string&, const std::string&,
+                          const decision_fields&) {})
     {
         m_configuration.m_version = 1;
         m_configuration.m_pools.push_back({"pool", false, false});
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -164,8 +164,8 @@
     pass(span(20));
     report("w1", {});
     EXPECT_TRUE(start_all().empty()) << "the start may still be carried out";
-    m_dispatcher.stop_finished({"w1", starts[0].m_run},
-                               order_outcome::accepted, m_now);
+    m_dispatcher.stop_finished({"w1", starts[0].m_run}, order_outcome::accepted,
+                               m_now);
     pass(span(20));
     report("w1", {});
     ASSERT_EQ(start_all().size(), 1u);
--- a/unit_tests/dispatch/load_test.cpp
+++ b/unit_tests/dispatch/load_test.cpp
@@ -1,6 +1,5 @@
-#include <performance_test/dispatch_simulation.hpp>
-
 #include <gtest/gtest.h>
+#include <performance_test/dispatch_simulation.hpp>
 
 namespace kingcuprudder::dispatch
 {
--- a/unit_tests/dispatch/values_test.cpp
+++ b/unit_tests/dispatch/values_test.cpp
@@ -20,8 +20,8 @@
 
 TEST(task_ref, other_text_is_refused)
 {
-    for (const char* text : {"", "a", "a.1", "a.1.2", ".1.2.3", "a.1.2.x",
-                             "a.1.2.-3", "a.1.2."})
+    for (const char* text :
+         {"", "a", "a.1", "a.1.2", ".1.2.3", "a.1.2.x", "a.1.2.-3", "a.1.2."})
     {
         EXPECT_FALSE(task_ref::parse(text)) << text;
     }
@@ -66,8 +66,8 @@
     job_progress progress;
     progress.m_state = job_state::running;
     progress.m_account = "account";
-    progress.m_tasks = {{{task_progress(),
-                          task_progress{false, 3, "w", 100, {1, 2}, "mark"}}}};
+    progress.m_tasks = {
+        {{task_progress(), task_progress{false, 3, "w", 100, {1, 2}, "mark"}}}};
     EXPECT_EQ(decode_progress(encode_progress(progress)), progress);
 }
 
--- /dev/null
+++ b/unit_tests/node/job_service_test.cpp
@@ -0,0 +1,184 @@
+#include "node_fixture.hpp"
+#include <kingcuprudder/codec/dispatch_codec.hpp>
+#include <kingcuprudder/node/job_service.hpp>
+#include <kingcuprudder/node/record_keys.hpp>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+using stand_ins::memory_store;
+
+class job_service_test : public node_fixture
+{
+protected:
+    job_service_test()
+        : m_configuration(m_store, m_records, m_log),
+          m_jobs(m_store, m_configuration, m_log)
+    {
+    }
+
+    static caller_request request(const std::string& key = "key")
+    {
+        return {"host", "/queue/5c0e7a21d94b36f8", key, boot_now() + span(400)};
+    }
+
+    static dispatch::job_submission job()
+    {
+        dispatch::job_submission made;
+        made.m_id = "5c0e7a21d94b36f8";
+        made.m_steps = {dispatch::job_step{1, {}, span(10)}};
+        return made;
+    }
+
+    std::size_t stored_jobs()
+    {
+        return std::get<0>(
+                   m_store.list(record_keys::submission_prefix, span(1)))
+            .m_records.size();
+    }
+
+    configuration_view m_configuration;
+    job_service m_jobs;
+};
+
+} // namespace
+
+TEST_F(job_service_test, an_accepted_job_is_stored_and_shown)
+{
+    EXPECT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    EXPECT_EQ(stored_jobs(), 1u);
+    EXPECT_EQ(m_jobs.state(request(), job().m_id),
+              service_result<dispatch::job_state>(dispatch::job_state::queued));
+}
+
+// The same id comes again after a lost answer, at any process.
+TEST_F(job_service_test, the_same_id_remains_one_job)
+{
+    EXPECT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    EXPECT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    EXPECT_EQ(stored_jobs(), 1u);
+}
+
+// A refusal promises that the job never runs.
+TEST_F(job_service_test, a_refused_job_is_not_stored)
+{
+    m_store.set_fault(
+        [](const std::string& call)
+        {
+            return call == "commit" ? memory_store::fault::refuse
+                                    : memory_store::fault::none;
+        });
+    EXPECT_EQ(m_jobs.submit(request(), job()), refusal::unavailable);
+    EXPECT_EQ(stored_jobs(), 0u);
+}
+
+// The store did the write and lost the answer: the caller must not hear that
+// the job was refused.
+TEST_F(job_service_test, a_lost_answer_is_found_out)
+{
+    bool first = true;
+    m_store.set_fault(
+        [&first](const std::string& call)
+        {
+            const bool lose = call == "commit" && first;
+            first = first && !lose;
+            return lose ? memory_store::fault::lose_answer
+                        : memory_store::fault::none;
+        });
+    EXPECT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    EXPECT_EQ(stored_jobs(), 1u);
+}
+
+// The lost call may still be carried out, so a later refusal proves nothing.
+TEST_F(job_service_test, an_unknown_outcome_is_never_a_refusal)
+{
+    int commits = 0;
+    m_store.set_fault(
+        [&commits](const std::string& call)
+        {
+            if (call != "commit")
+            {
+                return memory_store::fault::none;
+            }
+            return commits++ == 0 ? memory_store::fault::lose_call
+                                  : memory_store::fault::refuse;
+        });
+    EXPECT_EQ(m_jobs.submit(request(), job()), refusal::unknown);
+}
+
+TEST_F(job_service_test, an_unknown_key_is_refused)
+{
+    EXPECT_EQ(m_jobs.submit(request("other"), job()), refusal::unknown_key);
+}
+
+// The key is checked against the configuration that the store holds at the
+// moment of the write, however stale the own one is.
+TEST_F(job_service_test, a_key_that_was_just_taken_away_is_refused)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    m_store.set_fault(
+        [](const std::string& call)
+        {
+            return call == "watch" ? memory_store::fault::refuse
+                                   : memory_store::fault::none;
+        });
+    write_configuration("2 host /queue/ newkey");
+    dispatch::job_submission second = job();
+    second.m_id = "0000000000000001";
+    EXPECT_EQ(m_jobs.submit(request(), second), refusal::unknown_key);
+    EXPECT_EQ(stored_jobs(), 1u);
+}
+
+// Without the store a process cannot know which keys are still valid.
+TEST_F(job_service_test, a_process_that_is_cut_off_stops_serving_keys)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    m_store.set_fault([](const std::string&)
+                      { return memory_store::fault::refuse; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(3300));
+    EXPECT_EQ(m_jobs.state(request(), job().m_id),
+              service_result<dispatch::job_state>(refusal::unavailable));
+}
+
+TEST_F(job_service_test, an_unknown_job_is_said_to_be_unknown)
+{
+    EXPECT_EQ(m_jobs.state(request(), "0000000000000009"),
+              service_result<dispatch::job_state>(refusal::unknown_job));
+    EXPECT_EQ(m_jobs.cancel(request(), "0000000000000009"),
+              refusal::unknown_job);
+}
+
+TEST_F(job_service_test, a_cancellation_is_stored_before_it_is_acknowledged)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    EXPECT_EQ(m_jobs.cancel(request(), job().m_id), std::nullopt);
+    EXPECT_EQ(m_jobs.cancel(request(), job().m_id), std::nullopt);
+    EXPECT_TRUE(std::get<0>(
+        m_store.read(record_keys::cancellation(job().m_id), span(1))));
+}
+
+// While no scheduler publishes the count it is taken from the records.
+TEST_F(job_service_test, waiting_jobs_are_counted_without_a_scheduler)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    caller_request list = request();
+    list.m_path = "/queue/";
+    EXPECT_EQ(m_jobs.waiting(list), service_result<int>(1));
+}
+
+TEST_F(job_service_test, a_configuration_never_goes_back)
+{
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    write_configuration("7 host /queue/ key");
+    ASSERT_TRUE(eventually(
+        [&]
+        { return m_configuration.current()->m_configuration.m_version == 7; }));
+    m_configuration.adopt({"configuration", "3 host /queue/ key", 1},
+                          boot_now());
+    EXPECT_EQ(m_configuration.current()->m_configuration.m_version, 7);
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/unit_tests/node/leadership_test.cpp
@@ -0,0 +1,149 @@
+#include "node_fixture.hpp"
+#include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/record_keys.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+/// A process that competes for the lead.
+class candidate
+{
+public:
+    candidate(record_store& store, event_log& log, const std::string& node)
+        : m_leadership(std::make_unique<leadership>(
+              store, log, node, 1.0,
+              leadership::hooks{[this](const std::shared_ptr<term>& held)
+                                {
+                                    std::lock_guard lock(m_mutex);
+                                    m_term = held;
+                                },
+                                [this]
+                                {
+                                    std::lock_guard lock(m_mutex);
+                                    m_term.reset();
+                                }}))
+    {
+    }
+
+    bool leads()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_term && m_term->is_valid();
+    }
+
+    std::int64_t fence()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_term ? m_term->fence() : 0;
+    }
+
+    void resign() { m_leadership->resign(); }
+
+private:
+    std::mutex m_mutex;
+    std::shared_ptr<term> m_term;
+    std::unique_ptr<leadership> m_leadership;
+};
+
+class leadership_test : public node_fixture
+{
+};
+
+} // namespace
+
+TEST_F(leadership_test, one_of_several_leads)
+{
+    candidate first(m_store, m_log, "a");
+    ASSERT_TRUE(eventually([&] { return first.leads(); }));
+    candidate second(m_store, m_log, "b");
+    std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+    EXPECT_TRUE(first.leads());
+    EXPECT_FALSE(second.leads());
+}
+
+TEST_F(leadership_test, the_lead_is_handed_over_at_a_shutdown)
+{
+    candidate first(m_store, m_log, "a");
+    ASSERT_TRUE(eventually([&] { return first.leads(); }));
+    const std::int64_t fence = first.fence();
+    candidate second(m_store, m_log, "b");
+    first.resign();
+    ASSERT_TRUE(eventually([&] { return second.leads(); }));
+    EXPECT_GT(second.fence(), fence);
+}
+
+// A leader that cannot renew must stop before another can begin.
+TEST_F(leadership_test, a_leader_that_is_cut_off_stops_before_another_begins)
+{
+    stand_ins::memory_store& store = m_store;
+    candidate first(store, m_log, "a");
+    ASSERT_TRUE(eventually([&] { return first.leads(); }));
+    store.set_fault(
+        [](const std::string& call)
+        {
+            return call == "renew_lease"
+                       ? stand_ins::memory_store::fault::lose_call
+                       : stand_ins::memory_store::fault::none;
+        });
+    candidate second(store, m_log, "b");
+    bool both = false;
+    bool ended = false;
+    const std::int64_t fence = first.fence();
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            both = both || (second.leads() && first.leads());
+            ended = ended || !first.leads();
+            // Either may be the next, but under a fence of its own.
+            return second.leads() || (ended && first.leads());
+        }));
+    EXPECT_FALSE(both);
+    EXPECT_GT(std::max(first.fence(), second.fence()), fence);
+}
+
+// A process that starts again on its node need not wait for the lease of the
+// one before it.
+TEST_F(leadership_test, a_restarted_process_takes_over_from_its_predecessor)
+{
+    store_transaction before;
+    const auto lease = m_store.grant_lease(span(60'000), span(100));
+    before.m_writes = {{record_keys::leader,
+                        R"({"node":"a","process":"1","processor_share":1.0})",
+                        std::get<0>(lease)}};
+    ASSERT_TRUE(is_ok(m_store.commit(before, span(100))));
+    candidate restarted(m_store, m_log, "a");
+    EXPECT_TRUE(eventually([&] { return restarted.leads(); }));
+}
+
+TEST_F(leadership_test, a_lost_answer_does_not_lose_the_lead)
+{
+    std::atomic<int> commits = 0;
+    m_store.set_fault(
+        [&commits](const std::string& call)
+        {
+            return call == "commit" && commits++ == 0
+                       ? stand_ins::memory_store::fault::lose_answer
+                       : stand_ins::memory_store::fault::none;
+        });
+    candidate first(m_store, m_log, "a");
+    EXPECT_TRUE(eventually([&] { return first.leads(); }));
+}
+
+TEST_F(leadership_test, a_term_that_was_ended_is_not_extended)
+{
+    term held(5, boot_now() + span(10'000));
+    EXPECT_TRUE(held.is_valid());
+    held.end();
+    held.extend(boot_now() + span(10'000));
+    EXPECT_FALSE(held.is_valid());
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/unit_tests/node/soak_test.cpp
@@ -0,0 +1,30 @@
+#include <gtest/gtest.h>
+#include <soak/scenario.hpp>
+
+#include <filesystem>
+
+namespace kingcuprudder::soak
+{
+
+// Real processes are killed, stopped, paused and started again while the store
+// refuses calls, loses answers and drops its history and minions lose orders.
+// Every accepted job must run once and be shown as completed, and no refused
+// one may run.
+TEST(soak, a_short_run_keeps_the_promises)
+{
+    for (const unsigned seed : {1u, 2u})
+    {
+        scenario_options options;
+        options.m_program = KCR_BINARY_DIR "/bin/kcr_node";
+        options.m_folder =
+            ::testing::TempDir() + "/soak-" + std::to_string(seed);
+        std::filesystem::create_directories(options.m_folder);
+        options.m_seed = seed;
+        options.m_length = span::seconds(6);
+        const scenario_report report = play(options);
+        EXPECT_GT(report.m_accepted, 20);
+        EXPECT_EQ(report.m_broken, std::vector<std::string>()) << seed;
+    }
+}
+
+} // namespace kingcuprudder::soak
--- /dev/null
+++ b/unit_tests/platform/platform_records_test.cpp
@@ -0,0 +1,97 @@
+#include <gtest/gtest.h>
+#include <platform/platform_records.hpp>
+
+namespace kingcuprudder::platform
+{
+
+namespace
+{
+
+const std::string worker_entry =
+    R"({"backend":"pool","address":"10.128.0.9:8080","zone":"visegrad",
+"version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"capacity":
+{"cpu":16000,"memMb":32768,"gpu":4},"labels":["a","r1-3"],"clockMs":482113,
+"seq":4,"born":1700000000000})";
+
+} // namespace
+
+TEST(platform_records, a_configuration_is_read)
+{
+    const auto read = platform_records().m_decode_configuration(
+        R"({"version":7,"routes":[{"name":"r-1","host":"h.example",
+"prefix":"/p/","kind":"non_idempotent","timeoutMs":3000,
+"targetDurationMs":250,"priority":0,"backend":"pool","maxAttempts":3,
+"stretch":1.5,"public":false}],"backends":[{"name":"pool",
+"rejectsOverload":false,"standby":false}],"limits":{"maxBodyBytes":262144},
+"tenants":[{"name":"t","apiKeys":["k1","k2"],"guaranteed":{"gpu":72}}]})");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->m_version, 7);
+    ASSERT_EQ(read->m_queues.size(), 1u);
+    EXPECT_EQ(read->m_queues[0].m_policy.m_max_attempts, 3);
+    EXPECT_DOUBLE_EQ(read->m_queues[0].m_policy.m_stretch, 1.5);
+    EXPECT_EQ(read->m_queues[0].m_policy.m_start_allowance, span(250));
+    EXPECT_EQ(read->account_with_key("k2")->m_guaranteed_gpus, 72);
+    EXPECT_EQ(read->m_max_body_bytes, 262144);
+}
+
+TEST(platform_records, a_worker_is_read)
+{
+    const auto read = platform_records().m_decode_worker("i-1", worker_entry);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->m_rack, "r1-3");
+    EXPECT_EQ(read->m_capacity, (dispatch::resources{16000, 32768, 4}));
+    EXPECT_EQ(read->m_started, 1700000000000);
+    EXPECT_EQ(read->m_clock, 482113);
+    EXPECT_FALSE(read->m_draining);
+}
+
+// Entries may come from another writer: they name no worker to use.
+TEST(platform_records, damaged_worker_entries_name_no_worker)
+{
+    const auto decode = platform_records().m_decode_worker;
+    for (const char* text :
+         {"", "{", "[]", "null", "{\"state\":\"ready\"}",
+          R"({"backend":7,"address":"a","zone":"z","state":"ready",
+              "capacity":{},"labels":[]})",
+          R"({"backend":"b","address":"a","zone":"z","state":"asleep",
+              "capacity":{"cpu":1},"labels":["a","r"]})",
+          "\xff\xfe"})
+    {
+        EXPECT_FALSE(decode("i-1", text)) << text;
+    }
+}
+
+TEST(platform_records, a_job_is_read)
+{
+    const auto job =
+        decode_job("5c0e7a21d94b36f8",
+                   R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,
+"estimateMs":900,"affinity":"r1-3"},{"count":20,"cpu":2000,"memMb":1024,
+"estimateMs":7000,"after":[0],"savesProgress":true,"gang":true,
+"sameRack":true,"antiAffinity":2}]})");
+    ASSERT_TRUE(job);
+    ASSERT_EQ(job->m_steps.size(), 2u);
+    EXPECT_EQ(job->m_steps[0].m_data_rack, "r1-3");
+    EXPECT_TRUE(job->m_steps[1].m_checkpoints);
+    EXPECT_TRUE(job->m_steps[1].m_gang);
+    EXPECT_EQ(job->m_steps[1].m_after, std::vector<int>{0});
+    EXPECT_EQ(job->m_steps[1].m_max_per_worker, 2);
+    EXPECT_EQ(job->m_repeats, 1);
+}
+
+TEST(platform_records, what_is_no_job_is_refused)
+{
+    for (const char* text :
+         {"", "{}", "{\"steps\":[]}", "{\"steps\":[{\"count\":0}]}",
+          "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+          "{\"steps\":[{\"count\":\"many\"}]}", "{\"steps\":7}"})
+    {
+        EXPECT_FALSE(decode_job("5c0e7a21d94b36f8", text)) << text;
+    }
+    const std::string long_spec(4001, 'x');
+    EXPECT_FALSE(
+        decode_job("5c0e7a21d94b36f8",
+                   R"({"steps":[{"count":1}],"spec":")" + long_spec + "\"}"));
+}
+
+} // namespace kingcuprudder::platform
