--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -323,6 +323,7 @@
         return {all};
     }
     std::vector<std::vector<worker_entry*>> domains;
+    domains.reserve(by_rack.size() + 1);
     for (auto& [rack, workers] : by_rack)
     {
         domains.push_back(std::move(workers));
@@ -354,7 +355,7 @@
 
 std::vector<planner::share>
 planner::gang_shares(const waiting_step& step,
-                     std::vector<worker_entry*> candidates)
+                     const std::vector<worker_entry*>& candidates)
 {
     const job_step& wanted = step.m_job->step(step.m_step);
     std::vector<std::tuple<bool, std::int64_t, worker_entry*, int>> ranked;
@@ -429,9 +430,9 @@
 void planner::place_gang(waiting_step& step)
 {
     std::vector<share> best;
-    for (std::vector<worker_entry*>& domain : gang_domains(step))
+    for (const std::vector<worker_entry*>& domain : gang_domains(step))
     {
-        std::vector<share> shares = gang_shares(step, std::move(domain));
+        std::vector<share> shares = gang_shares(step, domain);
         if (!shares.empty() && (best.empty() || shares.size() < best.size()))
         {
             best = std::move(shares);
@@ -653,9 +654,9 @@
     {
         return false;
     }
-    for (std::vector<worker_entry*>& domain : gang_domains(step))
+    for (const std::vector<worker_entry*>& domain : gang_domains(step))
     {
-        const std::vector<share> shares = gang_shares(step, std::move(domain));
+        const std::vector<share> shares = gang_shares(step, domain);
         if (!shares.empty())
         {
             assign_gang(step, shares);
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -62,8 +62,9 @@
     using share = std::pair<worker_entry*, int>;
     /// Workers and task counts that hold the whole gang; empty when it does
     /// not fit.
-    std::vector<share> gang_shares(const waiting_step& step,
-                                   std::vector<worker_entry*> candidates);
+    std::vector<share>
+    gang_shares(const waiting_step& step,
+                const std::vector<worker_entry*>& candidates);
     std::vector<std::vector<worker_entry*>>
     gang_domains(const waiting_step& step);
     bool fits_some_rack(const waiting_step& step);
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -425,8 +425,9 @@
 
 void scheduler::begin_write()
 {
+    // No other thread adds writes, so what fits now is taken.
     if (m_write_in_flight || !m_dispatcher.has_writes() ||
-        boot_now() < m_write_pause_until)
+        boot_now() < m_write_pause_until || m_write_queue.full())
     {
         return;
     }
@@ -434,13 +435,6 @@
     next.m_writes = m_dispatcher.take_writes(max_record_entries);
     next.m_transaction = transaction_of(next.m_writes);
     m_write_in_flight = m_write_queue.try_push(std::move(next));
-    if (!m_write_in_flight)
-    {
-        for (const dispatch::job_write& write : next.m_writes)
-        {
-            m_dispatcher.write_failed(write.m_job);
-        }
-    }
 }
 
 store_transaction
--- a/kingcuprudder/runtime/bounded_ring.hpp
+++ b/kingcuprudder/runtime/bounded_ring.hpp
@@ -87,6 +87,13 @@
         m_not_full.notify_all();
     }
 
+    /// Whether the next item would not be taken.
+    bool full() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_items.full();
+    }
+
     bool closed() const
     {
         std::lock_guard lock(m_mutex);
