--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -79,6 +79,8 @@
         return "unknown_key";
     case refusal::unknown_job:
         return "unknown_job";
+    case refusal::too_large:
+        return "too_large";
     case refusal::invalid:
         return "invalid";
     case refusal::unavailable:
@@ -117,6 +119,7 @@
     access.m_queue = *queue;
     access.m_path = request.m_path.substr(queue->m_path_prefix.size());
     access.m_configuration_revision = snapshot->m_revision;
+    access.m_max_body_bytes = configuration.m_max_body_bytes;
     const dispatch::account_configuration* account =
         configuration.account_with_key(request.m_key);
     if (account != nullptr)
@@ -136,15 +139,15 @@
     const instant began = boot_now();
     submission.m_accepted_at = wall_now();
     const std::optional<refusal> refused = store_job(request, submission);
-    m_log.write("jobs", refused ? "job_refused" : "job_accepted",
-                submission.m_id,
-                {{"reason", refused ? std::string(to_string(*refused)) : ""},
-                 {"queue", submission.m_queue},
-                 {"account", submission.m_account},
-                 {"configuration_age_ms",
-                  std::to_string(
-                      (boot_now() - m_configuration.confirmed_at()).count())},
-                 {"took_ms", std::to_string((boot_now() - began).count())}});
+    m_log.write(
+        "jobs", refused ? "job_refused" : "job_accepted", submission.m_id,
+        {{"reason", refused ? std::string(to_string(*refused)) : "none"},
+         {"host", request.m_host},
+         {"path", request.m_path},
+         {"configuration_age_ms",
+          std::to_string(
+              (boot_now() - m_configuration.confirmed_at()).count())},
+         {"took_ms", std::to_string((boot_now() - began).count())}});
     return refused;
 }
 
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -24,6 +24,7 @@
     unknown_queue,  ///< No queue has this host and path.
     unknown_key,    ///< The key belongs to no client account.
     unknown_job,    ///< No such job exists.
+    too_large,      ///< The request is over the configured size.
     invalid,        ///< The request cannot be read or can never be served.
     unavailable,    ///< The store cannot be reached; nothing was done.
     unknown,        ///< Whether it was done is not known.
@@ -38,6 +39,7 @@
     std::string m_account; ///< Empty on a public queue.
     std::string m_path;    ///< What follows the queue's prefix.
     std::int64_t m_configuration_revision = 0;
+    std::int64_t m_max_body_bytes = 0; ///< 0 for no limit.
 };
 
 /// Who asks for what, and until when the answer is of use.
