--- a/kingcuprudder/dispatch/decision_log.hpp
+++ b/kingcuprudder/dispatch/decision_log.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPRUDDER_DISPATCH_DECISION_LOG_HPP
 #define KINGCUPRUDDER_DISPATCH_DECISION_LOG_HPP
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <utility>
@@ -17,6 +18,16 @@
 using decision_log = std::function<void(
     const std::string& event, const std::string& id, decision_fields fields)>;
 
+/// The text of a number in a decision's fields.
+inline std::string number(std::int64_t value)
+{
+    return std::to_string(value);
+}
+
+/// The reason with which a run is over whose end the worker reported. That end
+/// has a line of its own.
+inline const std::string reported_end = "ended";
+
 } // namespace kingcuprudder::dispatch
 
 #endif
--- /dev/null
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -0,0 +1,430 @@
+#include <kingcuprudder/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace kingcuprudder::dispatch
+{
+
+namespace
+{
+
+// Room that a stop was to free is not waited for longer than this.
+constexpr span room_wait_limit = span(1500);
+constexpr int max_start_sends = 3;
+constexpr span stop_repeat_interval = span(500);
+constexpr span busy_worker_pause = span(1000);
+
+} // namespace
+
+// The life of a run: assigned, started, stopped, over.
+
+void dispatcher::add_held(worker_entry& where, const job_step& step)
+{
+    where.m_held += step.m_demand;
+}
+
+void dispatcher::assign(job_entry& job, const task_ref& ref,
+                        worker_entry& where, int run, instant now)
+{
+    task_entry& task = job.task(ref);
+    active_run active;
+    active.m_number = run;
+    active.m_worker = where.id();
+    active.m_assigned_at = now;
+    active.m_start_checkpoint = task.m_progress.m_checkpoint;
+    task.m_progress.m_last_run = run;
+    task.m_progress.m_worker = where.id();
+    task.m_progress.m_worker_started = where.m_description.m_started;
+    m_jobs.touch(job);
+    active.m_needs_version = job.m_version;
+    task.m_active = active;
+    where.m_planned += job.step(ref).m_demand;
+    where.m_tasks.insert(ref);
+    const resources left = where.plannable();
+    m_log(
+        "task_assigned", ref.str(),
+        {{"run", number(run)},
+         {"worker", where.id()},
+         {"zone", where.m_description.m_zone},
+         {"rack", where.m_description.m_rack},
+         {"gpus_left", number(left.m_gpus)},
+         {"worker_answer_age_ms", number((now - where.m_last_answer).count())},
+         {"waited_ms", number((now - job.m_accepted_at).count())}});
+}
+
+void dispatcher::begin_stopping(job_entry& job, const task_ref& ref,
+                                const std::string& reason, instant now)
+{
+    task_entry& task = job.task(ref);
+    if (!task.m_active || task.m_active->m_phase == run_phase::stopping)
+    {
+        return;
+    }
+    if (task.m_active->m_phase == run_phase::assigned)
+    {
+        run_over(job, ref, reason, now);
+        return;
+    }
+    if (task.m_active->m_phase == run_phase::unverified)
+    {
+        // Orders of an earlier term are refused, so every report counts.
+        task.m_active->m_listed_from = m_begun;
+    }
+    task.m_active->m_phase = run_phase::stopping;
+    task.m_active->m_stop_sent_at.reset();
+    worker(task.m_active->m_worker).m_leaving += job.step(ref).m_demand;
+    m_log("run_stopping", ref.str(),
+          {{"run", number(task.m_active->m_number)},
+           {"worker", task.m_active->m_worker},
+           {"percent", number(task.m_active->m_progress.percent())},
+           {"reason", reason}});
+}
+
+void dispatcher::run_over(job_entry& job, const task_ref& ref,
+                          const std::string& reason, instant now)
+{
+    task_entry& task = job.task(ref);
+    const active_run active = *task.m_active;
+    worker_entry& where = worker(active.m_worker);
+    const resources& demand = job.step(ref).m_demand;
+    if (active.m_phase == run_phase::assigned)
+    {
+        where.m_planned -= demand;
+    }
+    else
+    {
+        where.m_held -= demand;
+    }
+    if (active.m_phase == run_phase::stopping)
+    {
+        where.m_leaving -= demand;
+    }
+    where.m_tasks.erase(ref);
+    task.m_active.reset();
+    task.m_progress.m_worker.clear();
+    m_jobs.touch(job);
+    if (reason != reported_end) // The end has a line of its own.
+    {
+        m_log("run_over", ref.str(),
+              {{"run", number(active.m_number)},
+               {"worker", active.m_worker},
+               {"reason", reason},
+               {"held_ms", number((now - active.m_assigned_at).count())}});
+    }
+    if (job.step(ref).m_gang && !task.m_progress.m_done)
+    {
+        break_gang(job, ref, "another member ended: " + reason, now);
+    }
+}
+
+void dispatcher::break_gang(job_entry& job, const task_ref& ref,
+                            const std::string& reason, instant now)
+{
+    task_ref member = ref;
+    const int count = job.step(ref).m_count;
+    for (member.m_index = 0; member.m_index < count; ++member.m_index)
+    {
+        if (member.m_index != ref.m_index)
+        {
+            begin_stopping(job, member, reason, now);
+        }
+    }
+}
+
+void dispatcher::stop_job(job_entry& job, const std::string& reason,
+                          instant now)
+{
+    task_ref ref{job.m_submission.m_id, 0, 0, 0};
+    for (auto& repeat : job.m_tasks)
+    {
+        ref.m_step = 0;
+        for (auto& step : repeat)
+        {
+            for (ref.m_index = 0; ref.m_index < static_cast<int>(step.size());
+                 ++ref.m_index)
+            {
+                begin_stopping(job, ref, reason, now);
+            }
+            ++ref.m_step;
+        }
+        ++ref.m_repeat;
+    }
+}
+
+void dispatcher::start_finished(const start_order& order, order_outcome outcome,
+                                instant now)
+{
+    const task_ref& ref = order.m_run.m_task;
+    if (outcome != order_outcome::accepted)
+    {
+        m_log("start_not_accepted", ref.str(),
+              {{"run", number(order.m_run.m_run)},
+               {"worker", order.m_worker},
+               {"outcome", std::string(to_string(outcome))}});
+    }
+    if (outcome == order_outcome::refused_fence)
+    {
+        m_deposed = true;
+        return;
+    }
+    job_entry* job = m_jobs.find_task(ref);
+    if (job == nullptr || !job->task(ref).m_active ||
+        job->task(ref).m_active->m_worker != order.m_worker ||
+        job->task(ref).m_active->m_number != order.m_run.m_run)
+    {
+        return;
+    }
+    active_run& active = *job->task(ref).m_active;
+    worker_entry& where = worker(order.m_worker);
+    switch (outcome)
+    {
+    case order_outcome::accepted:
+        if (active.m_phase == run_phase::sent)
+        {
+            active.m_phase = run_phase::confirmed;
+        }
+        if (active.m_phase == run_phase::confirmed)
+        {
+            active.m_listed_from = now;
+            note_started(*job, active, now);
+        }
+        return;
+    case order_outcome::refused_old:
+        // The run has ended there; its end follows with the next report.
+        active.m_listed_from = now;
+        return;
+    case order_outcome::may_have_arrived:
+        if (active.m_sends >= max_start_sends)
+        {
+            begin_stopping(*job, ref, "start unanswered", now);
+        }
+        else if (active.m_phase == run_phase::sent)
+        {
+            active.m_sent_at = instant(); // Send it again at once.
+        }
+        return;
+    case order_outcome::refused_busy:
+    case order_outcome::not_sent:
+        where.m_avoid_until = now + busy_worker_pause;
+        break;
+    default:
+        break;
+    }
+    if (active.m_sends > 1)
+    {
+        // An earlier, unanswered send may still be carried out.
+        begin_stopping(*job, ref, "start refused after an unanswered one", now);
+        return;
+    }
+    run_over(*job, ref, std::string(to_string(outcome)), now);
+}
+
+void dispatcher::stop_finished(const stop_order& order, order_outcome outcome,
+                               instant now)
+{
+    if (outcome != order_outcome::accepted)
+    {
+        m_log("stop_not_accepted", order.m_run.m_task.str(),
+              {{"run", number(order.m_run.m_run)},
+               {"worker", order.m_worker},
+               {"outcome", std::string(to_string(outcome))}});
+    }
+    if (outcome == order_outcome::refused_fence)
+    {
+        m_deposed = true;
+        return;
+    }
+    job_entry* job = m_jobs.find_task(order.m_run.m_task);
+    if (job == nullptr || !job->task(order.m_run.m_task).m_active)
+    {
+        return;
+    }
+    active_run& active = *job->task(order.m_run.m_task).m_active;
+    if (active.m_worker == order.m_worker &&
+        active.m_number == order.m_run.m_run &&
+        active.m_phase == run_phase::stopping &&
+        outcome == order_outcome::accepted)
+    {
+        active.m_listed_from = now;
+    }
+}
+
+void dispatcher::expire_leases(instant now)
+{
+    for (auto& [id, where] : m_workers)
+    {
+        const bool silent = !where.m_reachable || !where.m_synced;
+        if (silent && where.m_lease_end < now && !where.m_tasks.empty())
+        {
+            m_log("worker_lease_over", id,
+                  {{"tasks",
+                    number(static_cast<std::int64_t>(where.m_tasks.size()))},
+                   {"last_answer_age_ms",
+                    number((now - where.m_last_answer).count())}});
+            lose_worker_runs(where, "worker lease over", now);
+        }
+    }
+}
+
+void dispatcher::send_stops(instant now, dispatch_effects& effects)
+{
+    const auto due = [now](const std::optional<instant>& sent)
+    { return !sent || now - *sent >= stop_repeat_interval; };
+    for (auto& [id, where] : m_workers)
+    {
+        if (where.m_leaving == resources())
+        {
+            continue;
+        }
+        for (const task_ref& ref : where.m_tasks)
+        {
+            job_entry* job = m_jobs.find_task(ref);
+            if (job == nullptr || !job->task(ref).m_active)
+            {
+                continue;
+            }
+            active_run& active = *job->task(ref).m_active;
+            if (active.m_phase == run_phase::stopping &&
+                due(active.m_stop_sent_at))
+            {
+                active.m_stop_sent_at = now;
+                effects.m_stops.push_back({id, {ref, active.m_number}});
+            }
+        }
+    }
+    for (auto& [where, sent] : m_foreign_runs)
+    {
+        if (due(sent))
+        {
+            sent = now;
+            effects.m_stops.push_back({where.first, where.second});
+        }
+    }
+}
+
+void dispatcher::release_stuck_assignments(instant now)
+{
+    for (auto& [id, where] : m_workers)
+    {
+        const std::set<task_ref> tasks = where.m_tasks;
+        for (const task_ref& ref : tasks)
+        {
+            job_entry* job = m_jobs.find_task(ref);
+            if (job == nullptr || !job->task(ref).m_active ||
+                job->task(ref).m_active->m_phase != run_phase::assigned)
+            {
+                continue;
+            }
+            const active_run& active = *job->task(ref).m_active;
+            const bool unusable = !where.m_reachable || !where.m_synced ||
+                                  where.m_description.m_draining;
+            const bool stored = job->m_stored_version >= active.m_needs_version;
+            if (unusable ||
+                (stored && now - active.m_assigned_at > room_wait_limit))
+            {
+                run_over(*job, ref, "no room on the worker", now);
+            }
+        }
+    }
+}
+
+bool dispatcher::has_room(job_entry& job, const task_ref& ref)
+{
+    const resources& demand = job.step(ref).m_demand;
+    if (!job.step(ref).m_gang)
+    {
+        return worker(job.task(ref).m_active->m_worker)
+            .free_now()
+            .covers(demand);
+    }
+    // Members that started alone would hold their resources idle, so a gang
+    // starts when there is room for all that have not started.
+    std::map<std::string, std::int64_t> members;
+    for (const task_entry& task : job.step_tasks(ref))
+    {
+        if (!task.m_active)
+        {
+            return false;
+        }
+        if (task.m_active->m_phase == run_phase::assigned)
+        {
+            ++members[task.m_active->m_worker];
+        }
+    }
+    return std::all_of(
+        members.begin(), members.end(),
+        [&](const auto& each)
+        { return worker(each.first).free_now().covers(demand * each.second); });
+}
+
+void dispatcher::send_starts(instant now, dispatch_effects& effects)
+{
+    for (auto& [id, where] : m_workers)
+    {
+        for (const task_ref& ref : where.m_tasks)
+        {
+            if (job_entry* job = m_jobs.find_task(ref))
+            {
+                send_start(*job, ref, now, effects);
+            }
+        }
+    }
+}
+
+void dispatcher::send_start(job_entry& job, const task_ref& ref, instant now,
+                            dispatch_effects& effects)
+{
+    active_run& active = *job.task(ref).m_active;
+    worker_entry& where = worker(active.m_worker);
+    const resources& demand = job.step(ref).m_demand;
+    if (active.m_phase == run_phase::assigned)
+    {
+        if (job.m_stored_version < active.m_needs_version ||
+            !has_room(job, ref))
+        {
+            return;
+        }
+        where.m_planned -= demand;
+        add_held(where, job.step(ref));
+        active.m_phase = run_phase::sent;
+    }
+    else if (active.m_phase != run_phase::sent || active.m_sent_at != instant())
+    {
+        return;
+    }
+    active.m_sent_at = now;
+    ++active.m_sends;
+    where.m_lease_end = std::max(where.m_lease_end, lease_end(now));
+    effects.m_starts.push_back({where.id(),
+                                {ref, active.m_number},
+                                job.m_submission.m_spec,
+                                active.m_start_checkpoint});
+}
+
+std::vector<renewal_request> dispatcher::renewals() const
+{
+    std::vector<renewal_request> requests;
+    for (const auto& [id, where] : m_workers)
+    {
+        const bool gone = !where.m_listed && where.m_tasks.empty();
+        if (gone || where.m_description.m_address.empty())
+        {
+            continue;
+        }
+        renewal_request request;
+        request.m_worker = id;
+        request.m_address = where.m_description.m_address;
+        request.m_started = where.m_description.m_started;
+        request.m_acknowledged = where.m_acknowledged;
+        request.m_awaits_store = !where.m_unstored_ends.empty();
+        request.m_clock = where.m_description.m_clock;
+        request.m_clock_read_at = where.m_last_heartbeat;
+        request.m_needed =
+            (where.m_listed && (!where.m_synced || !where.m_reachable)) ||
+            !where.m_tasks.empty() || request.m_awaits_store;
+        requests.push_back(request);
+    }
+    return requests;
+}
+
+} // namespace kingcuprudder::dispatch
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -151,79 +151,112 @@
     return refused;
 }
 
-std::optional<refusal>
-job_service::store_job(const caller_request& request,
-                       const dispatch::job_submission& job)
+job_service::write_state
+job_service::write_once(const caller_request& request,
+                        const store_transaction& transaction,
+                        const std::string& new_key)
 {
-    dispatch::job_progress progress;
-    progress.m_account = job.m_account;
-    const std::string progress_key = record_keys::progress(job.m_id);
-    // Once an attempt has an unknown outcome, no later answer proves that the
-    // job was not stored.
+    const instant sent = boot_now();
+    const store_result<commit_answer> outcome =
+        m_store.commit(transaction, call_timeout(request.m_deadline));
+    if (!is_ok(outcome))
+    {
+        return std::get<1>(outcome) == store_failure::not_done
+                   ? write_state::not_done
+                   : write_state::unknown;
+    }
+    const commit_answer& answer = std::get<0>(outcome);
+    const auto* conflict = std::get_if<store_conflict>(&answer);
+    if (conflict == nullptr)
+    {
+        return write_state::done;
+    }
+    for (const record& found : conflict->m_records)
+    {
+        if (found.m_key == new_key && found.m_revision != 0)
+        {
+            return write_state::done; // By an earlier call.
+        }
+        if (found.m_revision != 0)
+        {
+            m_configuration.adopt(found, sent);
+        }
+    }
+    return write_state::outdated;
+}
+
+std::optional<refusal> job_service::write(const caller_request& request,
+                                          const std::string& new_key,
+                                          const transaction_maker& make)
+{
+    // Once an attempt has an unknown outcome, no later answer proves that
+    // nothing was stored.
     bool may_be_stored = false;
     while (true)
     {
-        const service_result<caller_access> access = authorize(request);
-        if (!std::holds_alternative<caller_access>(access))
+        const prepared_write prepared = make();
+        if (const refusal* refused = std::get_if<refusal>(&prepared))
         {
-            const refusal reason = std::get<refusal>(access);
-            return may_be_stored ? refusal::unknown : reason;
+            return may_be_stored ? refusal::unknown : *refused;
         }
-        const caller_access& allowed = std::get<caller_access>(access);
-        store_transaction transaction;
-        transaction.m_expected = {
-            {m_configuration.key(), allowed.m_configuration_revision},
-            {progress_key, 0}};
-        dispatch::job_submission stored = job;
-        stored.m_queue = allowed.m_queue.m_name;
-        stored.m_policy = allowed.m_queue.m_policy;
-        stored.m_account = allowed.m_account;
-        transaction.m_writes = {
-            {record_keys::submission(job.m_id),
-             dispatch::encode_submission(stored), 0},
-            {progress_key, dispatch::encode_progress(progress), 0}};
-        const instant sent = boot_now();
-        const store_result<commit_answer> outcome =
-            m_store.commit(transaction, call_timeout(request.m_deadline));
-        if (is_ok(outcome) &&
-            std::holds_alternative<std::int64_t>(std::get<0>(outcome)))
+        if (std::holds_alternative<nothing_to_write>(prepared))
         {
             return std::nullopt;
         }
-        if (is_ok(outcome))
+        const write_state state =
+            write_once(request, std::get<store_transaction>(prepared), new_key);
+        if (state == write_state::done)
         {
-            for (const record& found :
-                 std::get<store_conflict>(std::get<0>(outcome)).m_records)
-            {
-                if (found.m_key == progress_key && found.m_revision != 0)
-                {
-                    return std::nullopt; // Accepted by an earlier call.
-                }
-                if (found.m_revision != 0)
-                {
-                    m_configuration.adopt(found, sent);
-                }
-            }
+            return std::nullopt;
         }
-        else if (std::get<1>(outcome) != store_failure::not_done)
+        may_be_stored = may_be_stored || state == write_state::unknown;
+        if (state == write_state::not_done && !may_be_stored)
         {
-            may_be_stored = true;
+            return refusal::unavailable;
         }
         if (time_left(request.m_deadline) < shortest_call)
         {
             return may_be_stored ? refusal::unknown : refusal::unavailable;
         }
-        if (!is_ok(outcome))
+        if (state != write_state::outdated)
         {
-            if (!may_be_stored)
-            {
-                return refusal::unavailable;
-            }
             std::this_thread::sleep_for(retry_pause);
         }
     }
 }
 
+std::optional<refusal>
+job_service::store_job(const caller_request& request,
+                       const dispatch::job_submission& job)
+{
+    const std::string progress_key = record_keys::progress(job.m_id);
+    const auto make = [&]() -> prepared_write
+    {
+        const service_result<caller_access> access = authorize(request);
+        if (const refusal* refused = std::get_if<refusal>(&access))
+        {
+            return *refused;
+        }
+        const caller_access& allowed = std::get<caller_access>(access);
+        dispatch::job_submission stored = job;
+        stored.m_queue = allowed.m_queue.m_name;
+        stored.m_policy = allowed.m_queue.m_policy;
+        stored.m_account = allowed.m_account;
+        dispatch::job_progress progress;
+        progress.m_account = allowed.m_account;
+        store_transaction transaction;
+        transaction.m_expected = {
+            {m_configuration.key(), allowed.m_configuration_revision},
+            {progress_key, 0}};
+        transaction.m_writes = {
+            {record_keys::submission(job.m_id),
+             dispatch::encode_submission(stored), 0},
+            {progress_key, dispatch::encode_progress(progress), 0}};
+        return transaction;
+    };
+    return write(request, progress_key, make);
+}
+
 std::optional<std::optional<dispatch::job_progress>>
 job_service::read_progress(const std::string& id, instant deadline)
 {
@@ -266,62 +299,29 @@
                                            const std::string& id)
 {
     const std::string key = record_keys::cancellation(id);
-    bool may_be_stored = false;
-    while (true)
+    const auto make = [&]() -> prepared_write
     {
         const service_result<dispatch::job_state> found = state(request, id);
         if (const refusal* refused = std::get_if<refusal>(&found))
         {
-            return may_be_stored ? refusal::unknown : *refused;
+            return *refused;
         }
         if (dispatch::is_final(std::get<0>(found)))
         {
-            return std::nullopt;
+            return nothing_to_write();
         }
-        const configuration_view::snapshot snapshot = m_configuration.current();
         store_transaction transaction;
-        transaction.m_expected = {{m_configuration.key(), snapshot->m_revision},
-                                  {key, 0}};
+        transaction.m_expected = {
+            {m_configuration.key(), m_configuration.current()->m_revision},
+            {key, 0}};
         transaction.m_writes = {{key, "{}", 0}};
-        const instant sent = boot_now();
-        const store_result<commit_answer> outcome =
-            m_store.commit(transaction, call_timeout(request.m_deadline));
-        const bool answered = is_ok(outcome);
-        if (answered &&
-            std::holds_alternative<std::int64_t>(std::get<0>(outcome)))
-        {
-            m_log.write("jobs", "cancellation_stored", id, {});
-            return std::nullopt;
-        }
-        if (answered)
-        {
-            for (const record& conflict :
-                 std::get<store_conflict>(std::get<0>(outcome)).m_records)
-            {
-                if (conflict.m_key == key && conflict.m_revision != 0)
-                {
-                    return std::nullopt;
-                }
-                if (conflict.m_revision != 0)
-                {
-                    m_configuration.adopt(conflict, sent);
-                }
-            }
-        }
-        else if (std::get<1>(outcome) == store_failure::not_done)
-        {
-            return may_be_stored ? refusal::unknown : refusal::unavailable;
-        }
-        else
-        {
-            may_be_stored = true;
-            std::this_thread::sleep_for(retry_pause);
-        }
-        if (time_left(request.m_deadline) < shortest_call)
-        {
-            return may_be_stored ? refusal::unknown : refusal::unavailable;
-        }
-    }
+        return transaction;
+    };
+    const std::optional<refusal> refused = write(request, key, make);
+    m_log.write(
+        "jobs", refused ? "cancellation_refused" : "cancellation_stored", id,
+        {{"reason", refused ? std::string(to_string(*refused)) : "none"}});
+    return refused;
 }
 
 service_result<int> job_service::waiting(const caller_request& request)
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -7,6 +7,7 @@
 #include <kingcuprudder/node/event_log.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -77,6 +78,29 @@
     service_result<int> waiting(const caller_request& request);
 
 private:
+    struct nothing_to_write
+    {
+    };
+    using prepared_write =
+        std::variant<store_transaction, nothing_to_write, refusal>;
+    using transaction_maker = std::function<prepared_write()>;
+
+    enum class write_state
+    {
+        done,
+        outdated, ///< It was prepared by an older configuration.
+        not_done,
+        unknown,
+    };
+
+    write_state write_once(const caller_request& request,
+                           const store_transaction& transaction,
+                           const std::string& new_key);
+    /// Prepares and writes until the outcome is known or the deadline is near.
+    /// A conflict on the new key means that an earlier call wrote it.
+    std::optional<refusal> write(const caller_request& request,
+                                 const std::string& new_key,
+                                 const transaction_maker& make);
     std::optional<refusal> store_job(const caller_request& request,
                                      const dispatch::job_submission& job);
     std::optional<std::optional<dispatch::job_progress>>
