No start on a worker with unexplained runs; an older list ends no life

After a takeover the runs of jobs that have ended (cancelled or failed, still being stopped) are not in the loaded state, so their resources were not counted and a start exceeded the worker. Found on the way: the workers' list is gathered for 300 ms and may be older than the worker's last answer, and an older start time was taken for a new life, which would have ended the runs of the present one. Change: such a worker gets no start until the unexplained runs are gone; only a later start time is a new life. Both tests failed before.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -44,6 +44,12 @@
     return found->second;
 }
 
+bool dispatcher::has_foreign_runs(const std::string& worker) const
+{
+    const auto first = m_foreign_runs.lower_bound({worker, run_ref()});
+    return first != m_foreign_runs.end() && first->first.first == worker;
+}
+
 instant dispatcher::lease_end(instant sent) const
 {
     return sent + m_limits.m_worker_lease +
@@ -141,15 +147,13 @@
                                instant now)
 {
     worker_entry& where = worker(description.m_id);
-    const bool known_life = where.m_description.m_started != 0;
-    if (known_life && description.m_started != 0 &&
-        description.m_started != where.m_description.m_started)
+    // A list may be older than the worker's last answer.
+    const std::int64_t known = where.m_description.m_started;
+    if (known != 0 && description.m_started > known)
     {
         new_life(where, description.m_started, now);
     }
-    const std::int64_t started = description.m_started != 0
-                                     ? description.m_started
-                                     : where.m_description.m_started;
+    const std::int64_t started = std::max(known, description.m_started);
     if (!where.m_listed ||
         where.m_description.m_draining != description.m_draining)
     {
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -100,6 +100,8 @@
     friend class planner;
 
     worker_entry& worker(const std::string& id);
+    /// Whether the worker holds runs of unknown size that must end first.
+    bool has_foreign_runs(const std::string& worker) const;
     /// When a lease that was renewed at this time has surely run out.
     instant lease_end(instant sent) const;
     queue_policy policy_of(const job_entry& job) const;
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -331,11 +331,14 @@
 bool dispatcher::has_room(job_entry& job, const task_ref& ref)
 {
     const resources& demand = job.step(ref).m_demand;
+    const auto fits = [this, &demand](const std::string& id, std::int64_t tasks)
+    {
+        return !has_foreign_runs(id) &&
+               worker(id).free_now().covers(demand * tasks);
+    };
     if (!job.step(ref).m_gang)
     {
-        return worker(job.task(ref).m_active->m_worker)
-            .free_now()
-            .covers(demand);
+        return fits(job.task(ref).m_active->m_worker, 1);
     }
     // Members that started alone would hold their resources idle, so a gang
     // starts when there is room for all that have not started.
@@ -351,10 +354,9 @@
             ++members[task.m_active->m_worker];
         }
     }
-    return std::all_of(
-        members.begin(), members.end(),
-        [&](const auto& each)
-        { return worker(each.first).free_now().covers(demand * each.second); });
+    return std::all_of(members.begin(), members.end(),
+                       [&fits](const auto& each)
+                       { return fits(each.first, each.second); });
 }
 
 void dispatcher::send_starts(instant now, dispatch_effects& effects)
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -203,6 +203,7 @@
 {
     const job_step& wanted = step.m_job->step(step.m_step);
     return where.m_listed && where.m_synced && where.m_reachable &&
+           !m_state.has_foreign_runs(where.id()) &&
            !where.m_description.m_draining && where.m_avoid_until <= m_now &&
            where.m_description.m_pool == step.m_policy.m_pool &&
            has_label(where.m_description, wanted.m_required_label);
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -213,6 +213,33 @@
     EXPECT_TRUE(step().m_stops.empty());
 }
 
+// What is being stopped still occupies its worker; after a takeover the runs of
+// jobs that had ended were not counted, and a start exceeded the worker
+// (etw-label trouble-2, seed 209862557499).
+TEST_F(dispatcher_fixture, a_worker_with_unexplained_runs_gets_no_start)
+{
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {{"cancelled.0.0.0", 1, "", 50}});
+    accept(job("j", 1, 8));
+    EXPECT_TRUE(start_all().empty());
+    report("w1", {}, {{1, "cancelled.0.0.0", 1, run_end::stopped, ""}});
+    EXPECT_EQ(start_all().size(), 1u);
+}
+
+// A list that is older than the worker's last answer must not end the runs of
+// its present life.
+TEST_F(dispatcher_fixture, an_older_list_does_not_end_a_life)
+{
+    add_worker("w1");
+    report("w1", {}, {}, 200);
+    report("w1", {}, {}, 200);
+    accept(job("j", 1, 8));
+    ASSERT_EQ(start_all().size(), 1u);
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    EXPECT_TRUE(start_all().empty());
+    EXPECT_EQ(m_dispatcher.workers().at("w1").m_tasks.size(), 1u);
+}
+
 // The end of an earlier run counts: the work is done, and the newer run would
 // do it twice.
 TEST_F(dispatcher_fixture, an_earlier_runs_end_completes_the_task)
