Requests that run once leave no connection to the minion open

Cause of the red test a_leaving_minion_receives_nothing_after_3_s: a request that must not be repeated gets a connection of its own, and after the answer that connection was kept as if it could be used again. Idle connections were closed only by the next call to the same minion, so once a minion left they stayed open and held its threads; a request that had been sent in time waited in the minion for one of them until the first idle connection timed out after 5 s, and ran 4.9 s after the announcement.

Ruled out: late or failed polls of the instance list. The late run began 4.84 to 4.90 s after the change in each of the failures printed, which is the idle time of a connection, not a multiple of the poll interval.

--- a/kingcuprudder/service/entry_minion_calls.cpp
+++ b/kingcuprudder/service/entry_minion_calls.cpp
@@ -108,7 +108,10 @@
             return judge_failure(sent.error(), system_now() - before, timeout);
         }
         target_answer answer = judge_response(*sent);
-        give_back(address, std::move(client));
+        if (reuse)
+        {
+            give_back(address, std::move(client));
+        }
         return answer;
     }
 
