Tasks that last come back at once; filling work keeps away from serving tasks

Rules that unseen deployments may hold, found by reading RULES.md against the planner; each has a test that failed first: - A task that lasts waited behind all other work of its priority and counted as hopelessly late soon. It now goes first after guaranteed work and may displace tasks that do not last (LOST for lasting tasks). - Filling tasks shared workers with tasks that have a latency target. They keep apart now, in both directions (HARM); pacing stays unused. - Cores of filling tasks were counted against the worker. - A repetition was measured from the acceptance of its job, so later ones looked hopeless; it is measured from its due time.

--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -21,7 +21,7 @@
 
 void dispatcher::add_held(worker_entry& where, const job_step& step)
 {
-    where.m_held += step.m_demand;
+    where.m_held += step.occupied();
 }
 
 void dispatcher::assign(job_entry& job, const task_ref& ref,
@@ -39,7 +39,7 @@
     m_jobs.touch(job);
     active.m_needs_version = job.m_version;
     task.m_active = active;
-    where.m_planned += job.step(ref).m_demand;
+    where.m_planned += job.step(ref).occupied();
     where.m_tasks.insert(ref);
     m_unsent.insert(ref);
     const resources left = where.plannable();
@@ -74,7 +74,7 @@
     }
     task.m_active->m_phase = run_phase::stopping;
     task.m_active->m_stop_sent_at.reset();
-    worker(task.m_active->m_worker).m_leaving += job.step(ref).m_demand;
+    worker(task.m_active->m_worker).m_leaving += job.step(ref).occupied();
     m_log("run_stopping", ref.str(),
           {{"run", number(task.m_active->m_number)},
            {"worker", task.m_active->m_worker},
@@ -88,7 +88,7 @@
     task_entry& task = job.task(ref);
     const active_run active = *task.m_active;
     worker_entry& where = worker(active.m_worker);
-    const resources& demand = job.step(ref).m_demand;
+    const resources demand = job.step(ref).occupied();
     if (active.m_phase == run_phase::assigned)
     {
         where.m_planned -= demand;
@@ -335,7 +335,7 @@
 
 bool dispatcher::has_room(job_entry& job, const task_ref& ref)
 {
-    const resources& demand = job.step(ref).m_demand;
+    const resources demand = job.step(ref).occupied();
     const auto fits = [this, &demand](const std::string& id, std::int64_t tasks)
     {
         return !has_foreign_runs(id) &&
@@ -386,7 +386,7 @@
         {
             return false;
         }
-        where.m_planned -= job.step(ref).m_demand;
+        where.m_planned -= job.step(ref).occupied();
         add_held(where, job.step(ref));
         active.m_phase = run_phase::sent;
     }
--- a/kingcuprudder/dispatch/job_submission.hpp
+++ b/kingcuprudder/dispatch/job_submission.hpp
@@ -91,6 +91,14 @@
     /// The bound on a serving task's tail latency; zero for none.
     span m_target_latency = span(0);
 
+    /// What one task occupies on its worker. Filling tasks use cores that
+    /// others leave.
+    resources occupied() const
+    {
+        return {m_fills ? 0 : m_demand.m_cpu_millis, m_demand.m_memory_mb,
+                m_demand.m_gpus};
+    }
+
     friend bool operator==(const job_step&, const job_step&) = default;
 };
 
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -36,13 +36,20 @@
                worker.m_labels.end();
 }
 
+/// Whether only room decides where the step's tasks fit.
+bool is_ordinary(const job_step& step)
+{
+    return step.m_max_per_worker == 0 && !step.m_fills &&
+           step.m_target_latency == span(0);
+}
+
 } // namespace
 
 bool goes_first(const waiting_step& left, const waiting_step& right)
 {
     const auto rank = [](const waiting_step& step)
     {
-        return std::tuple(!step.m_guaranteed, step.m_hopeless,
+        return std::tuple(!step.m_guaranteed, !step.m_lasting, step.m_hopeless,
                           -worth_of_room(step), step.m_objective, step.m_step);
     };
     return rank(left) < rank(right);
@@ -137,6 +144,17 @@
     return true;
 }
 
+instant planner::begin_of(const job_entry& job, int repeat) const
+{
+    const job_submission& submission = job.m_submission;
+    if (submission.m_first_due == instant())
+    {
+        return job.m_accepted_at;
+    }
+    const instant due = submission.m_first_due + submission.m_interval * repeat;
+    return std::max(job.m_accepted_at, m_now - (m_wall_now - due));
+}
+
 void planner::collect_job(job_entry& job, std::vector<waiting_step>& steps)
 {
     for (int repeat = 0; repeat < job.m_submission.m_repeats; ++repeat)
@@ -169,13 +187,16 @@
                     static_cast<double>(job.m_chain.count()) *
                     step.m_policy.m_stretch)) +
                 step.m_policy.m_start_allowance;
-            step.m_objective = job.m_accepted_at + objective;
+            step.m_lasting = job.m_submission.m_steps[index].m_persistent;
+            const instant begun = begin_of(job, repeat);
+            step.m_objective = begun + objective;
             const instant end = m_now + job.m_chain_from[index];
             step.m_guaranteed =
                 step.m_policy.m_priority == 0 && index == 0 &&
                 m_within_guarantee.contains(job.m_submission.m_account);
-            step.m_late = end > step.m_objective;
-            step.m_hopeless = end > job.m_accepted_at + objective * late_factor;
+            step.m_late = !step.m_lasting && end > step.m_objective;
+            step.m_hopeless =
+                !step.m_lasting && end > begun + objective * late_factor;
             steps.push_back(std::move(step));
         }
     }
@@ -199,8 +220,25 @@
 bool planner::eligible(const worker_entry& where,
                        const waiting_step& step) const
 {
-    return has_label(where.m_description,
-                     step.m_job->step(step.m_step).m_required_label);
+    const job_step& wanted = step.m_job->step(step.m_step);
+    return has_label(where.m_description, wanted.m_required_label) &&
+           !is_disturbed(where, wanted);
+}
+
+bool planner::is_disturbed(const worker_entry& where,
+                           const job_step& wanted) const
+{
+    const bool serves = wanted.m_target_latency > span(0);
+    return (wanted.m_fills || serves) &&
+           std::any_of(
+               where.m_tasks.begin(), where.m_tasks.end(),
+               [&](const task_ref& ref)
+               {
+                   const job_entry* job = m_state.m_jobs.find(ref.m_job);
+                   return job != nullptr &&
+                          (serves ? job->step(ref).m_fills
+                                  : job->step(ref).m_target_latency > span(0));
+               });
 }
 
 bool planner::recently_failed(const worker_entry& where) const
@@ -213,13 +251,8 @@
                                  bool one_rack)
 {
     const job_step& wanted = step.m_job->step(step.m_step);
-    room_request request{step.m_policy.m_pool, wanted.m_required_label,
-                         wanted.m_demand, count, one_rack};
-    if (wanted.m_fills)
-    {
-        request.m_demand.m_cpu_millis = 0;
-    }
-    return request;
+    return {step.m_policy.m_pool, wanted.m_required_label, wanted.occupied(),
+            count, one_rack};
 }
 
 int planner::on_worker(const worker_entry& where,
@@ -251,9 +284,10 @@
                 std::min(most, std::max<std::int64_t>(0, available) / demand);
         }
     };
-    limit(free.m_cpu_millis, wanted.m_fills ? 0 : wanted.m_demand.m_cpu_millis);
-    limit(free.m_memory_mb, wanted.m_demand.m_memory_mb);
-    limit(free.m_gpus, wanted.m_demand.m_gpus);
+    const resources demand = wanted.occupied();
+    limit(free.m_cpu_millis, demand.m_cpu_millis);
+    limit(free.m_memory_mb, demand.m_memory_mb);
+    limit(free.m_gpus, demand.m_gpus);
     if (wanted.m_max_per_worker > 0)
     {
         most = std::min<std::int64_t>(most, wanted.m_max_per_worker -
@@ -284,7 +318,7 @@
         {
             continue;
         }
-        const resources left = where->plannable() - wanted.m_demand;
+        const resources left = where->plannable() - wanted.occupied();
         const auto rank = std::tuple(is_far(*where), recently_failed(*where),
                                      left.m_gpus, left.m_cpu_millis);
         if (best == nullptr || rank < best_rank)
@@ -293,7 +327,7 @@
             best_rank = rank;
         }
     }
-    if (best == nullptr && wanted.m_max_per_worker == 0)
+    if (best == nullptr && is_ordinary(wanted))
     {
         m_index.note_failure(request);
     }
@@ -465,7 +499,7 @@
             best = std::move(shares);
         }
     }
-    if (best.empty() && wanted.m_max_per_worker == 0)
+    if (best.empty() && is_ordinary(wanted))
     {
         m_index.note_failure(request);
     }
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -23,6 +23,8 @@
     queue_policy m_policy;
     /// The account was promised room for this step at any time.
     bool m_guaranteed = false;
+    /// The tasks run until the job is cancelled and must not stay away.
+    bool m_lasting = false;
     /// The job can no longer meet its objective.
     bool m_late = false;
     /// The job can no longer earn anything by ending.
@@ -49,12 +51,17 @@
     void collect_job(job_entry& job, std::vector<waiting_step>& steps);
     bool step_is_due(const job_entry& job, int repeat, int step) const;
 
+    /// When the time of the job, or of this repetition, began to count.
+    instant begin_of(const job_entry& job, int repeat) const;
+
     void place_tasks(waiting_step& step);
     void place_gang(waiting_step& step);
     bool may_reclaim(const waiting_step& step) const;
 
     void index_workers();
     bool eligible(const worker_entry& where, const waiting_step& step) const;
+    /// Whether tasks on the worker would be disturbed, or would disturb.
+    bool is_disturbed(const worker_entry& where, const job_step& wanted) const;
     bool recently_failed(const worker_entry& where) const;
     static room_request request_of(const waiting_step& step, int count,
                                    bool one_rack);
--- a/kingcuprudder/dispatch/planner_reclaim.cpp
+++ b/kingcuprudder/dispatch/planner_reclaim.cpp
@@ -35,7 +35,8 @@
 
 bool planner::may_reclaim(const waiting_step& step) const
 {
-    return step.m_policy.m_priority == 0 && !step.m_hopeless;
+    return step.m_lasting ||
+           (step.m_policy.m_priority == most_urgent && !step.m_hopeless);
 }
 
 bool planner::promise_is_near(const waiting_step& step) const
@@ -47,7 +48,7 @@
 
 double planner::tolerable_loss(const waiting_step& step) const
 {
-    if (promise_is_near(step))
+    if (promise_is_near(step) || step.m_lasting)
     {
         return std::numeric_limits<double>::max();
     }
@@ -134,7 +135,7 @@
         {
             break;
         }
-        missing -= each.m_job->step(each.m_task).m_demand;
+        missing -= each.m_job->step(each.m_task).occupied();
         loss += added_loss(chosen, each);
         chosen.push_back(each);
     }
@@ -168,7 +169,7 @@
             continue;
         }
         auto found =
-            cheapest_victims(*where, wanted.m_demand - where->plannable());
+            cheapest_victims(*where, wanted.occupied() - where->plannable());
         if (found && (!best || found->second < best->second))
         {
             best = std::move(found);
@@ -199,7 +200,7 @@
             }
             const int free = fitting(*where, step, where->plannable());
             missing -= std::min(missing, free);
-            resources needed = wanted.m_demand * (free + 1);
+            resources needed = wanted.occupied() * (free + 1);
             // Each further member on this worker is an offer of its own.
             for (int more = 1; more <= wanted.m_count; ++more)
             {
@@ -212,7 +213,7 @@
                     break;
                 }
                 offers.emplace_back(found->second, found->first);
-                needed += wanted.m_demand;
+                needed += wanted.occupied();
             }
         }
         if (static_cast<int>(offers.size()) < missing)
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -424,6 +424,112 @@
     EXPECT_EQ(second[0].m_run.m_task.m_repeat, 1);
 }
 
+// A repetition that was due long after the job was accepted counted as
+// hopelessly late, and everything else went before it.
+TEST_F(dispatcher_fixture, a_late_repetition_is_measured_from_its_due_time)
+{
+    add_worker("w1");
+    job_submission repeated = job("z", 1, 8);
+    repeated.m_repeats = 2;
+    repeated.m_first_due = m_now;
+    repeated.m_interval = span(100'000);
+    accept(repeated);
+    const auto first = start_all();
+    confirm(first);
+    report("w1", {}, {ended(1, first[0], run_end::done)});
+    pass(span(100'000 - 4000));
+    accept(job("b", 1, 8));
+    accept(job("c", 1, 8));
+    const auto other = start_all();
+    confirm(other);
+    pass(span(4000));
+    report("w1", {}, {ended(2, other[0], run_end::done)});
+    pass(span(8000)); // Now "c" can only end late.
+    const auto next = start_all();
+    ASSERT_EQ(next.size(), 1u);
+    EXPECT_EQ(next[0].m_run.m_task.m_job, "z");
+}
+
+// A task that lasts must come back within seconds however full the pool is;
+// behind other work it stayed away.
+TEST_F(dispatcher_fixture, a_task_that_lasts_comes_back_on_a_full_pool)
+{
+    add_worker("w1");
+    job_submission lasting = job("l", 1, 4);
+    lasting.m_steps[0].m_persistent = true;
+    accept(lasting);
+    const auto first = start_all();
+    ASSERT_EQ(first.size(), 1u);
+    confirm(first);
+    accept(job("b", 1, 4));
+    const auto filler = start_all();
+    confirm(filler);
+    accept(job("c", 1, 4));
+    pass(span(30'000));
+    report("w1", {running(filler[0])}, {ended(1, first[0], run_end::failed)});
+    const auto again = start_all();
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_EQ(again[0].m_run.m_task.m_job, "l");
+
+    report("w1", {}, {ended(2, filler[0], run_end::done)});
+    const auto held = start_all(); // "c" takes the other half.
+    ASSERT_EQ(held.size(), 1u);
+    accept(job("d", 1, 8));
+    add_worker("w2");
+    const auto wide = start_all();
+    ASSERT_EQ(wide.size(), 1u);
+    confirm(wide);
+    report("w1", {}, {}, 200); // Restarted with nothing running.
+    pass(span(100));
+    m_dispatcher.worker_unlisted("w1", m_now);
+    EXPECT_EQ(step().m_stops.size(), 1u) << "no room was made on w2";
+}
+
+// Work that fills a worker disturbs tasks that serve users there.
+TEST_F(dispatcher_fixture, filling_work_stays_away_from_serving_tasks)
+{
+    add_worker("w1");
+    add_worker("w2");
+    job_submission serving = job("s", 1, 1);
+    serving.m_steps[0].m_persistent = true;
+    serving.m_steps[0].m_target_latency = span(50);
+    accept(serving);
+    const auto served = start_all();
+    ASSERT_EQ(served.size(), 1u);
+    job_submission filling = job("f", 1, 1);
+    filling.m_steps[0].m_fills = true;
+    accept(filling);
+    const auto filled = start_all();
+    ASSERT_EQ(filled.size(), 1u);
+    EXPECT_NE(filled[0].m_worker, served[0].m_worker);
+    accept(
+        []
+        {
+            job_submission more = job("t", 2, 4);
+            more.m_steps[0].m_target_latency = span(50);
+            return more;
+        }());
+    for (const start_order& order : start_all())
+    {
+        EXPECT_EQ(order.m_worker, served[0].m_worker);
+    }
+}
+
+// Cores of filling work are those that others leave, so they take no room.
+TEST_F(dispatcher_fixture, filling_work_takes_no_cores_of_others)
+{
+    add_worker("w1");
+    job_submission filling = job("f", 1, 0);
+    filling.m_steps[0].m_fills = true;
+    filling.m_steps[0].m_demand.m_cpu_millis = 64'000;
+    accept(filling);
+    ASSERT_EQ(start_all().size(), 1u);
+    job_submission other = job("o", 1, 0);
+    other.m_steps[0].m_demand.m_cpu_millis = 64'000;
+    accept(other);
+    EXPECT_EQ(start_all().size(), 1u);
+}
+
 TEST_F(dispatcher_fixture, a_run_goes_on_from_its_checkpoint)
 {
     add_worker("w1");
