--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -30,9 +30,6 @@
 constexpr span store_timeout = span(1500);
 constexpr span load_retry = span(150);
 constexpr span write_retry = span(80);
-constexpr span watch_wait = span(1500);
-// Each worker writes every second or so, and few of these changes matter.
-constexpr span worker_gather = span(300);
 constexpr span summary_interval = span(500);
 constexpr span removal_interval = span(5000);
 // Ended jobs stay a while longer than promised, as clocks differ.
@@ -121,212 +118,6 @@
         std::clamp<std::int64_t>(left.count(), 1, tick.count()));
 }
 
-bool scheduler::load()
-{
-    record_store& store = m_environment.m_store;
-    const store_result<record_list> workers =
-        store.list(m_environment.m_records.m_workers_prefix, store_timeout);
-    const store_result<record_list> live =
-        store.list(record_keys::live_prefix, store_timeout);
-    const store_result<record_list> progress =
-        store.list(record_keys::progress_prefix, store_timeout);
-    if (!is_ok(workers) || !is_ok(live) || !is_ok(progress))
-    {
-        return false;
-    }
-    take_worker_list(std::get<0>(workers));
-    load_jobs(std::get<0>(live), std::get<0>(progress));
-    m_environment.m_log.write(
-        "scheduler", "state_loaded", "",
-        {{"workers", std::to_string(std::get<0>(workers).m_records.size())},
-         {"jobs", std::to_string(m_dispatcher.jobs().size())},
-         {"revision", std::to_string(std::get<0>(live).m_revision)},
-         {"fence", std::to_string(m_term->fence())}});
-    follow_records(std::get<0>(live).m_revision);
-    return true;
-}
-
-void scheduler::load_jobs(const record_list& live, const record_list& progress)
-{
-    std::map<std::string, const record*> progress_of;
-    for (const record& each : progress.m_records)
-    {
-        progress_of[after_prefix(each.m_key, record_keys::progress_prefix)] =
-            &each;
-    }
-    for (const record& each : live.m_records)
-    {
-        if (!each.m_key.starts_with(record_keys::submission_prefix))
-        {
-            continue;
-        }
-        const std::string id =
-            after_prefix(each.m_key, record_keys::submission_prefix);
-        const auto found = progress_of.find(id);
-        if (found == progress_of.end())
-        {
-            continue; // Accepted after the progress was read; follows by watch.
-        }
-        const auto decoded = dispatch::decode_progress(found->second->m_value);
-        if (decoded && !dispatch::is_final(decoded->m_state))
-        {
-            add_submission(each, decoded, found->second->m_revision);
-        }
-    }
-    for (const record& each : live.m_records)
-    {
-        if (each.m_key.starts_with(record_keys::cancellation_prefix))
-        {
-            take_live_record(each);
-        }
-    }
-    const instant now = boot_now();
-    for (const auto& [id, each] : progress_of)
-    {
-        const auto decoded = dispatch::decode_progress(each->m_value);
-        if (decoded && dispatch::is_final(decoded->m_state))
-        {
-            m_ended.insert(id);
-            m_removals.emplace(
-                now + m_environment.m_status_time + removal_margin, id);
-        }
-    }
-}
-
-void scheduler::follow_records(std::int64_t)
-{
-    m_job_watcher = std::make_unique<record_watcher>(
-        m_environment.m_store, m_environment.m_log, record_keys::live_prefix,
-        watch_wait, span(0),
-        record_watcher::hooks{
-            [this](const record_list& list)
-            {
-                post(
-                    [this, list]
-                    {
-                        for (const record& each : list.m_records)
-                        {
-                            take_live_record(each);
-                        }
-                    });
-            },
-            [this](const record_changes& changes)
-            {
-                post(
-                    [this, changes]
-                    {
-                        for (const auto& change : changes.m_changes)
-                        {
-                            if (!change.m_removed)
-                            {
-                                take_live_record(change.m_record);
-                            }
-                        }
-                    });
-            },
-            nullptr});
-    m_worker_watcher = std::make_unique<record_watcher>(
-        m_environment.m_store, m_environment.m_log,
-        m_environment.m_records.m_workers_prefix, watch_wait, worker_gather,
-        record_watcher::hooks{
-            [this](const record_list& list)
-            { post([this, list] { take_worker_list(list); }); },
-            [this](const record_changes& changes)
-            {
-                post(
-                    [this, changes]
-                    {
-                        for (const auto& change : changes.m_changes)
-                        {
-                            take_worker_record(change.m_record,
-                                               change.m_removed);
-                        }
-                    });
-            },
-            nullptr});
-}
-
-void scheduler::add_submission(
-    const record& found, const std::optional<dispatch::job_progress>& progress,
-    std::int64_t progress_revision)
-{
-    const auto decoded = dispatch::decode_submission(found.m_value);
-    if (!decoded)
-    {
-        m_environment.m_log.write(
-            "scheduler", "job_record_not_read", found.m_key,
-            {{"revision", std::to_string(found.m_revision)}});
-        return;
-    }
-    m_dispatcher.add_job(*decoded, progress, progress_revision, boot_now(),
-                         wall_now());
-}
-
-void scheduler::take_live_record(const record& found)
-{
-    if (found.m_key.starts_with(record_keys::submission_prefix))
-    {
-        const std::string id =
-            after_prefix(found.m_key, record_keys::submission_prefix);
-        if (!m_dispatcher.knows_job(id) && !m_ended.contains(id))
-        {
-            // The submission and the first progress record are one write.
-            add_submission(found, std::nullopt, found.m_revision);
-        }
-    }
-    else if (found.m_key.starts_with(record_keys::cancellation_prefix))
-    {
-        const std::string id =
-            after_prefix(found.m_key, record_keys::cancellation_prefix);
-        if (!m_ended.contains(id))
-        {
-            m_dispatcher.cancel_job(id, boot_now());
-        }
-    }
-}
-
-void scheduler::take_worker_record(const record& found, bool removed)
-{
-    const std::string id =
-        after_prefix(found.m_key, m_environment.m_records.m_workers_prefix);
-    if (removed)
-    {
-        m_dispatcher.worker_unlisted(id, boot_now());
-        return;
-    }
-    const auto decoded =
-        m_environment.m_records.m_decode_worker(id, found.m_value);
-    if (decoded)
-    {
-        m_dispatcher.worker_listed(*decoded, boot_now());
-    }
-    else
-    {
-        m_environment.m_log.write(
-            "scheduler", "worker_record_not_read", id,
-            {{"revision", std::to_string(found.m_revision)}});
-        m_dispatcher.worker_unlisted(id, boot_now());
-    }
-}
-
-void scheduler::take_worker_list(const record_list& list)
-{
-    std::set<std::string> listed;
-    for (const record& each : list.m_records)
-    {
-        listed.insert(
-            after_prefix(each.m_key, m_environment.m_records.m_workers_prefix));
-        take_worker_record(each, false);
-    }
-    for (const auto& [id, worker] : m_dispatcher.workers())
-    {
-        if (!listed.contains(id))
-        {
-            m_dispatcher.worker_unlisted(id, boot_now());
-        }
-    }
-}
-
 void scheduler::plan()
 {
     const instant began = boot_now();
@@ -544,18 +335,24 @@
     }
     for (const dispatch::job_write& write : writes)
     {
-        if (dispatch::is_final(write.m_progress.m_state) &&
-            m_ended.insert(write.m_job).second)
+        if (dispatch::is_final(write.m_progress.m_state))
         {
-            m_removals.emplace(boot_now() + m_environment.m_status_time +
-                                   removal_margin,
-                               write.m_job);
+            note_ended(write.m_job, boot_now());
         }
         m_dispatcher.write_stored(write.m_job, write.m_version,
                                   std::get<std::int64_t>(answer));
     }
 }
 
+void scheduler::note_ended(const std::string& job, instant now)
+{
+    if (m_ended.insert(job).second)
+    {
+        m_removals.emplace(now + m_environment.m_status_time + removal_margin,
+                           job);
+    }
+}
+
 void scheduler::resolve_conflict(const std::vector<dispatch::job_write>& writes,
                                  const store_conflict& conflict)
 {
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -85,6 +85,8 @@
                       const store_result<commit_answer>& outcome);
     void resolve_conflict(const std::vector<dispatch::job_write>& writes,
                           const store_conflict& conflict);
+    /// The job's record may be removed some time after its end.
+    void note_ended(const std::string& job, instant now);
     void publish_summary();
     void remove_old_records();
     worker_session::hooks session_hooks();
