Other work leaves room for the urgent jobs to come, where these are many

Cause: on the grown deployments about 680 of 2,800 GPUs hold urgent jobs, each for some 2.5 s.

Now normal and background work leaves free what urgent jobs used on average in the last 2 s and 30% more, less what they use now. With few urgent jobs at a time the mean says little, so the rule sets in between 12 and 24 of them; the small deployments stay below that but for bursts.

--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <kingcuprudder/dispatch/duration_model.hpp>
 #include <kingcuprudder/dispatch/job_table.hpp>
 #include <kingcuprudder/dispatch/service_configuration.hpp>
+#include <kingcuprudder/dispatch/urgent_use.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/dispatch/worker_table.hpp>
@@ -161,6 +162,7 @@
     decision_log m_log;
     service_configuration m_configuration;
     duration_model m_durations;
+    urgent_use m_urgent_use;
     job_table m_jobs;
     std::map<std::string, worker_entry> m_workers;
     /// Tasks whose start must be sent, or sent again.
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -36,6 +36,23 @@
                worker.m_labels.end();
 }
 
+/// The GPUs of the job's runs.
+std::int64_t active_gpus(const job_entry& job)
+{
+    std::int64_t gpus = 0;
+    for (const auto& repeat : job.m_tasks)
+    {
+        for (std::size_t step = 0; step < repeat.size(); ++step)
+        {
+            gpus += job.m_submission.m_steps[step].m_demand.m_gpus *
+                    std::count_if(repeat[step].begin(), repeat[step].end(),
+                                  [](const task_entry& task)
+                                  { return task.m_active.has_value(); });
+        }
+    }
+    return gpus;
+}
+
 /// Whether only room decides where the step's tasks fit.
 bool is_ordinary(const job_step& step)
 {
@@ -65,6 +82,7 @@
     index_workers();
     std::vector<waiting_step> steps = collect();
     std::stable_sort(steps.begin(), steps.end(), goes_first);
+    count_room();
     for (waiting_step& step : steps)
     {
         if (step.m_job->step(step.m_step).m_gang)
@@ -78,6 +96,46 @@
     }
 }
 
+void planner::count_room()
+{
+    std::map<std::string, urgent_use::amount> used;
+    for (const auto& [id, job] : m_state.m_jobs.jobs())
+    {
+        if (!is_final(job.m_state) && job.m_policy.m_priority == 0)
+        {
+            const std::int64_t gpus = active_gpus(job);
+            used[job.m_policy.m_pool].m_gpus += static_cast<double>(gpus);
+            used[job.m_policy.m_pool].m_jobs += gpus > 0 ? 1 : 0;
+        }
+    }
+    m_state.m_urgent_use.update(used, m_now);
+    for (const auto& [pool, workers] : m_index.pools())
+    {
+        std::int64_t& free = m_free[pool];
+        for (const worker_entry* where : workers.m_all)
+        {
+            free += std::max<std::int64_t>(0, where->plannable().m_gpus);
+        }
+    }
+}
+
+bool planner::leaves_room_for_urgent(const waiting_step& step, int tasks)
+{
+    const std::int64_t gpus =
+        step.m_job->step(step.m_step).m_demand.m_gpus * tasks;
+    const std::int64_t kept = m_state.m_urgent_use.kept(step.m_policy.m_pool);
+    return kept == 0 || step.m_policy.m_priority == 0 || step.m_lasting ||
+           gpus == 0 || m_free[step.m_policy.m_pool] - gpus >= kept;
+}
+
+void planner::assign(waiting_step& step, const task_ref& ref,
+                     worker_entry& where, int run)
+{
+    m_free[step.m_policy.m_pool] -=
+        step.m_job->step(step.m_step).m_demand.m_gpus;
+    m_state.assign(*step.m_job, ref, where, run, m_now);
+}
+
 void planner::count_guarantees()
 {
     std::map<std::string, std::int64_t> guaranteed;
@@ -343,6 +401,10 @@
     {
         task_ref ref = step.m_step;
         ref.m_index = index;
+        if (!leaves_room_for_urgent(step, 1))
+        {
+            return;
+        }
         worker_entry* where = best_worker(step);
         if (where == nullptr)
         {
@@ -357,7 +419,7 @@
             }
         }
         const int run = step.m_job->task(ref).m_progress.m_last_run + 1;
-        m_state.assign(*step.m_job, ref, *where, run, m_now);
+        assign(step, ref, *where, run);
     }
 }
 
@@ -470,7 +532,7 @@
         for (int member = 0; member < count; ++member)
         {
             step.m_job->task(ref).m_progress.m_checkpoint = checkpoint;
-            m_state.assign(*step.m_job, ref, *where, run + 1, m_now);
+            assign(step, ref, *where, run + 1);
             ++ref.m_index;
         }
     }
@@ -508,6 +570,10 @@
 
 void planner::place_gang(waiting_step& step)
 {
+    if (!leaves_room_for_urgent(step, step.m_job->step(step.m_step).m_count))
+    {
+        return;
+    }
     const bool across = may_span_racks(step);
     const std::vector<share> best = best_gang_shares(step, across);
     if (!best.empty())
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -45,6 +45,11 @@
     void run();
 
 private:
+    /// Counts what urgent jobs use and what is free.
+    void count_room();
+    bool leaves_room_for_urgent(const waiting_step& step, int tasks);
+    void assign(waiting_step& step, const task_ref& ref, worker_entry& where,
+                int run);
     /// Finds the accounts whose urgent jobs need no more than was promised.
     void count_guarantees();
     std::vector<waiting_step> collect();
@@ -113,6 +118,8 @@
     instant m_now;
     instant m_wall_now;
     std::set<std::string> m_within_guarantee;
+    /// GPUs that are free, by pool.
+    std::map<std::string, std::int64_t> m_free;
     worker_index m_index;
     /// What victims_on() found in this pass, by worker.
     std::map<std::string, std::vector<victim>> m_victims;
--- a/kingcuprudder/dispatch/worker_index.hpp
+++ b/kingcuprudder/dispatch/worker_index.hpp
@@ -33,9 +33,15 @@
 {
 public:
     using workers = std::vector<worker_entry*>;
+    struct pool_workers
+    {
+        workers m_all;
+        std::map<std::string, workers> m_racks;
+    };
 
     void add(worker_entry& where);
 
+    const std::map<std::string, pool_workers>& pools() const { return m_pools; }
     /// The workers of the pool.
     const workers& pool(const std::string& name) const;
     /// The workers of the pool by rack.
@@ -47,12 +53,6 @@
     void forget_failures();
 
 private:
-    struct pool_workers
-    {
-        workers m_all;
-        std::map<std::string, workers> m_racks;
-    };
-
     std::map<std::string, pool_workers> m_pools;
     std::vector<room_request> m_failures;
 };
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -362,6 +362,52 @@
     EXPECT_TRUE(step().m_stops.empty());
 }
 
+// Work that took the room of urgent jobs that had just ended was stopped for
+// the next ones, and lost what it had done (scale-1 of the grown deployments).
+TEST_F(dispatcher_fixture, room_that_urgent_jobs_left_is_kept_for_the_next)
+{
+    constexpr int many = 20;
+    for (int index = 0; index < many; ++index)
+    {
+        add_worker("w" + std::to_string(index));
+        accept(job("u" + std::to_string(index), 1, 8, "urgent"));
+    }
+    const auto urgent = start_all();
+    ASSERT_EQ(urgent.size(), static_cast<std::size_t>(many));
+    confirm(urgent);
+    for (int seconds = 0; seconds < 4; ++seconds)
+    {
+        pass(span(1000));
+        start_all();
+    }
+    accept(job("b", 1, 8));
+    const auto end = [&](int index)
+    {
+        const start_order& ended_run = urgent[static_cast<std::size_t>(index)];
+        report(ended_run.m_worker, {}, {ended(1, ended_run, run_end::done)});
+    };
+    end(0);
+    EXPECT_TRUE(start_all().empty());
+    for (int index = 1; index < many; ++index)
+    {
+        end(index);
+    }
+    // Without urgent jobs the room is given to others soon.
+    pass(span(3000));
+    EXPECT_EQ(start_all().size(), 1u);
+}
+
+// A pool without a usable worker ended the process of the leader.
+TEST_F(dispatcher_fixture, planning_goes_on_when_a_pool_has_no_worker)
+{
+    add_worker("w1");
+    accept(job("u", 1, 1, "urgent"));
+    confirm(start_all());
+    accept(job("b", 1, 1));
+    m_dispatcher.renewal_failed("w1", m_now);
+    EXPECT_TRUE(start_all().empty());
+}
+
 // What is promised to an account is given back in time at any price.
 TEST_F(dispatcher_fixture, a_guaranteed_job_gets_room_before_its_bound)
 {
--- a/unit_tests/dispatch/load_test.cpp
+++ b/unit_tests/dispatch/load_test.cpp
@@ -37,6 +37,20 @@
     EXPECT_GT(play(etikettwerk_sheet(), 1.2).m_worth, 0.956);
 }
 
+// An overloaded day of 350 workers. The previous placement gave room that
+// urgent jobs had just left to others and stopped these again for the next
+// urgent jobs: it earned 0.729 and stopped 5,752 of 14,239 runs.
+TEST(dispatch_load, little_of_a_large_pool_is_stopped_for_urgent_jobs)
+{
+    load_sheet sheet = kovacsmuhely_grown_sheet();
+    sheet.m_load = 1.5;
+    sheet.m_burst = 2.1;
+    const load_outcome seen = play_load(sheet, 1);
+    EXPECT_GT(seen.m_worth, 0.729);
+    EXPECT_LT(seen.m_stopped_runs, seen.m_runs / 4);
+    EXPECT_EQ(seen.m_violations, 0);
+}
+
 // No run exceeds a worker or doubles a task, whatever the load.
 TEST(dispatch_load, no_rule_is_broken_under_load)
 {
