A repeated stop does not outrun the reports that prove the run gone

Cause, from the logs of the first: a worker reset all connections for 6 s, so a start was sent three times without an answer and then stopped; the stop was repeated every 500 ms and accepted from 31 s on. Each accepted stop moved the time after which a report must have been sent to prove the run gone. Only workers without other ends were affected, as an end answers at once. Now the first accepted stop sets the time.

The new test failed before and passes now.

--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -250,8 +250,10 @@
     if (active.m_worker == order.m_worker &&
         active.m_number == order.m_run.m_run &&
         active.m_phase == run_phase::stopping &&
-        outcome == order_outcome::accepted)
+        outcome == order_outcome::accepted && !active.m_listed_from)
     {
+        // A repeated stop proves nothing more, and a later time would make
+        // reports that are under way count for nothing.
         active.m_listed_from = now;
     }
 }
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -408,6 +408,38 @@
     EXPECT_TRUE(start_all().empty());
 }
 
+// Every repeated stop moved the time from which a report counts past the
+// report that was under way, so an idle worker kept such a task for good
+// (etw-label-grown, mix, seed 211913220172: LOST).
+TEST_F(dispatcher_fixture, repeated_stops_do_not_outrun_the_reports)
+{
+    add_worker("w1");
+    accept(job("j", 1, 1));
+    step();
+    store();
+    constexpr int most_sends = 3;
+    for (int send = 0; send < most_sends; ++send)
+    {
+        const auto starts = step().m_starts;
+        ASSERT_EQ(starts.size(), 1u) << send;
+        m_dispatcher.start_finished(starts[0], order_outcome::may_have_arrived,
+                                    m_now);
+    }
+    const auto stops = step().m_stops;
+    ASSERT_EQ(stops.size(), 1u);
+    m_dispatcher.stop_finished(stops[0], order_outcome::accepted, m_now);
+    pass(span(100));
+    const instant report_sent = m_now;
+    pass(span(500));
+    m_dispatcher.stop_finished(step().m_stops.at(0), order_outcome::accepted,
+                               m_now);
+    pass(span(500));
+    worker_report report;
+    report.m_started = 100;
+    m_dispatcher.renewal_answered("w1", report, report_sent, m_now);
+    EXPECT_EQ(start_all().size(), 1u);
+}
+
 // What is promised to an account is given back in time at any price.
 TEST_F(dispatcher_fixture, a_guaranteed_job_gets_room_before_its_bound)
 {
