The soak's minions hold gangs until all members are there

The minions now know the size of a gang from the spec: members work from when all of one run are there, end together, end "alone" after 3 s without the others and "broken" when another member ends undone. The check of the soak is as before.

--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -120,14 +120,17 @@
     /// Hands a job in, trying other processes, as the platform's callers do.
     void submit(const std::string& id, int tasks, int work_ms, unsigned first)
     {
-        const nlohmann::json body{{"spec", std::to_string(work_ms)},
-                                  {"steps",
-                                   {{{"count", tasks},
-                                     {"cpu", 1000},
-                                     {"memMb", 1000},
-                                     {"gpu", 1},
-                                     {"estimateMs", work_ms},
-                                     {"gang", tasks % 2 == 0}}}}};
+        const bool gang = tasks % 2 == 0;
+        const nlohmann::json body{
+            {"spec", std::to_string(work_ms) +
+                         (gang ? " " + std::to_string(tasks) : "")},
+            {"steps",
+             {{{"count", tasks},
+               {"cpu", 1000},
+               {"memMb", 1000},
+               {"gpu", 1},
+               {"estimateMs", work_ms},
+               {"gang", gang}}}}};
         sent_job job;
         job.m_tasks = tasks;
         for (unsigned attempt = 0; attempt < most_attempts && !job.m_accepted;
--- a/stand_ins/simulated_minions.cpp
+++ b/stand_ins/simulated_minions.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <httplib.h>
+#include <sstream>
 
 namespace kingcuprudder::stand_ins
 {
@@ -21,6 +22,7 @@
 constexpr std::chrono::milliseconds clock_step(5);
 constexpr std::chrono::milliseconds silence(700);
 constexpr span late_by = span(2000);
+constexpr span gang_timeout = span(3000);
 constexpr std::int64_t started_at = 1'700'000'000'000;
 
 constexpr int status_ok = 200;
@@ -165,9 +167,22 @@
     {
         m_violations.push_back("a run after the end of " + task);
     }
-    // The spec is "MILLISECONDS"; each task takes one GPU.
-    const span length(std::stoll(order.at("spec").get<std::string>()));
-    target.m_running.push_back({task, number, now, now + length});
+    // The spec is "MILLISECONDS" or "MILLISECONDS MEMBERS"; each task takes one
+    // GPU.
+    std::istringstream spec(order.at("spec").get<std::string>());
+    std::int64_t length = 0;
+    run begun{task, number, now, span(0), 1, std::nullopt};
+    spec >> length;
+    if (!(spec >> begun.m_members))
+    {
+        begun.m_members = 1;
+    }
+    begun.m_length = span(length);
+    if (begun.m_members == 1)
+    {
+        begun.m_ends = now + begun.m_length;
+    }
+    target.m_running.push_back(begun);
     if (target.m_running.size() > gpus_of_a_minion)
     {
         m_violations.push_back("over capacity with " + task);
@@ -209,9 +224,11 @@
     const instant now = node::boot_now();
     for (const run& each : target.m_running)
     {
-        const auto percent =
-            100 * (now - each.m_began).count() /
-            std::max<std::int64_t>(1, (each.m_ends - each.m_began).count());
+        const std::int64_t percent =
+            each.m_ends
+                ? 100 - 100 * (*each.m_ends - now).count() /
+                            std::max<std::int64_t>(1, each.m_length.count())
+                : 0;
         body["running"].push_back(
             {each.m_task, each.m_run, "", std::min<std::int64_t>(99, percent)});
     }
@@ -226,37 +243,121 @@
 void simulated_minions::finish(minion& target, std::size_t at,
                                const std::string& how)
 {
-    const run done = target.m_running[at];
+    const run over = target.m_running[at];
     target.m_running.erase(target.m_running.begin() +
                            static_cast<std::ptrdiff_t>(at));
     target.m_ended.push_back(
-        {++target.m_last_number, done.m_task, done.m_run, how});
-    int& highest = target.m_highest_ended[done.m_task];
-    highest = std::max(highest, done.m_run);
-    if (how == "done" && ++m_completed[done.m_task] > 1)
+        {++target.m_last_number, over.m_task, over.m_run, how});
+    int& highest = target.m_highest_ended[over.m_task];
+    highest = std::max(highest, over.m_run);
+    if (how == "done" && ++m_completed[over.m_task] > 1)
     {
-        m_violations.push_back("completed twice: " + done.m_task);
+        m_violations.push_back("completed twice: " + over.m_task);
+    }
+    if (how != "done" && over.m_members > 1)
+    {
+        m_broken_gangs.insert(gang_of(over));
     }
     m_changed.notify_all();
 }
 
+simulated_minions::gang simulated_minions::gang_of(const run& member)
+{
+    return {member.m_task.substr(0, member.m_task.rfind('.')), member.m_run};
+}
+
+void simulated_minions::begin_complete_gangs()
+{
+    std::map<gang, std::vector<run*>> waiting;
+    for (auto& [id, target] : m_minions)
+    {
+        for (run& each : target.m_running)
+        {
+            if (!each.m_ends)
+            {
+                waiting[gang_of(each)].push_back(&each);
+            }
+        }
+    }
+    const instant now = node::boot_now();
+    for (const auto& [name, members] : waiting)
+    {
+        if (static_cast<int>(members.size()) < members.front()->m_members)
+        {
+            continue;
+        }
+        for (run* each : members)
+        {
+            each->m_ends = now + each->m_length;
+        }
+    }
+}
+
+void simulated_minions::break_gangs()
+{
+    const std::set<gang> broken = std::move(m_broken_gangs);
+    m_broken_gangs.clear();
+    for (auto& [id, target] : m_minions)
+    {
+        for (std::size_t at = 0; at < target.m_running.size();)
+        {
+            const run& each = target.m_running[at];
+            if (each.m_members > 1 && broken.contains(gang_of(each)))
+            {
+                finish(target, at, "broken");
+            }
+            else
+            {
+                ++at;
+            }
+        }
+    }
+    m_broken_gangs.clear(); // All of their members have ended.
+}
+
+std::optional<std::string>
+simulated_minions::end_of(const minion& where, const run& each, instant now)
+{
+    if (each.m_ends && *each.m_ends <= now)
+    {
+        return "done";
+    }
+    if (where.m_lease_end <= now)
+    {
+        return "lapsed";
+    }
+    if (!each.m_ends && now - each.m_began >= gang_timeout)
+    {
+        return "alone";
+    }
+    return std::nullopt;
+}
+
 void simulated_minions::advance()
 {
+    break_gangs();
+    begin_complete_gangs();
     const instant now = node::boot_now();
     for (auto& [id, target] : m_minions)
     {
         for (std::size_t at = 0; at < target.m_running.size();)
         {
-            const bool lapsed = target.m_lease_end <= now;
-            const bool done = target.m_running[at].m_ends <= now;
-            if (!lapsed && !done)
+            if (const auto how = end_of(target, target.m_running[at], now))
+            {
+                finish(target, at, *how);
+            }
+            else
             {
                 ++at;
-                continue;
             }
-            finish(target, at, done ? "done" : "lapsed");
         }
     }
+    carry_out_late_starts();
+}
+
+void simulated_minions::carry_out_late_starts()
+{
+    const instant now = node::boot_now();
     while (!m_late_starts.empty() && m_late_starts.front().first <= now)
     {
         const auto [id, text] = m_late_starts.front().second;
--- a/stand_ins/simulated_minions.hpp
+++ b/stand_ins/simulated_minions.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -21,8 +22,10 @@
 {
 
 /// Minions that run tasks for the time that their spec names, in milliseconds,
-/// and note what must never happen. All listen on one address and are told
-/// apart by the instance that a call names.
+/// and note what must never happen. A second number in the spec is the size of
+/// the task's gang: its members work from when all are there and end together.
+/// All listen on one address and are told apart by the instance that a call
+/// names.
 class simulated_minions
 {
 public:
@@ -45,8 +48,13 @@
         std::string m_task;
         int m_run = 0;
         instant m_began;
-        instant m_ends;
+        span m_length;
+        int m_members = 1;
+        /// When it is done; nothing while members of its gang are missing.
+        std::optional<instant> m_ends;
     };
+    /// The runs of one gang: the step's name and the run's number.
+    using gang = std::pair<std::string, int>;
     struct ended
     {
         std::int64_t m_number = 0;
@@ -73,6 +81,14 @@
                         const nlohmann::json& order, int& status);
     void finish(minion& target, std::size_t at, const std::string& how);
     void advance();
+    static gang gang_of(const run& member);
+    void begin_complete_gangs();
+    /// Ends the other members of gangs of which one has ended undone.
+    void break_gangs();
+    void carry_out_late_starts();
+    /// How a run ends now, or nothing while it goes on.
+    static std::optional<std::string> end_of(const minion& where,
+                                             const run& each, instant now);
     void publish();
     void run_clock();
 
@@ -82,6 +98,7 @@
     std::map<std::string, minion> m_minions;
     std::map<std::string, int> m_completed;
     std::vector<std::string> m_violations;
+    std::set<gang> m_broken_gangs;
     std::mt19937 m_random;
     double m_lost_share = 0;
     std::vector<std::pair<instant, std::pair<std::string, std::string>>>
--- a/unit_tests/node/soak_test.cpp
+++ b/unit_tests/node/soak_test.cpp
@@ -13,8 +13,9 @@
 TEST(soak, a_short_run_keeps_the_promises)
 {
     // Seed 105 found a run that was given up in the millisecond in which it was
-    // confirmed, and was started twice.
-    for (const unsigned seed : {1u, 105u})
+    // confirmed, and was started twice. Seeds 204, 208 and 308 failed as the
+    // minions let the members of a gang end one by one.
+    for (const unsigned seed : {1u, 105u, 204u, 208u, 308u})
     {
         scenario_options options;
         options.m_program = KCR_BINARY_DIR "/bin/kcr_node";
