--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -75,7 +75,7 @@
     const span age = std::max(span(0), wall_now - submission.m_accepted_at);
     job_entry& job = m_jobs.add(submission, progress, revision, now - age);
     take_policy(job);
-    job.predict(m_durations, now);
+    job.refresh_prediction(m_durations, now);
     for (std::size_t repeat = 0; repeat < job.m_tasks.size(); ++repeat)
     {
         for (std::size_t step = 0; step < job.m_tasks[repeat].size(); ++step)
--- a/kingcuprudder/dispatch/job_table.cpp
+++ b/kingcuprudder/dispatch/job_table.cpp
@@ -66,7 +66,7 @@
                static_cast<int>(m_tasks[ref.m_repeat][ref.m_step].size());
 }
 
-void job_entry::predict(const duration_model& model, instant now)
+void job_entry::refresh_prediction(const duration_model& model, instant now)
 {
     if (!m_predicted.empty() && now - m_predicted_at < prediction_lifetime)
     {
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -82,7 +82,7 @@
 
     /// Sets the predicted times and the chains that follow from them, unless
     /// that was done a moment ago.
-    void predict(const duration_model& model, instant now);
+    void refresh_prediction(const duration_model& model, instant now);
 
     task_entry& task(const task_ref& ref)
     {
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -238,7 +238,7 @@
             }
             step.m_job = &job;
             step.m_step = {job.m_submission.m_id, repeat, index, 0};
-            job.predict(m_state.m_durations, m_now);
+            job.refresh_prediction(m_state.m_durations, m_now);
             step.m_policy = job.m_policy;
             const span objective =
                 span(static_cast<std::int64_t>(
--- a/kingcuprudder/dispatch/worker_index.cpp
+++ b/kingcuprudder/dispatch/worker_index.cpp
@@ -5,7 +5,7 @@
 namespace kingcuprudder::dispatch
 {
 
-bool room_request::includes(const room_request& other) const
+bool room_request::asks_as_much_as(const room_request& other) const
 {
     return m_pool == other.m_pool &&
            (other.m_label.empty() || m_label == other.m_label) &&
@@ -39,13 +39,13 @@
 {
     return std::any_of(m_failures.begin(), m_failures.end(),
                        [&request](const room_request& failed)
-                       { return request.includes(failed); });
+                       { return request.asks_as_much_as(failed); });
 }
 
 void worker_index::note_failure(const room_request& request)
 {
     std::erase_if(m_failures, [&request](const room_request& failed)
-                  { return failed.includes(request); });
+                  { return failed.asks_as_much_as(request); });
     m_failures.push_back(request);
 }
 
--- a/kingcuprudder/dispatch/worker_index.hpp
+++ b/kingcuprudder/dispatch/worker_index.hpp
@@ -20,8 +20,8 @@
     int m_count = 1;     ///< Tasks that need room at the same time.
     bool m_one_rack = false;
 
-    /// Whether there is no room for this one if there is none for the other.
-    bool includes(const room_request& other) const;
+    /// Whether this one finds no room if the other found none.
+    bool asks_as_much_as(const room_request& other) const;
 
     friend bool operator==(const room_request&, const room_request&) = default;
 };
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -60,7 +60,7 @@
     void run();
     bool load();
     void load_jobs(const record_list& live, const record_list& progress);
-    void follow_records(std::int64_t live_revision);
+    void follow_records();
     void add_submission(const record& found,
                         const std::optional<dispatch::job_progress>& progress,
                         std::int64_t progress_revision);
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -44,7 +44,7 @@
          {"jobs", std::to_string(m_dispatcher.jobs().size())},
          {"revision", std::to_string(std::get<0>(live).m_revision)},
          {"fence", std::to_string(m_term->fence())}});
-    follow_records(std::get<0>(live).m_revision);
+    follow_records();
     return true;
 }
 
@@ -93,7 +93,7 @@
     }
 }
 
-void scheduler::follow_records(std::int64_t)
+void scheduler::follow_records()
 {
     m_job_watcher = std::make_unique<record_watcher>(
         m_environment.m_store, m_environment.m_log, record_keys::live_prefix,
--- a/unit_tests/dispatch/dispatcher_fixture.hpp
+++ b/unit_tests/dispatch/dispatcher_fixture.hpp
@@ -146,6 +146,20 @@
         m_dispatcher.renewal_answered(id, made, m_now, m_now);
     }
 
+    /// Reports the run with one share of its work after the other, each after
+    /// the usual time between reports.
+    void report_shares(const start_order& order,
+                       const std::vector<int>& percents)
+    {
+        for (const int percent : percents)
+        {
+            pass(span(1500));
+            running_report going = running(order);
+            going.m_percent = percent;
+            report(order.m_worker, {going});
+        }
+    }
+
     void pass(span time) { m_now = m_now + time; }
 
     std::int64_t acknowledged(const std::string& id) const
