--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -159,6 +159,10 @@
             span(value.at("interval_ms").get<std::int64_t>());
         submission.m_accepted_at =
             instant(value.at("accepted_at_ms").get<std::int64_t>());
+        if (!has_valid_size(submission))
+        {
+            return std::nullopt;
+        }
         return submission;
     }
     catch (const json::exception&)
--- a/kingcuprudder/dispatch/job_submission.hpp
+++ b/kingcuprudder/dispatch/job_submission.hpp
@@ -143,6 +143,14 @@
                            const job_submission&) = default;
 };
 
+/// The most tasks that a job may have over all repetitions. The record of its
+/// progress must fit into one value of the store.
+constexpr std::int64_t max_tasks_per_job = 10'000;
+
+/// Returns whether the job has at least one step and repetition, each step at
+/// least one task, and the job at most max_tasks_per_job.
+bool has_valid_size(const job_submission& job);
+
 } // namespace kingcuprudder::dispatch
 
 #endif
--- a/kingcuprudder/node/configuration_view.cpp
+++ b/kingcuprudder/node/configuration_view.cpp
@@ -20,20 +20,20 @@
                                        event_log& log)
     : m_store(store), m_records(records), m_log(log),
       m_watcher(store, log, records.m_configuration_key, watch_wait, span(0),
-                {[this](const record_list& list)
+                {[this](const record_list& list, instant sent)
                  {
                      for (const record& each : list.m_records)
                      {
-                         adopt(each, boottime_now());
+                         adopt(each, sent);
                      }
                  },
-                 [this](const record_changes& changes)
+                 [this](const record_changes& changes, instant sent)
                  {
                      for (const auto& change : changes.m_changes)
                      {
                          if (!change.m_removed)
                          {
-                             adopt(change.m_record, boottime_now());
+                             adopt(change.m_record, sent);
                          }
                      }
                  },
--- a/kingcuprudder/node/record_watcher.cpp
+++ b/kingcuprudder/node/record_watcher.cpp
@@ -61,7 +61,7 @@
     log_availability_change(true, "listed");
     const record_list& list = std::get<0>(listed);
     m_revision = list.m_revision;
-    m_hooks.m_listed(list);
+    m_hooks.m_listed(list, sent);
     if (m_hooks.m_answered)
     {
         m_hooks.m_answered(sent);
@@ -81,7 +81,7 @@
         m_revision = changes.m_revision;
         if (!changes.m_changes.empty())
         {
-            m_hooks.m_changed(changes);
+            m_hooks.m_changed(changes, sent);
         }
         if (m_hooks.m_answered)
         {
--- a/kingcuprudder/node/record_watcher.hpp
+++ b/kingcuprudder/node/record_watcher.hpp
@@ -21,9 +21,11 @@
 public:
     struct hooks
     {
-        /// Receives all records; they replace those received before.
-        std::function<void(const record_list&)> m_listed;
-        std::function<void(const record_changes&)> m_changed;
+        /// Receives all records; they replace those received before. `sent` is
+        /// the time at which the call was sent: the records are at most as old
+        /// as that, however late the answer is read.
+        std::function<void(const record_list&, instant sent)> m_listed;
+        std::function<void(const record_changes&, instant sent)> m_changed;
         /// Receives the send time of each answered call.
         std::function<void(instant sent)> m_answered;
     };
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -52,6 +52,7 @@
                           const dispatch::decision_fields& fields) {
                        m_environment.m_log.write("scheduler", kind, id, fields);
                    }),
+      m_worker_loop([this](const std::string& error) { abandon_term(error); }),
       m_events(max_queued_events), m_write_queue(max_queued_writes),
       m_writer([this] { run_writer(); }), m_thread([this] { run(); })
 {
@@ -65,6 +66,7 @@
     m_thread.join();
     m_worker_watcher.reset();
     m_job_watcher.reset();
+    m_worker_loop.stop();
     m_sessions.clear();
     m_writer.join();
 }
@@ -77,34 +79,55 @@
 void scheduler::run()
 {
     m_dispatcher.begin_term(boottime_now());
-    while (!m_stopping && !load())
+    try
     {
-        std::this_thread::sleep_for(
-            std::chrono::milliseconds(load_retry.count()));
-    }
-    while (!m_stopping)
-    {
-        std::optional<event> next = m_events.pop(next_wait());
-        for (std::size_t handled = 0; next && handled < max_events_per_step;
-             ++handled)
-        {
-            m_step_due = true;
-            (*next)();
-            next = m_events.pop(std::chrono::milliseconds(0));
-        }
-        if (next)
+        while (!m_stopping && !load())
         {
-            (*next)();
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(load_retry.count()));
         }
-        if (!m_stopping && m_term->is_valid() &&
-            boottime_now() - m_last_step_at >= min_step_interval)
+        while (!m_stopping)
         {
-            m_last_step_at = boottime_now();
-            m_step_due = false;
-            plan();
-            step();
+            handle_events();
         }
     }
+    catch (const std::exception& error)
+    {
+        abandon_term(error.what());
+    }
+}
+
+void scheduler::handle_events()
+{
+    std::optional<event> next = m_events.pop(next_wait());
+    for (std::size_t handled = 0; next && handled < max_events_per_step;
+         ++handled)
+    {
+        m_step_due = true;
+        (*next)();
+        next = m_events.pop(std::chrono::milliseconds(0));
+    }
+    if (next)
+    {
+        (*next)();
+    }
+    if (!m_stopping && m_term->is_valid() &&
+        boottime_now() - m_last_step_at >= min_step_interval)
+    {
+        m_last_step_at = boottime_now();
+        m_step_due = false;
+        plan();
+        step();
+    }
+}
+
+void scheduler::abandon_term(const std::string& error)
+{
+    m_environment.m_log.write(
+        "scheduler", "unexpected_error", "",
+        {{"error", error}, {"fence", std::to_string(m_term->fence())}});
+    m_events.close();
+    m_term->end();
 }
 
 std::chrono::milliseconds scheduler::next_wait() const
@@ -199,19 +222,39 @@
     for (const dispatch::renewal_request& request : m_dispatcher.renewals())
     {
         current_workers.insert(request.m_worker);
-        std::unique_ptr<worker_session>& session = m_sessions[request.m_worker];
-        if (!session || session->address() != request.m_address)
+        std::shared_ptr<worker_session>& session = m_sessions[request.m_worker];
+        if (session && session->address() != request.m_address)
+        {
+            session->close();
+            session.reset();
+        }
+        if (!session)
         {
-            session = std::make_unique<worker_session>(
-                request.m_address,
-                m_environment.m_worker_calls(request.m_worker,
-                                             request.m_address),
-                m_term, m_environment.m_limits.m_worker_lease, session_hooks());
+            session = make_session(request);
         }
         session->update(request);
     }
-    std::erase_if(m_sessions, [&](const auto& each)
-                  { return !current_workers.contains(each.first); });
+    std::erase_if(m_sessions,
+                  [&](const auto& each)
+                  {
+                      const bool gone = !current_workers.contains(each.first);
+                      if (gone)
+                      {
+                          each.second->close();
+                      }
+                      return gone;
+                  });
+}
+
+std::shared_ptr<worker_session>
+scheduler::make_session(const dispatch::renewal_request& request)
+{
+    return std::make_shared<worker_session>(
+        m_worker_loop, request.m_address,
+        m_environment.m_worker_calls(
+            m_worker_loop, request.m_worker, request.m_address,
+            [current = m_term] { return current->is_valid(); }),
+        m_term, m_environment.m_limits.m_worker_lease, session_hooks());
 }
 
 worker_session::hooks scheduler::session_hooks()
@@ -433,7 +476,7 @@
 {
     auto promise = std::make_shared<std::promise<std::string>>();
     std::future<std::string> text = promise->get_future();
-    post(
+    const bool posted = m_events.push(
         [this, promise]
         {
             nlohmann::ordered_json dump;
@@ -457,8 +500,9 @@
             promise->set_value(dump.dump());
         });
     constexpr std::chrono::seconds dump_timeout(1);
-    return text.wait_for(dump_timeout) == std::future_status::ready ? text.get()
-                                                                    : "{}";
+    const bool ready =
+        posted && text.wait_for(dump_timeout) == std::future_status::ready;
+    return ready ? text.get() : "{}";
 }
 
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -11,6 +11,7 @@
 #include <kingcuprudder/node/worker_calls.hpp>
 #include <kingcuprudder/node/worker_session.hpp>
 #include <kingcuprudder/runtime/bounded_ring.hpp>
+#include <kingcuprudder/runtime/event_loop.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -59,6 +60,8 @@
 
     void post(event next);
     void run();
+    /// Handles the waiting events, then plans and sends orders if it is time.
+    void handle_events();
     bool load();
     void load_jobs(const record_list& live, const record_list& progress);
     void watch_records();
@@ -90,12 +93,19 @@
     void schedule_removal(const std::string& job, instant now);
     void publish_summary();
     void remove_old_records();
+    std::shared_ptr<worker_session>
+    make_session(const dispatch::renewal_request& request);
     worker_session::hooks session_hooks();
+    /// Logs an unexpected error and ends the term. The next leader reloads the
+    /// state from the store, so no state that the error left behind is used.
+    void abandon_term(const std::string& error);
 
     scheduler_environment m_environment;
     std::shared_ptr<term> m_term;
     dispatch::dispatcher m_dispatcher;
-    std::map<std::string, std::unique_ptr<worker_session>> m_sessions;
+    /// Carries the calls to all workers.
+    event_loop m_worker_loop;
+    std::map<std::string, std::shared_ptr<worker_session>> m_sessions;
     /// Ended jobs, so that a list that was read before their end does not add
     /// them again.
     std::set<std::string> m_ended_jobs;
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -3,6 +3,8 @@
 #include <kingcuprudder/node/record_keys.hpp>
 #include <kingcuprudder/node/scheduler.hpp>
 
+#include <exception>
+
 namespace kingcuprudder::node
 {
 
@@ -101,7 +103,7 @@
         m_environment.m_store, m_environment.m_log, record_keys::live_prefix,
         watch_wait, span(0),
         record_watcher::hooks{
-            [this](const record_list& list)
+            [this](const record_list& list, instant)
             {
                 post(
                     [this, list]
@@ -112,7 +114,7 @@
                         }
                     });
             },
-            [this](const record_changes& changes)
+            [this](const record_changes& changes, instant)
             {
                 post(
                     [this, changes]
@@ -132,9 +134,9 @@
         m_environment.m_records.m_workers_prefix, watch_wait,
         worker_batching_delay,
         record_watcher::hooks{
-            [this](const record_list& list)
+            [this](const record_list& list, instant)
             { post([this, list] { apply_worker_list(list); }); },
-            [this](const record_changes& changes)
+            [this](const record_changes& changes, instant)
             {
                 post(
                     [this, changes]
@@ -161,8 +163,19 @@
             {{"revision", std::to_string(found.m_revision)}});
         return;
     }
-    m_dispatcher.add_job(*decoded, progress, progress_revision, boottime_now(),
-                         wall_now());
+    try
+    {
+        m_dispatcher.add_job(*decoded, progress, progress_revision,
+                             boottime_now(), wall_now());
+    }
+    catch (const std::exception& error)
+    {
+        // One unusable record must not stop the scheduling of all other jobs.
+        m_environment.m_log.write(
+            "scheduler", "job_record_not_used", found.m_key,
+            {{"revision", std::to_string(found.m_revision)},
+             {"error", error.what()}});
+    }
 }
 
 void scheduler::apply_live_record(const record& found)
--- a/kingcuprudder/node/worker_calls.hpp
+++ b/kingcuprudder/node/worker_calls.hpp
@@ -4,6 +4,7 @@
 #include <kingcuprudder/base/time.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
 #include <kingcuprudder/dispatch/worker_orders.hpp>
+#include <kingcuprudder/runtime/event_loop.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -39,25 +40,36 @@
 using renewal_answer =
     std::variant<dispatch::worker_report, dispatch::order_outcome>;
 
-/// Interface for calls to one worker. Safe to use from several threads.
+/// Interface for calls to one worker. A call returns at once and reports its
+/// answer once, later, on the thread of the event loop. Used on that thread
+/// only.
 class worker_calls
 {
 public:
+    using order_done = std::function<void(const order_answer&)>;
+    using renewal_done = std::function<void(const renewal_answer&)>;
+
     virtual ~worker_calls() = default;
 
-    virtual order_answer start(const dispatch::start_order& order,
-                               std::int64_t fence, std::int64_t lease_end_clock,
-                               span timeout) = 0;
-    virtual order_answer stop(const dispatch::stop_order& order,
-                              std::int64_t fence, span timeout) = 0;
-    virtual renewal_answer renew(const renewal_call& call, span timeout) = 0;
+    virtual void start(const dispatch::start_order& order, std::int64_t fence,
+                       std::int64_t lease_end_clock, span timeout,
+                       order_done done) = 0;
+    virtual void stop(const dispatch::stop_order& order, std::int64_t fence,
+                      span timeout, order_done done) = 0;
+    virtual void renew(const renewal_call& call, span timeout,
+                       renewal_done done) = 0;
     /// Fails the calls in progress and all later ones.
     virtual void cancel() = 0;
 };
 
-/// Creates the interface to the worker with this id and address.
+/// Tells whether a call may still be sent.
+using send_check = std::function<bool()>;
+
+/// Creates the interface to the worker with this id and address. A call for
+/// which the check fails when the connection is open is not sent.
 using worker_calls_factory = std::function<std::unique_ptr<worker_calls>(
-    const std::string& id, const std::string& address)>;
+    event_loop& loop, const std::string& id, const std::string& address,
+    send_check may_send)>;
 
 } // namespace kingcuprudder::node
 
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -2,7 +2,7 @@
 #include <kingcuprudder/node/worker_session.hpp>
 
 #include <algorithm>
-#include <chrono>
+#include <utility>
 
 namespace kingcuprudder::node
 {
@@ -23,69 +23,66 @@
 
 } // namespace
 
-worker_session::worker_session(std::string address,
+worker_session::worker_session(event_loop& loop, std::string address,
                                std::unique_ptr<worker_calls> calls,
                                std::shared_ptr<term> current_term,
-                               span worker_lease, const hooks& callbacks)
-    : m_address(std::move(address)), m_calls(std::move(calls)),
+                               span worker_lease, hooks callbacks)
+    : m_loop(loop), m_address(std::move(address)), m_calls(std::move(calls)),
       m_term(std::move(current_term)), m_worker_lease(worker_lease),
-      m_hooks(callbacks), m_renewal_thread([this] { run_renewals(); })
+      m_hooks(std::move(callbacks))
 {
 }
 
-worker_session::~worker_session()
+void worker_session::update(const dispatch::renewal_request& request)
 {
+    if (m_last_update == request)
     {
-        std::lock_guard lock(m_mutex);
-        m_stopping = true;
-    }
-    m_changed.notify_all();
-    m_calls->cancel();
-    m_renewal_thread.join();
-    if (m_order_thread.joinable())
-    {
-        m_order_thread.join();
+        return;
     }
+    m_last_update = request;
+    m_loop.post([self = shared_from_this(), request]
+                { self->apply_update(request); });
 }
 
-void worker_session::update(const dispatch::renewal_request& request)
+void worker_session::send(order next)
 {
-    {
-        std::lock_guard lock(m_mutex);
-        if (request == m_request)
+    m_loop.post(
+        [self = shared_from_this(), next = std::move(next)]
         {
-            return;
-        }
-        if (request.m_incarnation != m_incarnation &&
-            request.m_incarnation != 0)
-        {
-            m_incarnation = request.m_incarnation;
-            m_clock.reset();
-            m_last_acknowledged = 0;
-            m_highest_completion = 0;
-            m_unanswered_lease_end.reset();
-        }
-        m_request = request;
-        if (request.m_clock != 0 &&
-            (!m_clock || m_clock->m_read_at < request.m_clock_read_at))
+            self->m_orders.push_back(next);
+            self->execute_next();
+        });
+}
+
+void worker_session::close()
+{
+    m_loop.post(
+        [self = shared_from_this()]
         {
-            m_clock = clock_reading{request.m_clock, request.m_clock_read_at};
-        }
-    }
-    m_changed.notify_all();
+            self->m_closed = true;
+            self->m_orders.clear();
+            self->m_renewal_timer = event_loop::timer();
+            self->m_calls->cancel();
+        });
 }
 
-void worker_session::send(order next)
+void worker_session::apply_update(const dispatch::renewal_request& request)
 {
+    if (request.m_incarnation != m_incarnation && request.m_incarnation != 0)
     {
-        std::lock_guard lock(m_mutex);
-        m_orders.push_back(std::move(next));
-        if (!m_order_thread.joinable())
-        {
-            m_order_thread = std::thread([this] { run_orders(); });
-        }
+        m_incarnation = request.m_incarnation;
+        m_clock.reset();
+        m_last_acknowledged = 0;
+        m_highest_completion = 0;
+        m_unanswered_lease_end.reset();
     }
-    m_changed.notify_all();
+    m_request = request;
+    if (request.m_clock != 0 &&
+        (!m_clock || m_clock->m_read_at < request.m_clock_read_at))
+    {
+        m_clock = clock_reading{request.m_clock, request.m_clock_read_at};
+    }
+    consider_renewal();
 }
 
 bool worker_session::is_renewal_due() const
@@ -93,161 +90,166 @@
     return m_request.m_needed || m_request.m_acknowledged > m_last_acknowledged;
 }
 
-void worker_session::run_renewals()
+void worker_session::consider_renewal()
 {
-    while (true)
+    const bool waits =
+        m_renewal_phase == renewal_phase::idle ||
+        m_renewal_phase == renewal_phase::awaiting_acknowledgement;
+    if (m_closed || !waits || !is_renewal_due())
     {
-        dispatch::renewal_request request;
-        {
-            std::unique_lock lock(m_mutex);
-            m_changed.wait(lock,
-                           [this] { return m_stopping || is_renewal_due(); });
-            if (m_stopping)
-            {
-                return;
-            }
-            m_changed.wait_for(
-                lock, std::chrono::milliseconds(acknowledgement_wait.count()),
-                [this] {
-                    return m_stopping ||
-                           m_request.m_acknowledged >= m_highest_completion;
-                });
-            if (m_stopping)
-            {
-                return;
-            }
-            request = m_request;
-        }
-        if (!m_term->is_valid())
-        {
-            pause(failed_renewal_pause);
-            continue;
-        }
-        renew(request);
+        return;
+    }
+    if (m_request.m_acknowledged >= m_highest_completion)
+    {
+        renew();
+    }
+    else if (m_renewal_phase == renewal_phase::idle)
+    {
+        m_renewal_phase = renewal_phase::awaiting_acknowledgement;
+        m_renewal_timer =
+            m_loop.run_after(acknowledgement_wait,
+                             [self = shared_from_this()] { self->renew(); });
     }
 }
 
-void worker_session::renew(const dispatch::renewal_request& request)
+void worker_session::renew()
 {
-    renewal_call call;
-    call.m_fence = m_term->fence();
-    call.m_acknowledged = request.m_acknowledged;
-    bool extends = false;
+    if (!m_term->is_valid())
     {
-        std::lock_guard lock(m_mutex);
-        call.m_wait = m_last_renewal_answered && request.m_needed ? renewal_wait
-                                                                  : span(0);
+        pause_renewals();
+        return;
     }
+    m_renewal_phase = renewal_phase::in_flight;
+    m_renewal_timer = event_loop::timer();
+    renewal_call call;
+    call.m_fence = m_term->fence();
+    call.m_acknowledged = m_request.m_acknowledged;
+    call.m_wait =
+        m_last_renewal_answered && m_request.m_needed ? renewal_wait : span(0);
     // A renewal after an unanswered one repeats its lease end. If each attempt
     // extended the lease of an unresponsive worker, its lease would never
     // expire and its tasks could never be assigned to another worker.
-    if (m_unanswered_lease_end)
-    {
-        call.m_lease_end_clock = m_unanswered_lease_end;
-    }
-    else
+    const bool repeats = m_unanswered_lease_end.has_value();
+    call.m_lease_end_clock =
+        repeats ? m_unanswered_lease_end : lease_end_clock(m_worker_lease);
+    const instant sent = boottime_now();
+    if (!repeats && call.m_lease_end_clock)
     {
-        call.m_lease_end_clock = lease_end_clock(m_worker_lease);
-        extends = call.m_lease_end_clock.has_value();
+        m_hooks.m_renewal_sent(m_request.m_worker, sent);
     }
-    const instant sent = boottime_now();
-    if (extends)
+    m_calls->renew(
+        call, call.m_wait + renewal_timeout,
+        [self = shared_from_this(), call, sent](const renewal_answer& answer)
+        { self->finish_renewal(call, sent, answer); });
+}
+
+void worker_session::finish_renewal(const renewal_call& call, instant sent,
+                                    const renewal_answer& answer)
+{
+    m_renewal_phase = renewal_phase::idle;
+    if (m_closed)
     {
-        m_hooks.m_renewal_sent(request.m_worker, sent);
+        return;
     }
-    const renewal_answer answer =
-        m_calls->renew(call, call.m_wait + renewal_timeout);
-    const auto* report = std::get_if<dispatch::worker_report>(&answer);
-    if (report == nullptr)
+    if (const auto* report = std::get_if<dispatch::worker_report>(&answer))
     {
-        if (std::get<dispatch::order_outcome>(answer) ==
-            dispatch::order_outcome::refused_fence)
-        {
-            m_term->end();
-            return;
-        }
-        {
-            std::lock_guard lock(m_mutex);
-            if (m_stopping)
-            {
-                return;
-            }
-            m_last_renewal_answered = false;
-            m_unanswered_lease_end = call.m_lease_end_clock;
-        }
-        m_hooks.m_renewal_failed(request.m_worker);
-        pause(failed_renewal_pause);
+        apply_report(call, sent, *report);
+        consider_renewal();
         return;
     }
-    update_clock(report->m_clock, boottime_now());
+    if (std::get<dispatch::order_outcome>(answer) ==
+        dispatch::order_outcome::refused_fence)
     {
-        std::lock_guard lock(m_mutex);
-        m_last_renewal_answered = true;
-        m_unanswered_lease_end.reset();
-        m_last_acknowledged =
-            std::max(m_last_acknowledged, call.m_acknowledged);
-        for (const dispatch::completion_report& end : report->m_ended)
-        {
-            m_highest_completion = std::max(m_highest_completion, end.m_number);
-        }
+        m_term->end();
+        return;
     }
-    m_hooks.m_renewal_answered(request.m_worker, *report, sent);
+    m_last_renewal_answered = false;
+    m_unanswered_lease_end = call.m_lease_end_clock;
+    m_hooks.m_renewal_failed(m_request.m_worker);
+    pause_renewals();
 }
 
-void worker_session::run_orders()
+void worker_session::apply_report(const renewal_call& call, instant sent,
+                                  const dispatch::worker_report& report)
 {
-    while (true)
+    update_clock(report.m_clock, boottime_now());
+    m_last_renewal_answered = true;
+    m_unanswered_lease_end.reset();
+    m_last_acknowledged = std::max(m_last_acknowledged, call.m_acknowledged);
+    for (const dispatch::completion_report& end : report.m_ended)
     {
-        order next;
-        {
-            std::unique_lock lock(m_mutex);
-            m_changed.wait(lock,
-                           [this] { return m_stopping || !m_orders.empty(); });
-            if (m_stopping)
-            {
-                return;
-            }
-            next = std::move(m_orders.front());
-            m_orders.pop_front();
-        }
-        execute(next);
+        m_highest_completion = std::max(m_highest_completion, end.m_number);
     }
+    m_hooks.m_renewal_answered(m_request.m_worker, report, sent);
 }
 
-void worker_session::execute(const order& next)
+void worker_session::pause_renewals()
 {
-    using dispatch::order_outcome;
-    const bool valid = m_term->is_valid();
-    if (const auto* start = std::get_if<dispatch::start_order>(&next))
+    m_renewal_phase = renewal_phase::pausing;
+    m_renewal_timer = m_loop.run_after(failed_renewal_pause,
+                                       [self = shared_from_this()]
+                                       {
+                                           self->m_renewal_phase =
+                                               renewal_phase::idle;
+                                           self->consider_renewal();
+                                       });
+}
+
+void worker_session::execute_next()
+{
+    while (!m_order_in_flight && !m_orders.empty() && !m_closed)
     {
+        const order next = std::move(m_orders.front());
+        m_orders.pop_front();
+        const auto* start = std::get_if<dispatch::start_order>(&next);
         const std::optional<std::int64_t> lease_end =
             lease_end_clock(start_lease);
-        m_hooks.m_start_finished(*start, valid && lease_end
-                                             ? apply_answer(m_calls->start(
-                                                   *start, m_term->fence(),
-                                                   *lease_end, order_timeout))
-                                             : order_outcome::not_sent);
-        return;
+        if (!m_term->is_valid() || (start != nullptr && !lease_end))
+        {
+            report_order(next, dispatch::order_outcome::not_sent);
+            continue;
+        }
+        m_order_in_flight = true;
+        const auto done =
+            [self = shared_from_this(), next](const order_answer& answer)
+        { self->finish_order(next, answer); };
+        if (start != nullptr)
+        {
+            m_calls->start(*start, m_term->fence(), *lease_end, order_timeout,
+                           done);
+        }
+        else
+        {
+            m_calls->stop(std::get<dispatch::stop_order>(next), m_term->fence(),
+                          order_timeout, done);
+        }
     }
-    const auto& stop = std::get<dispatch::stop_order>(next);
-    m_hooks.m_stop_finished(
-        stop, valid ? apply_answer(
-                          m_calls->stop(stop, m_term->fence(), order_timeout))
-                    : order_outcome::not_sent);
 }
 
-dispatch::order_outcome worker_session::apply_answer(const order_answer& answer)
+void worker_session::finish_order(const order& sent, const order_answer& answer)
 {
+    m_order_in_flight = false;
     if (answer.m_clock)
     {
         update_clock(*answer.m_clock, boottime_now());
     }
-    return answer.m_outcome;
+    report_order(sent, answer.m_outcome);
+    execute_next();
 }
 
-std::optional<std::int64_t> worker_session::lease_end_clock(span length)
+void worker_session::report_order(const order& sent,
+                                  dispatch::order_outcome outcome)
+{
+    if (const auto* start = std::get_if<dispatch::start_order>(&sent))
+    {
+        m_hooks.m_start_finished(*start, outcome);
+        return;
+    }
+    m_hooks.m_stop_finished(std::get<dispatch::stop_order>(sent), outcome);
+}
+
+std::optional<std::int64_t> worker_session::lease_end_clock(span length) const
 {
-    std::lock_guard lock(m_mutex);
     if (!m_clock)
     {
         return std::nullopt;
@@ -258,18 +260,10 @@
 
 void worker_session::update_clock(std::int64_t clock, instant read_at)
 {
-    std::lock_guard lock(m_mutex);
     if (clock != 0)
     {
         m_clock = clock_reading{clock, read_at};
     }
 }
 
-void worker_session::pause(span time)
-{
-    std::unique_lock lock(m_mutex);
-    m_changed.wait_for(lock, std::chrono::milliseconds(time.count()),
-                       [this] { return m_stopping; });
-}
-
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -4,28 +4,29 @@
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/node/leadership.hpp>
 #include <kingcuprudder/node/worker_calls.hpp>
+#include <kingcuprudder/runtime/event_loop.hpp>
 
-#include <condition_variable>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
-#include <mutex>
 #include <optional>
-#include <thread>
+#include <string>
 #include <variant>
 
 namespace kingcuprudder::node
 {
 
-/// Sends orders to one worker and renews its lease, each on a thread of its
-/// own, so that a slow order delays no renewal. Sends nothing after the term
-/// has become invalid.
-class worker_session
+/// Sends orders to one worker and renews its lease. Orders and renewals are
+/// independent, so that a slow order delays no renewal. Sends nothing after the
+/// term has become invalid. All sessions share one event loop; the calls that
+/// are pending on the loop share the ownership of their session.
+class worker_session : public std::enable_shared_from_this<worker_session>
 {
 public:
     using order = std::variant<dispatch::start_order, dispatch::stop_order>;
 
-    /// Called from the session's threads.
+    /// Called on the event loop's thread.
     struct hooks
     {
         std::function<void(const std::string& worker, instant sent)>
@@ -42,19 +43,31 @@
             m_stop_finished;
     };
 
-    worker_session(std::string address, std::unique_ptr<worker_calls> calls,
+    worker_session(event_loop& loop, std::string address,
+                   std::unique_ptr<worker_calls> calls,
                    std::shared_ptr<term> current_term, span worker_lease,
-                   const hooks& callbacks);
-    ~worker_session();
+                   hooks callbacks);
     worker_session(const worker_session&) = delete;
     worker_session& operator=(const worker_session&) = delete;
 
     /// Returns the address of the worker.
     const std::string& address() const { return m_address; }
+    /// Callable from one thread, like send() and close().
     void update(const dispatch::renewal_request& request);
     void send(order next);
+    /// Ends the session: drops its waiting orders and fails its calls.
+    void close();
 
 private:
+    enum class renewal_phase
+    {
+        idle,
+        /// The reported completions are not acknowledged yet.
+        awaiting_acknowledgement,
+        in_flight,
+        pausing,
+    };
+
     /// A reading of the worker's clock and the local time when it was read.
     struct clock_reading
     {
@@ -62,27 +75,34 @@
         instant m_read_at;
     };
 
-    void run_renewals();
-    void run_orders();
+    // The functions below run on the event loop's thread.
+    void apply_update(const dispatch::renewal_request& request);
     bool is_renewal_due() const;
-    void renew(const dispatch::renewal_request& request);
-    void execute(const order& next);
-    /// Updates the clock reading from the answer and returns its outcome.
-    dispatch::order_outcome apply_answer(const order_answer& answer);
+    void consider_renewal();
+    void renew();
+    void finish_renewal(const renewal_call& call, instant sent,
+                        const renewal_answer& answer);
+    void apply_report(const renewal_call& call, instant sent,
+                      const dispatch::worker_report& report);
+    void pause_renewals();
+    void execute_next();
+    void finish_order(const order& sent, const order_answer& answer);
+    void report_order(const order& sent, dispatch::order_outcome outcome);
     /// Returns the end of a lease of this length from now, on the worker's
     /// clock; nothing before the first reading of that clock.
-    std::optional<std::int64_t> lease_end_clock(span length);
+    std::optional<std::int64_t> lease_end_clock(span length) const;
     void update_clock(std::int64_t clock, instant read_at);
-    void pause(span time);
 
+    event_loop& m_loop;
     std::string m_address;
     std::unique_ptr<worker_calls> m_calls;
     std::shared_ptr<term> m_term;
     span m_worker_lease;
     hooks m_hooks;
+    /// The request of the last update; used by the updating thread only.
+    std::optional<dispatch::renewal_request> m_last_update;
 
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
+    // The members below are used on the event loop's thread only.
     dispatch::renewal_request m_request;
     std::optional<clock_reading> m_clock;
     /// The incarnation of the worker to which the clock and the numbers of the
@@ -93,10 +113,11 @@
     /// The lease end in the last unanswered renewal.
     std::optional<std::int64_t> m_unanswered_lease_end;
     bool m_last_renewal_answered = false;
+    renewal_phase m_renewal_phase = renewal_phase::idle;
+    event_loop::timer m_renewal_timer;
     std::deque<order> m_orders;
-    bool m_stopping = false;
-    std::thread m_renewal_thread;
-    std::thread m_order_thread;
+    bool m_order_in_flight = false;
+    bool m_closed = false;
 };
 
 } // namespace kingcuprudder::node
--- a/kingcuprudder/runtime/http_connection_pool.hpp
+++ b/kingcuprudder/runtime/http_connection_pool.hpp
@@ -2,12 +2,12 @@
 #define KINGCUPRUDDER_RUNTIME_HTTP_CONNECTION_POOL_HPP
 
 #include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/runtime/http_outcome.hpp>
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <variant>
 
 namespace httplib
 {
@@ -18,22 +18,6 @@
 namespace kingcuprudder
 {
 
-/// The answer to an HTTP call.
-struct http_answer
-{
-    int m_status = 0;
-    std::string m_body;
-};
-
-/// Why an HTTP call has no answer.
-enum class http_failure
-{
-    not_sent,   ///< No connection could be opened.
-    unanswered, ///< The call may have been carried out.
-};
-
-using http_outcome = std::variant<http_answer, http_failure>;
-
 /// A pool of persistent HTTP connections to one address. Each call uses an idle
 /// connection or opens a new one; a connection on which a call failed is
 /// closed. Thread-safe.
--- /dev/null
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -0,0 +1,523 @@
+#include <kingcuprudder/runtime/http_server.hpp>
+#include <kingcuprudder/runtime/ip_address.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr int listen_backlog = 256;
+constexpr std::size_t first_read_bytes = 2048;
+constexpr std::uint32_t max_header_bytes = 16 * 1024;
+// Buffers of idle connections above this size are released.
+constexpr std::size_t kept_buffer_bytes = 8 * 1024;
+constexpr span accept_retry = span(100);
+// After an error response the rest of the request is read and dropped for this
+// long, as closing a connection with unread bytes resets it before the caller
+// has read the response.
+constexpr span drain_time = span(2000);
+constexpr std::size_t drain_bytes = 8 * 1024;
+
+int hex_value(char digit)
+{
+    const int low = std::tolower(static_cast<unsigned char>(digit));
+    return std::isdigit(low) != 0     ? low - '0'
+           : low >= 'a' && low <= 'f' ? low - 'a' + 10
+                                      : -1;
+}
+
+/// Returns the path of a request target, without the query and with its
+/// percent-encoded bytes decoded.
+std::string decoded_path(std::string_view target)
+{
+    constexpr int hex_base = 16;
+    target = target.substr(0, target.find('?'));
+    std::string path;
+    for (std::size_t at = 0; at < target.size(); ++at)
+    {
+        if (target[at] == '%' && at + 2 < target.size() &&
+            hex_value(target[at + 1]) >= 0 && hex_value(target[at + 2]) >= 0)
+        {
+            path += static_cast<char>(hex_value(target[at + 1]) * hex_base +
+                                      hex_value(target[at + 2]));
+            at += 2;
+        }
+        else
+        {
+            path += target[at];
+        }
+    }
+    return path;
+}
+
+std::string lower_case(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char each)
+                   { return static_cast<char>(std::tolower(each)); });
+    return lower;
+}
+
+http_response plain_response(http::status status)
+{
+    http_response response;
+    response.m_status = static_cast<int>(status);
+    response.m_body = "{}";
+    response.m_close = true;
+    return response;
+}
+
+http_response service_unavailable(const http_request&)
+{
+    http_response response = plain_response(http::status::service_unavailable);
+    response.m_headers["Retry-After"] = "1";
+    response.m_close = false;
+    return response;
+}
+
+} // namespace
+
+std::string http_request::header(const std::string& name) const
+{
+    const auto found = m_headers.find(name);
+    return found == m_headers.end() ? "" : found->second;
+}
+
+class http_server::implementation
+    : public std::enable_shared_from_this<http_server::implementation>
+{
+public:
+    implementation(event_loop& loop, const std::string& address,
+                   const http_server_limits& limits, handler handle,
+                   handler overloaded)
+        : m_context(loop.context()), m_on_error(loop.on_error()),
+          m_limits(limits), m_handle(std::move(handle)),
+          m_overloaded(overloaded ? std::move(overloaded)
+                                  : handler(service_unavailable)),
+          m_acceptor(m_context), m_retry(m_context)
+    {
+        const ip_address parsed = parse_ip_address(address);
+        const tcp::endpoint where(asio::ip::make_address(parsed.m_host),
+                                  static_cast<unsigned short>(parsed.m_port));
+        m_acceptor.open(where.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(where);
+        m_acceptor.listen(listen_backlog);
+        m_address = parsed.m_host + ":" +
+                    std::to_string(m_acceptor.local_endpoint().port());
+        if (m_limits.m_handler_threads > 0)
+        {
+            m_threads.emplace(m_limits.m_handler_threads);
+        }
+    }
+
+    void begin()
+    {
+        asio::post(m_context, [self = shared_from_this()] { self->accept(); });
+    }
+
+    void stop_reading()
+    {
+        asio::post(m_context,
+                   [self = shared_from_this()]
+                   {
+                       self->m_reading = false;
+                       error_code ignored;
+                       self->m_acceptor.close(ignored);
+                       const auto connections = self->m_connections;
+                       for (const auto& each : connections)
+                       {
+                           each->close_unless_busy();
+                       }
+                   });
+    }
+
+    void join_handlers()
+    {
+        if (m_threads)
+        {
+            m_threads->stop();
+            m_threads->join();
+        }
+    }
+
+    const std::string& address() const { return m_address; }
+
+private:
+    /// A connection of a caller, which serves one request at a time.
+    class session : public std::enable_shared_from_this<session>
+    {
+    public:
+        session(implementation& owner, tcp::socket socket)
+            : m_owner(owner), m_socket(std::move(socket)),
+              m_timer(owner.m_context)
+        {
+            error_code ignored;
+            m_socket.set_option(tcp::no_delay(true), ignored);
+        }
+
+        void await_request()
+        {
+            m_busy = false;
+            m_idle_since = std::chrono::steady_clock::now();
+            if (!m_owner.m_reading)
+            {
+                close();
+                return;
+            }
+            m_parser.emplace();
+            m_parser->body_limit(m_owner.m_limits.m_max_body_bytes);
+            m_parser->header_limit(max_header_bytes);
+            if (m_buffer.size() > 0)
+            {
+                receive();
+                return;
+            }
+            if (m_buffer.capacity() > kept_buffer_bytes)
+            {
+                m_buffer.shrink_to_fit();
+            }
+            limit(m_owner.m_limits.m_idle_timeout);
+            m_socket.async_read_some(
+                m_buffer.prepare(first_read_bytes),
+                [self = shared_from_this()](const error_code& error,
+                                            std::size_t bytes)
+                {
+                    if (error)
+                    {
+                        self->close();
+                        return;
+                    }
+                    self->m_buffer.commit(bytes);
+                    self->receive();
+                });
+        }
+
+        bool busy() const { return m_busy; }
+        std::chrono::steady_clock::time_point idle_since() const
+        {
+            return m_idle_since;
+        }
+
+        void close_unless_busy()
+        {
+            if (!m_busy)
+            {
+                close();
+            }
+        }
+
+    private:
+        void receive()
+        {
+            m_busy = true;
+            m_received_at = std::chrono::steady_clock::now();
+            limit(m_owner.m_limits.m_transfer_timeout);
+            http::async_read(m_socket, m_buffer, *m_parser,
+                             [self = shared_from_this()](
+                                 const error_code& error, std::size_t)
+                             { error ? self->reject(error) : self->handle(); });
+        }
+
+        /// Answers a request that could not be read, if the caller is there.
+        void reject(const error_code& error)
+        {
+            if (error == http::error::body_limit)
+            {
+                send(plain_response(http::status::payload_too_large));
+            }
+            else if (error == http::error::header_limit)
+            {
+                send(plain_response(
+                    http::status::request_header_fields_too_large));
+            }
+            else if (error.category() ==
+                         make_error_code(http::error::bad_method).category() &&
+                     error != http::error::end_of_stream &&
+                     error != http::error::partial_message)
+            {
+                send(plain_response(http::status::bad_request));
+            }
+            else
+            {
+                close();
+            }
+        }
+
+        void handle()
+        {
+            m_timer.cancel();
+            m_keep_alive = m_parser->get().keep_alive();
+            auto received = std::make_shared<http_request>();
+            received->m_method = std::string(m_parser->get().method_string());
+            received->m_path =
+                decoded_path(std::string_view(m_parser->get().target().data(),
+                                              m_parser->get().target().size()));
+            for (const auto& field : m_parser->get())
+            {
+                received->m_headers.insert_or_assign(
+                    lower_case(std::string(field.name_string())),
+                    std::string(field.value()));
+            }
+            received->m_body = std::move(m_parser->get().body());
+            received->m_received_at = m_received_at;
+            m_parser.reset();
+            m_owner.dispatch(shared_from_this(), std::move(received));
+        }
+
+        friend class implementation;
+
+        void send(http_response response)
+        {
+            const bool closing =
+                response.m_close || !m_keep_alive || !m_owner.m_reading;
+            m_response = {};
+            m_response.version(11);
+            m_response.result(static_cast<unsigned>(response.m_status));
+            m_response.set(http::field::content_type, response.m_content_type);
+            for (const auto& [name, value] : response.m_headers)
+            {
+                m_response.set(name, value);
+            }
+            m_response.keep_alive(!closing);
+            m_response.body() = std::move(response.m_body);
+            m_response.prepare_payload();
+            limit(m_owner.m_limits.m_transfer_timeout);
+            http::async_write(m_socket, m_response,
+                              [self = shared_from_this(),
+                               closing](const error_code& error, std::size_t)
+                              {
+                                  if (error)
+                                  {
+                                      self->close();
+                                  }
+                                  else if (closing)
+                                  {
+                                      self->drain();
+                                  }
+                                  else
+                                  {
+                                      self->await_request();
+                                  }
+                              });
+        }
+
+        void drain()
+        {
+            m_busy = false;
+            error_code ignored;
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            limit(drain_time);
+            read_and_drop();
+        }
+
+        void read_and_drop()
+        {
+            m_buffer.consume(m_buffer.size());
+            m_socket.async_read_some(
+                m_buffer.prepare(drain_bytes),
+                [self = shared_from_this()](const error_code& error,
+                                            std::size_t)
+                { error ? self->close() : self->read_and_drop(); });
+        }
+
+        void limit(span time)
+        {
+            m_timer.expires_after(std::chrono::milliseconds(time.count()));
+            ++m_limit_number;
+            m_timer.async_wait(
+                [self = shared_from_this(),
+                 number = m_limit_number](const error_code& error)
+                {
+                    // A timer that expired before its renewal still calls.
+                    if (!error && number == self->m_limit_number)
+                    {
+                        self->close();
+                    }
+                });
+        }
+
+        void close()
+        {
+            ++m_limit_number;
+            m_timer.cancel();
+            error_code ignored;
+            m_socket.close(ignored);
+            m_owner.m_connections.erase(shared_from_this());
+        }
+
+        implementation& m_owner;
+        tcp::socket m_socket;
+        asio::steady_timer m_timer;
+        int m_limit_number = 0;
+        boost::beast::flat_buffer m_buffer;
+        std::optional<http::request_parser<http::string_body>> m_parser;
+        http::response<http::string_body> m_response;
+        bool m_busy = false;
+        bool m_keep_alive = false;
+        std::chrono::steady_clock::time_point m_idle_since;
+        std::chrono::steady_clock::time_point m_received_at;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [self = shared_from_this()](const error_code& error,
+                                        tcp::socket socket)
+            {
+                if (!self->m_reading)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    // Most likely the descriptors are used up for the moment.
+                    self->accept_later();
+                    return;
+                }
+                self->make_room();
+                const auto made =
+                    std::make_shared<session>(*self, std::move(socket));
+                self->m_connections.insert(made);
+                made->await_request();
+                self->accept();
+            });
+    }
+
+    /// Runs the handler. Its exceptions must not end a thread.
+    http_response handle(const http_request& received) const
+    {
+        try
+        {
+            return m_handle(received);
+        }
+        catch (const std::exception& error)
+        {
+            m_on_error(error.what());
+            return plain_response(http::status::internal_server_error);
+        }
+    }
+
+    void accept_later()
+    {
+        m_retry.expires_after(std::chrono::milliseconds(accept_retry.count()));
+        m_retry.async_wait(
+            [self = shared_from_this()](const error_code& error)
+            {
+                if (!error && self->m_reading)
+                {
+                    self->accept();
+                }
+            });
+    }
+
+    void make_room()
+    {
+        if (m_connections.size() < m_limits.m_max_connections)
+        {
+            return;
+        }
+        std::shared_ptr<session> oldest;
+        for (const auto& each : m_connections)
+        {
+            if (!each->busy() &&
+                (!oldest || each->idle_since() < oldest->idle_since()))
+            {
+                oldest = each;
+            }
+        }
+        if (oldest)
+        {
+            oldest->close_unless_busy();
+        }
+    }
+
+    void dispatch(const std::shared_ptr<session>& connection,
+                  std::shared_ptr<const http_request> received)
+    {
+        if (!m_threads)
+        {
+            connection->send(handle(*received));
+            return;
+        }
+        if (m_requests >= m_limits.m_max_requests)
+        {
+            connection->send(m_overloaded(*received));
+            return;
+        }
+        ++m_requests;
+        asio::post(*m_threads,
+                   [self = shared_from_this(), connection, received]
+                   {
+                       auto response = std::make_shared<http_response>(
+                           self->handle(*received));
+                       asio::post(self->m_context,
+                                  [self, connection, response]
+                                  {
+                                      --self->m_requests;
+                                      connection->send(std::move(*response));
+                                  });
+                   });
+    }
+
+    asio::io_context& m_context;
+    event_loop::error_hook m_on_error;
+    http_server_limits m_limits;
+    handler m_handle;
+    handler m_overloaded;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_retry;
+    std::string m_address;
+    // The members below are used on the event loop's thread only.
+    bool m_reading = true;
+    std::size_t m_requests = 0;
+    std::set<std::shared_ptr<session>> m_connections;
+    std::optional<asio::thread_pool> m_threads;
+};
+
+http_server::http_server(event_loop& loop, const std::string& address,
+                         const http_server_limits& limits, handler handle,
+                         handler overloaded)
+    : m_implementation(std::make_shared<implementation>(
+          loop, address, limits, std::move(handle), std::move(overloaded)))
+{
+    m_implementation->begin();
+}
+
+http_server::~http_server()
+{
+    m_implementation->join_handlers();
+}
+
+const std::string& http_server::address() const
+{
+    return m_implementation->address();
+}
+
+void http_server::stop_reading()
+{
+    m_implementation->stop_reading();
+}
+
+} // namespace kingcuprudder
--- /dev/null
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -0,0 +1,99 @@
+#ifndef KINGCUPRUDDER_RUNTIME_HTTP_SERVER_HPP
+#define KINGCUPRUDDER_RUNTIME_HTTP_SERVER_HPP
+
+#include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/runtime/event_loop.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace kingcuprudder
+{
+
+/// A complete HTTP request.
+struct http_request
+{
+    std::string m_method;
+    /// The decoded path without the query.
+    std::string m_path;
+    /// The header fields, by name in lower case.
+    std::map<std::string, std::string> m_headers;
+    std::string m_body;
+    /// When the first bytes of the request were read.
+    std::chrono::steady_clock::time_point m_received_at;
+
+    /// Returns the value of the field with this name in lower case, or "".
+    std::string header(const std::string& name) const;
+
+    friend bool operator==(const http_request&, const http_request&) = default;
+};
+
+/// The response to an HTTP request.
+struct http_response
+{
+    int m_status = 200;
+    std::string m_content_type = "application/json";
+    std::map<std::string, std::string> m_headers;
+    std::string m_body;
+    /// Whether the connection is closed after the response.
+    bool m_close = false;
+
+    friend bool operator==(const http_response&,
+                           const http_response&) = default;
+};
+
+/// Limits of an HTTP server.
+struct http_server_limits
+{
+    /// Threads that carry out handlers; with 0 they run on the event loop and
+    /// must not block.
+    std::size_t m_handler_threads = 0;
+    /// Requests that wait for a handler thread or are being handled.
+    std::size_t m_max_requests = 512;
+    /// Over this number the connection that was idle longest is closed.
+    std::size_t m_max_connections = 1500;
+    std::size_t m_max_body_bytes = std::size_t{256} * 1024;
+    /// A connection without a request is closed after this time.
+    span m_idle_timeout = span(30'000);
+    /// Within this time a request is received whole, and a response sent.
+    span m_transfer_timeout = span(5000);
+
+    friend bool operator==(const http_server_limits&,
+                           const http_server_limits&) = default;
+};
+
+/// An HTTP/1.1 server on an event loop. A connection occupies no thread; a
+/// handler thread is used only for a request that was received whole.
+class http_server
+{
+public:
+    using handler = std::function<http_response(const http_request&)>;
+
+    /// Listens on "ip:port"; port 0 selects a free port. `overloaded` makes the
+    /// response to a request that is not handled as too many are waiting; it
+    /// runs on the event loop. Throws std::exception when it cannot listen.
+    http_server(event_loop& loop, const std::string& address,
+                const http_server_limits& limits, handler handle,
+                handler overloaded = nullptr);
+    /// Waits for the handlers in progress. The event loop must be stopped.
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// The address that it listens on, as "ip:port".
+    const std::string& address() const;
+
+    /// Reads no further requests; those that were received are still answered.
+    void stop_reading();
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> m_implementation;
+};
+
+} // namespace kingcuprudder
+
+#endif
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -28,6 +28,9 @@
         return m_nodes[node].m_process != nullptr;
     }
 
+    /// Returns the id of the running process.
+    pid_t process_id(int node) const { return m_nodes[node].m_process->pid(); }
+
     void start(int node);
     /// Ends the process with SIGKILL.
     void kill(int node);
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -11,6 +11,56 @@
 
 using stand_ins::memory_store;
 
+/// A store whose lists are answered after a delay, like those of a process that
+/// is paused before it reads the answer.
+class slow_store final : public record_store
+{
+public:
+    static constexpr span delay = span(600);
+
+    explicit slow_store(record_store& inner) : m_inner(inner) {}
+
+    store_result<std::optional<record>> read(const std::string& key,
+                                             span timeout) override
+    {
+        return m_inner.read(key, timeout);
+    }
+    store_result<record_list> list(const std::string& prefix,
+                                   span timeout) override
+    {
+        auto listed = m_inner.list(prefix, timeout);
+        std::this_thread::sleep_for(std::chrono::milliseconds(delay.count()));
+        return listed;
+    }
+    store_result<record_changes> watch(const std::string& prefix,
+                                       std::int64_t after, span wait) override
+    {
+        return m_inner.watch(prefix, after, wait);
+    }
+    store_result<commit_answer> commit(const store_transaction& transaction,
+                                       span timeout) override
+    {
+        return m_inner.commit(transaction, timeout);
+    }
+    store_result<std::int64_t> grant_lease(span time_to_live,
+                                           span timeout) override
+    {
+        return m_inner.grant_lease(time_to_live, timeout);
+    }
+    store_result<std::monostate> renew_lease(std::int64_t lease,
+                                             span timeout) override
+    {
+        return m_inner.renew_lease(lease, timeout);
+    }
+    void revoke_lease(std::int64_t lease, span timeout) override
+    {
+        m_inner.revoke_lease(lease, timeout);
+    }
+
+private:
+    record_store& m_inner;
+};
+
 class job_service_test : public node_fixture
 {
 protected:
@@ -183,4 +233,15 @@
     EXPECT_EQ(m_configuration.current()->m_configuration.m_version, 7);
 }
 
+// Guards against a process that is paused while an answer of the store waits to
+// be read, and then takes the answer for new: a key that was deleted meanwhile
+// would be accepted.
+TEST_F(job_service_test, a_configuration_that_is_read_late_is_confirmed_anew)
+{
+    slow_store slow(m_store);
+    const configuration_view late(slow, m_records, m_log);
+    ASSERT_TRUE(eventually([&] { return late.current() != nullptr; }));
+    EXPECT_GE(boottime_now() - late.confirmed_at(), slow_store::delay);
+}
+
 } // namespace kingcuprudder::node
--- /dev/null
+++ b/unit_tests/node/worker_session_test.cpp
@@ -0,0 +1,281 @@
+#include <kingcuprudder/node/clocks.hpp>
+#include <kingcuprudder/node/worker_session.hpp>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+constexpr std::int64_t worker_clock = 5000;
+
+/// What one worker received and how it answers.
+struct recorded_calls
+{
+    std::mutex m_mutex;
+    std::vector<std::string> m_orders;
+    std::vector<renewal_call> m_renewals;
+    std::vector<renewal_answer> m_renewal_answers;
+
+    std::size_t renewals()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_renewals.size();
+    }
+    std::vector<std::string> orders()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_orders;
+    }
+};
+
+/// Answers renewals from a list, the last one again and again, and accepts all
+/// orders.
+class recording_calls final : public worker_calls
+{
+public:
+    recording_calls(event_loop& loop, recorded_calls& record)
+        : m_loop(loop), m_record(record)
+    {
+    }
+
+    void start(const dispatch::start_order& order, std::int64_t, std::int64_t,
+               span, order_done done) override
+    {
+        note("start " + order.m_run.m_task.str());
+        m_loop.post(
+            [done] {
+                done({dispatch::order_outcome::accepted, worker_clock});
+            });
+    }
+
+    void stop(const dispatch::stop_order& order, std::int64_t, span,
+              order_done done) override
+    {
+        note("stop " + order.m_run.m_task.str());
+        m_loop.post(
+            [done] {
+                done({dispatch::order_outcome::accepted, worker_clock});
+            });
+    }
+
+    void renew(const renewal_call& call, span, renewal_done done) override
+    {
+        std::lock_guard lock(m_record.m_mutex);
+        const std::size_t at = std::min(m_record.m_renewals.size(),
+                                        m_record.m_renewal_answers.size() - 1);
+        m_record.m_renewals.push_back(call);
+        m_timer = m_loop.run_after(
+            span(20),
+            [done, answer = m_record.m_renewal_answers[at]] { done(answer); });
+    }
+
+    void cancel() override { note("cancel"); }
+
+private:
+    void note(const std::string& text)
+    {
+        std::lock_guard lock(m_record.m_mutex);
+        m_record.m_orders.push_back(text);
+    }
+
+    event_loop& m_loop;
+    recorded_calls& m_record;
+    event_loop::timer m_timer;
+};
+
+class worker_session_test : public ::testing::Test
+{
+protected:
+    ~worker_session_test() override { m_loop.stop(); }
+
+    std::shared_ptr<worker_session> session()
+    {
+        worker_session::hooks hooks;
+        hooks.m_renewal_sent = [](const std::string&, instant) {};
+        hooks.m_renewal_answered =
+            [this](const std::string&, const dispatch::worker_report&, instant)
+        { ++m_answered; };
+        hooks.m_renewal_failed = [this](const std::string&) { ++m_failed; };
+        hooks.m_start_finished =
+            [this](const dispatch::start_order&, dispatch::order_outcome got)
+        { note(got); };
+        hooks.m_stop_finished =
+            [this](const dispatch::stop_order&, dispatch::order_outcome got)
+        { note(got); };
+        return std::make_shared<worker_session>(
+            m_loop, "127.0.0.1:1",
+            std::make_unique<recording_calls>(m_loop, m_record), m_term,
+            span(6000), hooks);
+    }
+
+    void note(dispatch::order_outcome outcome)
+    {
+        std::lock_guard lock(m_record.m_mutex);
+        m_outcomes.push_back(outcome);
+    }
+
+    std::size_t finished()
+    {
+        std::lock_guard lock(m_record.m_mutex);
+        return m_outcomes.size();
+    }
+
+    static dispatch::renewal_request request()
+    {
+        dispatch::renewal_request made;
+        made.m_worker = "w";
+        made.m_incarnation = 1;
+        made.m_needed = true;
+        made.m_clock = worker_clock;
+        made.m_clock_read_at = boottime_now();
+        return made;
+    }
+
+    static dispatch::start_order start(int index)
+    {
+        return {"w", {{"5c0e7a21d94b36f8", 0, 0, index}, 1}, "", ""};
+    }
+
+    template <class Condition>
+    static bool eventually(const Condition& holds)
+    {
+        for (int at = 0; at < 300; ++at)
+        {
+            if (holds())
+            {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return false;
+    }
+
+    event_loop m_loop{[](const std::string&) {}};
+    std::shared_ptr<term> m_term =
+        std::make_shared<term>(7, boottime_now() + span(60'000));
+    recorded_calls m_record;
+    std::vector<dispatch::order_outcome> m_outcomes;
+    std::atomic<int> m_answered = 0;
+    std::atomic<int> m_failed = 0;
+};
+
+dispatch::worker_report report()
+{
+    dispatch::worker_report made;
+    made.m_clock = worker_clock;
+    made.m_incarnation = 1;
+    return made;
+}
+
+} // namespace
+
+TEST_F(worker_session_test, orders_are_sent_in_turn_while_the_lease_is_renewed)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    tested->update(request());
+    tested->send(start(0));
+    tested->send(start(1));
+    tested->send(dispatch::stop_order{"w", start(0).m_run});
+    ASSERT_TRUE(eventually([&] { return finished() == 3; }));
+    EXPECT_EQ(m_record.orders(),
+              (std::vector<std::string>{"start 5c0e7a21d94b36f8.0.0.0",
+                                        "start 5c0e7a21d94b36f8.0.0.1",
+                                        "stop 5c0e7a21d94b36f8.0.0.0"}));
+    EXPECT_TRUE(eventually([&] { return m_answered > 3; }));
+    m_loop.stop();
+}
+
+// Guards against two leaders that both send orders around a hand-over.
+TEST_F(worker_session_test, nothing_is_sent_after_the_term_has_ended)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    m_term->end();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    const std::size_t renewals = m_record.renewals();
+    tested->send(start(0));
+    ASSERT_TRUE(eventually([&] { return finished() == 1; }));
+    EXPECT_EQ(m_outcomes[0], dispatch::order_outcome::not_sent);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    EXPECT_EQ(m_record.renewals(), renewals);
+    EXPECT_TRUE(m_record.orders().empty());
+    m_loop.stop();
+}
+
+// Guards against a worker that is only slow to answer and whose lease would be
+// extended by each attempt, so that its tasks could never be assigned anew.
+TEST_F(worker_session_test, an_unanswered_renewal_is_repeated_with_its_lease)
+{
+    m_record.m_renewal_answers = {dispatch::order_outcome::may_have_arrived};
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_record.renewals() >= 3; }));
+    m_loop.stop();
+    EXPECT_GE(m_failed, 2);
+    for (const renewal_call& call : m_record.m_renewals)
+    {
+        EXPECT_EQ(call.m_lease_end_clock,
+                  m_record.m_renewals.front().m_lease_end_clock);
+        EXPECT_EQ(call.m_wait, span(0));
+    }
+}
+
+TEST_F(worker_session_test, a_refused_fencing_token_ends_the_term)
+{
+    m_record.m_renewal_answers = {dispatch::order_outcome::refused_fence};
+    const auto tested = session();
+    tested->update(request());
+    EXPECT_TRUE(eventually([&] { return m_term->ended(); }));
+    m_loop.stop();
+}
+
+// Guards against reports that are acknowledged before they are stored, and
+// against a busy loop of renewals that repeat the same reports.
+TEST_F(worker_session_test, a_renewal_waits_for_its_acknowledgement)
+{
+    dispatch::worker_report with_end = report();
+    with_end.m_ended.push_back(
+        {4, "5c0e7a21d94b36f8.0.0.0", 1, dispatch::run_outcome::done, ""});
+    m_record.m_renewal_answers = {with_end, report()};
+    const auto tested = session();
+    dispatch::renewal_request asked = request();
+    tested->update(asked);
+    ASSERT_TRUE(eventually([&] { return m_answered == 1; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(m_record.renewals(), 1u);
+    asked.m_acknowledged = 4;
+    tested->update(asked);
+    ASSERT_TRUE(eventually([&] { return m_record.renewals() >= 2; }));
+    m_loop.stop();
+    EXPECT_EQ(m_record.m_renewals[1].m_acknowledged, 4);
+}
+
+TEST_F(worker_session_test, a_closed_session_sends_nothing)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->close();
+    ASSERT_TRUE(eventually([&] { return !m_record.orders().empty(); }));
+    const std::size_t renewals = m_record.renewals();
+    tested->send(start(0));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    EXPECT_EQ(m_record.orders(), std::vector<std::string>{"cancel"});
+    EXPECT_LE(m_record.renewals(), renewals + 1);
+    m_loop.stop();
+}
+
+} // namespace kingcuprudder::node
--- a/unit_tests/platform/platform_records_test.cpp
+++ b/unit_tests/platform/platform_records_test.cpp
@@ -95,4 +95,24 @@
                    R"({"steps":[{"count":1}],"spec":")" + long_spec + "\"}"));
 }
 
+// Guards against one job whose tasks use up the memory of each leader in turn.
+TEST(platform_records, jobs_with_too_many_tasks_are_rejected)
+{
+    for (const char* text :
+         {"{\"steps\":[{\"count\":10001}]}",
+          "{\"steps\":[{\"count\":2000000000}]}",
+          "{\"steps\":[{\"count\":4294967297}]}",
+          "{\"steps\":[{\"count\":18446744073709551615}]}",
+          "{\"steps\":[{\"count\":-4294967295}]}",
+          "{\"steps\":[{\"count\":6000},{\"count\":6000}]}",
+          "{\"steps\":[{\"count\":1}],\"repeatCount\":1000000000}",
+          "{\"steps\":[{\"count\":101}],\"repeatCount\":100}"})
+    {
+        EXPECT_FALSE(decode_job("5c0e7a21d94b36f8", text)) << text;
+    }
+    EXPECT_TRUE(
+        decode_job("5c0e7a21d94b36f8",
+                   "{\"steps\":[{\"count\":100}],\"repeatCount\":100}"));
+}
+
 } // namespace kingcuprudder::platform
--- /dev/null
+++ b/unit_tests/platform/platform_store_test.cpp
@@ -0,0 +1,89 @@
+#include <kingcuprudder/runtime/http_listener.hpp>
+
+#include <gtest/gtest.h>
+#include <platform/platform_store.hpp>
+
+#include <httplib.h>
+#include <string>
+
+namespace kingcuprudder::platform
+{
+
+namespace
+{
+
+using node::store_failure;
+
+constexpr span timeout = span(1000);
+
+/// A store that answers each call with the same status and body.
+class platform_store_test : public ::testing::Test
+{
+protected:
+    void answer(int status, const std::string& body)
+    {
+        m_status = status;
+        m_body = body;
+    }
+
+    int m_status = 200;
+    std::string m_body;
+    http_listener m_listener{
+        "127.0.0.1:0", 4,
+        [this](httplib::Server& server)
+        {
+            const auto handler =
+                [this](const httplib::Request&, httplib::Response& response)
+            {
+                response.status = m_status;
+                response.set_content(m_body, "application/json");
+            };
+            server.Get("/.*", handler);
+            server.Post("/.*", handler);
+            server.Delete("/.*", handler);
+        }};
+    platform_store m_store{m_listener.address()};
+};
+
+} // namespace
+
+// Guards against one malformed answer of the store that ends the process. The
+// outcome of the call is unknown, as after a lost answer.
+TEST_F(platform_store_test, malformed_answers_leave_the_outcome_unknown)
+{
+    for (const char* body :
+         {"", "7", "[]", "{}", "null", "{\"asOf\":\"x\"}",
+          "{\"asOf\":1,\"items\":7}", "{\"asOf\":1,\"items\":[7]}",
+          "{\"asOf\":1,\"items\":[{\"key\":7}]}",
+          "{\"asOf\":1,\"events\":[{}]}", "{\"revision\":\"x\"}",
+          "{\"leaseId\":[]}"})
+    {
+        answer(200, body);
+        EXPECT_EQ(m_store.read("k", timeout).index(), 1u) << body;
+        EXPECT_EQ(m_store.list("k", timeout).index(), 1u) << body;
+        EXPECT_EQ(m_store.watch("k", 1, span(10)).index(), 1u) << body;
+        EXPECT_EQ(std::get<1>(m_store.commit({}, timeout)),
+                  store_failure::unknown)
+            << body;
+        EXPECT_EQ(m_store.grant_lease(span(2000), timeout).index(), 1u) << body;
+    }
+}
+
+TEST_F(platform_store_test, a_conflict_that_cannot_be_read_is_unknown)
+{
+    for (const char* body : {"", "{}", "{\"items\":[7]}", "[]"})
+    {
+        answer(412, body);
+        EXPECT_EQ(std::get<1>(m_store.commit({}, timeout)),
+                  store_failure::unknown)
+            << body;
+    }
+    answer(412, R"({"items":[{"key":"k","revision":4,"value":"eA=="}]})");
+    const auto outcome = m_store.commit({}, timeout);
+    const auto& conflict =
+        std::get<node::store_conflict>(std::get<node::commit_answer>(outcome));
+    ASSERT_EQ(conflict.m_records.size(), 1u);
+    EXPECT_EQ(conflict.m_records[0], (node::record{"k", "x", 4}));
+}
+
+} // namespace kingcuprudder::platform
--- /dev/null
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -0,0 +1,205 @@
+#include "raw_connection.hpp"
+#include <kingcuprudder/runtime/http_server.hpp>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+namespace kingcuprudder
+{
+
+namespace
+{
+
+const std::string get_request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+class http_server_test : public ::testing::Test
+{
+protected:
+    ~http_server_test() override { m_loop.stop(); }
+
+    static http_response echo(const http_request& request)
+    {
+        http_response response;
+        response.m_body = request.m_method + " " + request.m_path + " " +
+                          request.header("host") + " " + request.m_body;
+        return response;
+    }
+
+    static http_server_limits pooled(std::size_t threads)
+    {
+        http_server_limits limits;
+        limits.m_handler_threads = threads;
+        return limits;
+    }
+
+    std::atomic<int> m_errors = 0;
+    event_loop m_loop{[this](const std::string&) { ++m_errors; }};
+};
+
+} // namespace
+
+TEST_F(http_server_test, requests_on_one_connection_are_answered_in_turn)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    raw_connection caller(server.address());
+    ASSERT_TRUE(caller.send(get_request +
+                            "POST /b%20c?d=1 HTTP/1.1\r\nHost: i\r\n"
+                            "Content-Length: 2\r\n\r\nxy"));
+    const std::string answers = caller.read_until("POST");
+    EXPECT_NE(answers.find("GET /a h "), std::string::npos) << answers;
+    EXPECT_NE((answers + caller.read_until("xy")).find("POST /b c i xy"),
+              std::string::npos);
+    m_loop.stop();
+}
+
+// Guards against callers with open or unfinished connections that occupy all
+// threads, so that other callers wait.
+TEST_F(http_server_test, idle_and_slow_callers_occupy_no_thread)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int index = 0; index < 200; ++index)
+    {
+        callers.push_back(std::make_unique<raw_connection>(server.address()));
+        if (index % 2 == 0)
+        {
+            callers.back()->send("POST /a HTTP/1.1\r\nContent-Le");
+        }
+    }
+    raw_connection caller(server.address());
+    ASSERT_TRUE(caller.send(get_request));
+    EXPECT_NE(caller.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
+// Guards against a caller that sends a large body and gets a reset connection
+// in place of the response, as the server closed it with unread bytes.
+TEST_F(http_server_test, a_body_that_is_too_large_is_refused_while_it_is_sent)
+{
+    http_server_limits limits;
+    limits.m_max_body_bytes = 1000;
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    raw_connection caller(server.address());
+    caller.send("POST /a HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n");
+    caller.send(std::string(4'000'000, 'x'));
+    EXPECT_NE(caller.read_until("\r\n\r\n").find("413"), std::string::npos);
+    m_loop.stop();
+}
+
+// Guards against one malformed request that ends the process or its thread.
+TEST_F(http_server_test, a_malformed_request_is_refused_and_others_are_served)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    for (const char* bytes :
+         {"\x16\x03\x01\x02\r\n\r\n", "GET\r\n\r\n", "GET /a HTTP/9.9\r\n\r\n",
+          "GET / HTTP/1.1\r\nContent-Length: -4\r\n\r\n",
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"})
+    {
+        raw_connection hostile(server.address());
+        hostile.send(bytes);
+        EXPECT_NE(hostile.read_until("\r\n\r\n").find("400"), std::string::npos)
+            << bytes;
+    }
+    raw_connection caller(server.address());
+    caller.send(get_request);
+    EXPECT_NE(caller.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
+TEST_F(http_server_test, an_exception_of_a_handler_ends_only_its_request)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1),
+                       [](const http_request& request)
+                       {
+                           if (request.m_method == "POST")
+                           {
+                               throw std::runtime_error("unexpected");
+                           }
+                           return echo(request);
+                       });
+    raw_connection failing(server.address());
+    failing.send("POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_NE(failing.read_until("\r\n\r\n").find("500"), std::string::npos);
+    EXPECT_EQ(m_errors, 1);
+    raw_connection caller(server.address());
+    caller.send(get_request);
+    EXPECT_NE(caller.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
+// A request that is not begun gets its refusal at once, not at its deadline.
+TEST_F(http_server_test, requests_over_the_limit_are_refused_at_once)
+{
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    http_server_limits limits = pooled(1);
+    limits.m_max_requests = 1;
+    http_server server(m_loop, "127.0.0.1:0", limits,
+                       [released](const http_request& request)
+                       {
+                           released.wait();
+                           return echo(request);
+                       });
+    raw_connection first(server.address());
+    first.send(get_request);
+    raw_connection second(server.address());
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    second.send(get_request);
+    const std::string refusal = second.read_until("\r\n\r\n");
+    EXPECT_NE(refusal.find("503"), std::string::npos);
+    EXPECT_NE(refusal.find("Retry-After: 1"), std::string::npos);
+    release.set_value();
+    EXPECT_NE(first.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
+// Guards against a request that is read at shutdown and never answered.
+TEST_F(http_server_test, a_server_that_stops_reading_answers_what_it_has_read)
+{
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    std::promise<void> begun;
+    http_server server(m_loop, "127.0.0.1:0", pooled(1),
+                       [&, released](const http_request& request)
+                       {
+                           begun.set_value();
+                           released.wait();
+                           return echo(request);
+                       });
+    raw_connection idle(server.address());
+    raw_connection caller(server.address());
+    caller.send(get_request);
+    begun.get_future().wait();
+    server.stop_reading();
+    EXPECT_EQ(idle.read_until("x"), "");
+    release.set_value();
+    const std::string answer = caller.read_until("GET /a");
+    EXPECT_NE(answer.find("200 OK"), std::string::npos);
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    m_loop.stop();
+}
+
+TEST_F(http_server_test, the_longest_idle_connection_makes_room_for_a_new_one)
+{
+    http_server_limits limits;
+    limits.m_max_connections = 2;
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    raw_connection first(server.address());
+    first.send(get_request);
+    first.read_until("GET /a");
+    raw_connection second(server.address());
+    second.send(get_request);
+    second.read_until("GET /a");
+    raw_connection third(server.address());
+    third.send(get_request);
+    EXPECT_NE(third.read_until("GET /a").find("200 OK"), std::string::npos);
+    EXPECT_EQ(first.read_until("x"), "");
+    m_loop.stop();
+}
+
+} // namespace kingcuprudder
