Plan only after a change and look at fewer workers

Cause: at 3,000 workers the leader planned every 10 ms whether anything had changed or not (0.8 ms a pass), built the renewal requests of all workers at each step (0.19 ms), forgot the preemptible runs of all workers at each preemption, summed up all racks for each waiting gang of one rack, and looked at every worker for each task.

Tests: what counts as a change, requests of changed workers only, two gangs that preempt in one pass.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -33,6 +33,7 @@
 void dispatcher::configure(const service_configuration& configuration)
 {
     m_configuration = configuration;
+    m_changed = true;
     for (auto& [id, job] : m_jobs.jobs())
     {
         update_policy(job);
@@ -112,6 +113,7 @@
                 }
                 incarnation = stored.m_worker_incarnation;
                 tasks[index].m_active = run;
+                mark_renewal(worker.id());
                 worker.m_tasks.insert(
                     task_ref{submission.m_id, static_cast<int>(repeat),
                              static_cast<int>(step), static_cast<int>(index)});
@@ -119,6 +121,7 @@
             }
         }
     }
+    m_changed = true;
     m_log("job_loaded", submission.m_id,
           {{"queue", submission.m_queue},
            {"revision", number(revision)},
@@ -173,8 +176,16 @@
                {"zone", description.m_zone},
                {"gpus", number(description.m_capacity.m_gpus)}});
     }
-    worker.m_description = description;
-    worker.m_description.m_incarnation = incarnation;
+    worker_description changed = description;
+    changed.m_incarnation = incarnation;
+    // Every entry has another clock reading, which alone changes nothing.
+    worker.m_description.m_clock = changed.m_clock;
+    if (!worker.m_listed || worker.m_description != changed)
+    {
+        m_changed = true;
+        mark_renewal(description.m_id);
+    }
+    worker.m_description = std::move(changed);
     worker.m_listed = true;
     worker.m_last_heartbeat = now;
 }
@@ -187,6 +198,8 @@
         return;
     }
     found->second.m_listed = false;
+    m_changed = true;
+    mark_renewal(id);
     m_log("worker_unlisted", id,
           {{"tasks",
             number(static_cast<std::int64_t>(found->second.m_tasks.size()))},
@@ -242,6 +255,7 @@
 {
     expire_leases(now);
     release_stuck_assignments(now);
+    m_changed = false;
     planner(*this, now, wall_now).run();
 }
 
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -87,12 +87,20 @@
     void update_revision(const std::string& job, std::int64_t revision);
     bool has_writes() const { return m_jobs.has_writes(); }
 
+    /// Returns whether a job, a worker or free capacity has changed since the
+    /// last planning. Without such a change planning finds the same as before,
+    /// but for what depends on the time: due times, quarantines, objectives.
+    bool has_changed_since_planning() const { return m_changed; }
     /// Assigns waiting tasks to workers and selects runs to preempt.
     void plan(instant now, instant wall_now);
     /// Returns the orders to send now.
     dispatch_effects collect_orders(instant now);
 
-    std::vector<renewal_request> renewals() const;
+    /// Returns the renewal requests that may have changed since the last call.
+    /// A request without an address means that the worker needs no session any
+    /// more. A new clock reading alone is no change; it comes with the next
+    /// task that is assigned to the worker.
+    std::vector<renewal_request> changed_renewals();
     /// Returns the number of jobs without a started task, by queue.
     std::map<std::string, int> waiting_by_queue() const;
 
@@ -109,6 +117,14 @@
     friend class planner;
 
     worker_entry& find_or_add_worker(const std::string& id);
+    /// Returns the worker's renewal request; without an address if the worker
+    /// needs no session.
+    static renewal_request renewal_of(const worker_entry& worker);
+    /// Notes that the worker's renewal request may have changed.
+    void mark_renewal(const std::string& worker)
+    {
+        m_changed_renewals.insert(worker);
+    }
     /// Returns whether the worker holds runs without a record. Their demand is
     /// unknown, so the worker gets no work until they have ended.
     bool has_unrecorded_runs(const std::string& worker) const;
@@ -191,7 +207,11 @@
         m_unrecorded_runs;
     /// The ids of jobs that were cancelled before they were added.
     std::set<std::string> m_pending_cancellations;
+    /// The workers whose renewal request may have changed since the last call
+    /// of changed_renewals().
+    std::set<std::string> m_changed_renewals;
     instant m_term_start;
+    bool m_changed = true;
     bool m_superseded = false;
 };
 
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -42,6 +42,8 @@
     task.m_active = active;
     worker.m_reserved += job.step(ref).occupied();
     worker.m_tasks.insert(ref);
+    // A start needs a recent reading of the worker's clock.
+    mark_renewal(worker.id());
     m_unsent_starts.insert(ref);
     const resources left = worker.plannable_capacity();
     m_log(
@@ -74,6 +76,7 @@
         // the run shows that it has ended.
         task.m_active->m_listed_from = instant();
     }
+    m_changed = true;
     task.m_active->m_phase = run_phase::stopping;
     task.m_active->m_stop_sent_at.reset();
     find_or_add_worker(task.m_active->m_worker).m_stopping +=
@@ -104,6 +107,8 @@
     {
         worker.m_stopping -= demand;
     }
+    m_changed = true;
+    mark_renewal(worker.id());
     worker.m_tasks.erase(ref);
     m_unsent_starts.erase(ref);
     task.m_active.reset();
@@ -411,29 +416,34 @@
     return true;
 }
 
-std::vector<renewal_request> dispatcher::renewals() const
+renewal_request dispatcher::renewal_of(const worker_entry& worker)
+{
+    renewal_request request;
+    request.m_worker = worker.id();
+    if (!worker.m_listed && worker.m_tasks.empty())
+    {
+        return request;
+    }
+    request.m_address = worker.m_description.m_address;
+    request.m_incarnation = worker.m_description.m_incarnation;
+    request.m_acknowledged = worker.m_acknowledged;
+    request.m_awaits_store = !worker.m_unstored_completions.empty();
+    request.m_clock = worker.m_description.m_clock;
+    request.m_clock_read_at = worker.m_last_heartbeat;
+    request.m_needed =
+        (worker.m_listed && (!worker.m_synced || !worker.m_reachable)) ||
+        !worker.m_tasks.empty() || request.m_awaits_store;
+    return request;
+}
+
+std::vector<renewal_request> dispatcher::changed_renewals()
 {
     std::vector<renewal_request> requests;
-    for (const auto& [id, worker] : m_workers)
+    for (const std::string& id : m_changed_renewals)
     {
-        const bool gone = !worker.m_listed && worker.m_tasks.empty();
-        if (gone || worker.m_description.m_address.empty())
-        {
-            continue;
-        }
-        renewal_request request;
-        request.m_worker = id;
-        request.m_address = worker.m_description.m_address;
-        request.m_incarnation = worker.m_description.m_incarnation;
-        request.m_acknowledged = worker.m_acknowledged;
-        request.m_awaits_store = !worker.m_unstored_completions.empty();
-        request.m_clock = worker.m_description.m_clock;
-        request.m_clock_read_at = worker.m_last_heartbeat;
-        request.m_needed =
-            (worker.m_listed && (!worker.m_synced || !worker.m_reachable)) ||
-            !worker.m_tasks.empty() || request.m_awaits_store;
-        requests.push_back(request);
+        requests.push_back(renewal_of(find_or_add_worker(id)));
     }
+    m_changed_renewals.clear();
     return requests;
 }
 
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -44,6 +44,11 @@
                {"ended",
                 number(static_cast<std::int64_t>(report.m_ended.size()))}});
     }
+    if (!worker.m_reachable || !worker.m_synced || !report.m_ended.empty())
+    {
+        m_changed = true;
+    }
+    mark_renewal(id);
     worker.m_reachable = true;
     worker.m_last_answer = now;
     for (const completion_report& end : report.m_ended)
@@ -70,7 +75,9 @@
                 number(static_cast<std::int64_t>(worker.m_tasks.size()))},
                {"lease_left_ms", number((worker.m_lease_end - now).count())}});
     }
+    m_changed = m_changed || worker.m_reachable;
     worker.m_reachable = false;
+    mark_renewal(id);
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
@@ -79,6 +86,8 @@
     m_log("worker_restarted", worker.id(),
           {{"started_before", number(worker.m_description.m_incarnation)},
            {"started", number(incarnation)}});
+    m_changed = true;
+    mark_renewal(worker.id());
     release_worker_runs(worker, "worker restarted", now);
     worker.m_synced = false;
     worker.m_acknowledged = 0;
@@ -426,12 +435,14 @@
         const bool over = each->first.first == worker.id() &&
                           !listed.contains({each->first.second.m_task.str(),
                                             each->first.second.m_run});
+        m_changed = m_changed || over;
         each = over ? m_unrecorded_runs.erase(each) : std::next(each);
     }
 }
 
 void dispatcher::advance_acknowledged(worker_entry& worker)
 {
+    mark_renewal(worker.id());
     worker.m_acknowledged =
         worker.m_unstored_completions.empty()
             ? worker.m_last_completion
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -139,6 +139,7 @@
     m_free_gpus[step.m_policy.m_pool] -=
         step.m_job->step(step.m_step).m_demand.m_gpus;
     m_state.assign(*step.m_job, ref, worker, run, m_now);
+    m_index.update(worker);
 }
 
 void planner::find_accounts_within_guarantee()
@@ -373,22 +374,38 @@
         return !wanted.m_data_rack.empty() &&
                worker.m_description.m_rack != wanted.m_data_rack;
     };
+    using rank = std::tuple<bool, bool, std::int64_t, std::int64_t>;
     worker_entry* best = nullptr;
-    auto best_rank = std::tuple(true, true, std::int64_t(0), std::int64_t(0));
-    for (worker_entry* worker : m_index.pool(step.m_policy.m_pool))
-    {
-        if (fitting_tasks(*worker, step, worker->plannable_capacity()) == 0 ||
-            !is_eligible(*worker, step))
+    rank best_rank;
+    const worker_index::workers_by_gpus& by_gpus =
+        m_index.by_gpus(step.m_policy.m_pool);
+    for (auto group = by_gpus.lower_bound(wanted.occupied().m_gpus);
+         group != by_gpus.end(); ++group)
+    {
+        // A worker with more free GPUs ranks after one that is neither far nor
+        // failing.
+        if (best != nullptr && !std::get<0>(best_rank) &&
+            !std::get<1>(best_rank))
         {
-            continue;
+            break;
         }
-        const resources left = worker->plannable_capacity() - wanted.occupied();
-        const auto rank = std::tuple(is_far(*worker), recently_failed(*worker),
-                                     left.m_gpus, left.m_cpu_millis);
-        if (best == nullptr || rank < best_rank)
+        for (worker_entry* worker : group->second)
         {
-            best = worker;
-            best_rank = rank;
+            if (fitting_tasks(*worker, step, worker->plannable_capacity()) ==
+                    0 ||
+                !is_eligible(*worker, step))
+            {
+                continue;
+            }
+            const resources left =
+                worker->plannable_capacity() - wanted.occupied();
+            const rank found(is_far(*worker), recently_failed(*worker),
+                             left.m_gpus, left.m_cpu_millis);
+            if (best == nullptr || found < best_rank)
+            {
+                best = worker;
+                best_rank = found;
+            }
         }
     }
     if (best == nullptr && needs_only_free_capacity(wanted))
@@ -432,7 +449,8 @@
 bool planner::may_span_racks(const waiting_step& step)
 {
     return !step.m_job->step(step.m_step).m_same_rack || step.m_late ||
-           guarantee_is_due(step) || !fits_some_rack(step);
+           guarantee_is_due(step) ||
+           (!fits_some_usable_rack(step) && !fits_some_rack(step));
 }
 
 std::vector<const worker_index::workers*>
@@ -453,7 +471,26 @@
     return domains;
 }
 
-bool planner::fits_some_rack(const waiting_step& step)
+bool planner::fits_some_usable_rack(const waiting_step& step) const
+{
+    const int wanted = step.m_job->step(step.m_step).m_count;
+    for (const auto& [rack, workers] : m_index.racks(step.m_policy.m_pool))
+    {
+        int fitting = 0;
+        for (const worker_entry* worker : workers)
+        {
+            fitting +=
+                fitting_tasks(*worker, step, worker->m_description.m_capacity);
+            if (fitting >= wanted)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool planner::fits_some_rack(const waiting_step& step) const
 {
     std::map<std::string, int> capacity_by_rack;
     for (const auto& [id, worker] : m_state.m_workers)
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -95,7 +95,11 @@
     bool may_span_racks(const waiting_step& step);
     std::vector<const worker_index::workers*>
     gang_domains(const waiting_step& step, bool across);
-    bool fits_some_rack(const waiting_step& step);
+    /// Returns whether the usable workers of some rack would hold the gang if
+    /// they ran nothing else.
+    bool fits_some_usable_rack(const waiting_step& step) const;
+    /// The same for all listed workers, as others may become usable soon.
+    bool fits_some_rack(const waiting_step& step) const;
     void assign_gang(waiting_step& step, const std::vector<gang_share>& shares);
 
     struct victim
@@ -122,6 +126,8 @@
     std::optional<std::pair<std::vector<victim>, double>>
     cheapest_victims(const worker_entry& worker, resources missing);
     void preempt(const std::vector<victim>& victims, const waiting_step& step);
+    /// Returns the workers whose runs change when this one is preempted.
+    static std::set<std::string> workers_changed_by(const victim& preempted);
     bool reclaim_for_task(waiting_step& step);
     bool reclaim_for_gang(waiting_step& step, bool across);
 
--- a/kingcuprudder/dispatch/planner_reclaim.cpp
+++ b/kingcuprudder/dispatch/planner_reclaim.cpp
@@ -150,15 +150,38 @@
 void planner::preempt(const std::vector<victim>& victims,
                       const waiting_step& step)
 {
+    std::set<std::string> changed;
     for (const victim& each : victims)
     {
+        // Before the stop, as a run that was not sent yet is released by it.
+        changed.merge(workers_changed_by(each));
         m_state.begin_stopping(*each.m_job, each.m_task,
                                "room for " + step.m_step.step_str(), m_now);
     }
-    m_victims.clear();
+    for (const std::string& id : changed)
+    {
+        m_victims.erase(id);
+        m_index.update(m_state.find_or_add_worker(id));
+    }
     m_index.clear_failures();
 }
 
+std::set<std::string> planner::workers_changed_by(const victim& preempted)
+{
+    // Preempting a member of a gang may release or stop its other members.
+    const bool gang = preempted.m_job->step(preempted.m_task).m_gang;
+    const task_entry& chosen = preempted.m_job->task(preempted.m_task);
+    std::set<std::string> workers;
+    for (const task_entry& task : preempted.m_job->step_tasks(preempted.m_task))
+    {
+        if (task.m_active && (gang || &task == &chosen))
+        {
+            workers.insert(task.m_active->m_worker);
+        }
+    }
+    return workers;
+}
+
 bool planner::reclaim_for_task(waiting_step& step)
 {
     const job_step& wanted = step.m_job->step(step.m_step);
--- a/kingcuprudder/dispatch/worker_index.hpp
+++ b/kingcuprudder/dispatch/worker_index.hpp
@@ -4,6 +4,7 @@
 #include <kingcuprudder/dispatch/job_submission.hpp>
 #include <kingcuprudder/dispatch/worker_table.hpp>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -35,13 +36,19 @@
 {
 public:
     using workers = std::vector<worker_entry*>;
+    /// Workers by the number of GPUs for new assignments, then by id.
+    using workers_by_gpus = std::map<std::int64_t, workers>;
     struct pool_workers
     {
         workers m_all;
         std::map<std::string, workers> m_racks;
+        workers_by_gpus m_by_gpus;
     };
 
+    /// Adds a worker. Workers are added in the order of their ids.
     void add(worker_entry& worker);
+    /// Notes that the capacity for new assignments has changed.
+    void update(worker_entry& worker);
 
     const std::map<std::string, pool_workers>& pools() const { return m_pools; }
     /// Returns the workers of the pool.
@@ -49,6 +56,9 @@
     /// Returns the workers of the pool by rack.
     const std::map<std::string, workers>& racks(const std::string& pool) const;
 
+    /// Returns the workers of the pool by their free GPUs.
+    const workers_by_gpus& by_gpus(const std::string& pool) const;
+
     bool has_failed(const capacity_request& request) const;
     void record_failure(const capacity_request& request);
     /// Clears the failed requests after a preemption freed capacity.
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -43,6 +43,9 @@
     resources m_stopping;
     /// Resources of assigned runs whose start has not been sent.
     resources m_reserved;
+    /// The free GPUs by which worker_index finds the worker in the current
+    /// planning pass.
+    std::int64_t m_indexed_gpus = 0;
     std::set<task_ref> m_tasks;
     /// Jobs with a failed task on the worker since its last successful task.
     std::set<std::string> m_failed_jobs;
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -24,6 +24,9 @@
 // processor time to events and to the other threads of a small instance.
 constexpr int planning_pause_factor = 2;
 constexpr span max_planning_pause = span(100);
+// Due times, quarantines and objectives are looked at this often when nothing
+// else has changed.
+constexpr span idle_planning_interval = span(100);
 constexpr std::size_t max_events_per_step = 200;
 // Sessions are updated this often when there are no new orders.
 constexpr span session_interval = span(50);
@@ -149,6 +152,12 @@
         return;
     }
     apply_configuration();
+    if (!m_dispatcher.has_changed_since_planning() &&
+        began - m_planned_at < idle_planning_interval)
+    {
+        return;
+    }
+    m_planned_at = began;
     m_dispatcher.plan(began, wall_now());
     const instant ended = boottime_now();
     m_next_planning_at =
@@ -218,32 +227,32 @@
         return;
     }
     m_sessions_updated_at = now;
-    std::set<std::string> current_workers;
-    for (const dispatch::renewal_request& request : m_dispatcher.renewals())
+    for (const dispatch::renewal_request& request :
+         m_dispatcher.changed_renewals())
     {
-        current_workers.insert(request.m_worker);
-        std::shared_ptr<worker_session>& session = m_sessions[request.m_worker];
-        if (session && session->address() != request.m_address)
-        {
-            session->close();
-            session.reset();
-        }
-        if (!session)
-        {
-            session = make_session(request);
-        }
-        session->update(request);
+        update_session(request);
+    }
+}
+
+void scheduler::update_session(const dispatch::renewal_request& request)
+{
+    const auto found = m_sessions.find(request.m_worker);
+    if (found != m_sessions.end() &&
+        found->second->address() != request.m_address)
+    {
+        found->second->close();
+        m_sessions.erase(found);
+    }
+    if (request.m_address.empty())
+    {
+        return;
+    }
+    std::shared_ptr<worker_session>& session = m_sessions[request.m_worker];
+    if (!session)
+    {
+        session = make_session(request);
     }
-    std::erase_if(m_sessions,
-                  [&](const auto& each)
-                  {
-                      const bool gone = !current_workers.contains(each.first);
-                      if (gone)
-                      {
-                          each.second->close();
-                      }
-                      return gone;
-                  });
+    session->update(request);
 }
 
 std::shared_ptr<worker_session>
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -81,6 +81,7 @@
     void apply_configuration();
     void send_orders(const dispatch::dispatch_effects& effects);
     void update_sessions(bool has_orders);
+    void update_session(const dispatch::renewal_request& request);
     void begin_write();
     store_transaction
     make_transaction(const std::vector<dispatch::job_write>& writes) const;
@@ -113,6 +114,7 @@
     std::multimap<instant, std::string> m_removals;
     bool m_write_in_flight = false;
     instant m_last_step_at;
+    instant m_planned_at;
     instant m_next_planning_at;
     instant m_sessions_updated_at;
     /// Whether events were handled since the last step.
--- a/performance_test/dispatch_simulation.cpp
+++ b/performance_test/dispatch_simulation.cpp
@@ -388,8 +388,16 @@
 
     void report()
     {
-        for (const renewal_request& request : m_dispatcher.renewals())
+        for (const renewal_request& changed : m_dispatcher.changed_renewals())
         {
+            m_renewals[changed.m_worker] = changed;
+        }
+        for (const auto& [name, request] : m_renewals)
+        {
+            if (request.m_address.empty())
+            {
+                continue;
+            }
             simulated_worker& worker = m_workers.at(request.m_worker);
             std::erase_if(worker.m_ended, [&](const completion_report& end)
                           { return end.m_number <= request.m_acknowledged; });
@@ -548,6 +556,8 @@
     instant m_now = instant(1'000'000);
     std::int64_t m_revision = 1;
     std::map<std::string, simulated_worker> m_workers;
+    /// The last renewal request for each worker.
+    std::map<std::string, renewal_request> m_renewals;
     std::map<std::string, simulated_job> m_jobs;
     std::map<std::pair<std::string, int>, std::vector<std::string>> m_gangs;
     std::map<std::string, std::string> m_started_from;
@@ -689,6 +699,17 @@
     return grown(etikettwerk_profile(), {2.96, 13.8, 2.92}, {10, 5, 30}, 20);
 }
 
+load_profile kovacsmuhely_large_profile()
+{
+    load_profile profile =
+        grown(kovacsmuhely_profile(), {4.29, 17.2, 2.7}, {13, 5, 38}, 12);
+    profile.m_name = "kovacsmuhely-large";
+    profile.m_workers = 540;
+    profile.m_accounts = 24;
+    profile.m_classes[0].m_work_ms = 6800;
+    return profile;
+}
+
 load_outcome simulate_load(const load_profile& profile, unsigned seed)
 {
     return simulation(profile, seed).run();
--- a/performance_test/dispatch_simulation.hpp
+++ b/performance_test/dispatch_simulation.hpp
@@ -64,6 +64,8 @@
 /// The same deployments after growth to 350 workers and 10 accounts.
 load_profile kovacsmuhely_grown_profile();
 load_profile etikettwerk_grown_profile();
+/// The first user's load on 540 workers.
+load_profile kovacsmuhely_large_profile();
 
 /// The outcome of a simulation.
 struct load_outcome
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -377,4 +377,111 @@
     EXPECT_TRUE(step().m_superseded);
 }
 
+// Guards against work for each worker at each step of the scheduler.
+TEST_F(dispatcher_fixture, only_changed_workers_have_renewal_requests)
+{
+    add_worker("w1");
+    add_worker("w2");
+    EXPECT_EQ(m_dispatcher.changed_renewals().size(), 2u);
+    worker_description beat = worker("w1");
+    beat.m_clock = 7000;
+    m_dispatcher.worker_listed(beat, m_now);
+    EXPECT_TRUE(m_dispatcher.changed_renewals().empty());
+    accept(job("j", 1, 8));
+    const auto starts = start_all();
+    const auto requests = m_dispatcher.changed_renewals();
+    ASSERT_EQ(requests.size(), 1u);
+    EXPECT_EQ(requests[0].m_worker, starts[0].m_worker);
+    EXPECT_TRUE(requests[0].m_needed);
+    EXPECT_EQ(requests[0].m_clock, starts[0].m_worker == "w1" ? 7000 : 0);
+}
+
+TEST_F(dispatcher_fixture, a_worker_that_has_left_needs_no_session)
+{
+    add_worker("w1");
+    m_dispatcher.changed_renewals();
+    m_dispatcher.worker_unlisted("w1", m_now);
+    const auto requests = m_dispatcher.changed_renewals();
+    ASSERT_EQ(requests.size(), 1u);
+    EXPECT_EQ(requests[0].m_address, "");
+}
+
+// Guards against a worker whose entry lapsed while the store was away: its
+// running task must keep its lease.
+TEST_F(dispatcher_fixture, an_unlisted_worker_with_tasks_keeps_its_session)
+{
+    add_worker("w1");
+    accept(job("j", 1, 1));
+    confirm(start_all());
+    m_dispatcher.worker_unlisted("w1", m_now);
+    const auto requests = m_dispatcher.changed_renewals();
+    ASSERT_EQ(requests.size(), 1u);
+    EXPECT_EQ(requests[0].m_address, worker("w1").m_address);
+    EXPECT_TRUE(requests[0].m_needed);
+    EXPECT_EQ(m_dispatcher.workers().at("w1").m_tasks.size(), 1u);
+}
+
+// Planning is skipped while nothing has changed, so each change that can give
+// a task its place must be noted.
+TEST_F(dispatcher_fixture, changes_that_matter_to_planning_are_noted)
+{
+    const auto changed = [this]
+    {
+        const bool noted = m_dispatcher.has_changed_since_planning();
+        step();
+        return noted;
+    };
+    add_worker("w1");
+    EXPECT_TRUE(changed());
+    EXPECT_FALSE(changed());
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {});
+    EXPECT_FALSE(changed());
+    accept(job("j", 1, 1));
+    EXPECT_TRUE(changed());
+    const auto starts = start_all();
+    confirm(starts);
+    EXPECT_FALSE(changed());
+    report("w1", {running(starts[0])});
+    EXPECT_FALSE(changed());
+    report("w1", {}, {ended(1, starts[0], run_outcome::done)});
+    EXPECT_TRUE(changed());
+    m_dispatcher.renewal_failed("w1", m_now);
+    EXPECT_TRUE(changed());
+    report("w1", {});
+    EXPECT_TRUE(changed());
+    m_dispatcher.configure(m_configuration);
+    EXPECT_TRUE(changed());
+}
+
+// An urgent gang that preempts must find the capacity it has freed, and the
+// next one must not choose the same victims.
+TEST_F(dispatcher_fixture, two_urgent_gangs_preempt_different_runs)
+{
+    add_worker("w1");
+    add_worker("w2");
+    accept(job("low", 16, 1));
+    confirm(start_all());
+    for (const char* id : {"u1", "u2"})
+    {
+        job_submission urgent = job(id, 2, 4, "urgent");
+        urgent.m_steps[0].m_gang = true;
+        accept(urgent);
+    }
+    const dispatch_effects effects = step();
+    std::set<std::string> stopped;
+    for (const stop_order& order : effects.m_stops)
+    {
+        stopped.insert(order.m_run.m_task.str());
+    }
+    EXPECT_EQ(stopped.size(), 16u);
+    EXPECT_EQ(effects.m_stops.size(), 16u);
+    int assigned = 0;
+    for (const auto& [id, each] : m_dispatcher.workers())
+    {
+        assigned += static_cast<int>(each.m_reserved.m_gpus);
+    }
+    EXPECT_EQ(assigned, 16);
+}
+
 } // namespace kingcuprudder::dispatch
