--- a/kingcuprudder/runtime/http_endpoint.cpp
+++ b/kingcuprudder/runtime/http_endpoint.cpp
@@ -67,8 +67,8 @@
 
     void post(const http_post& request, span timeout, completion done)
     {
-        const auto call =
-            std::make_shared<call_in_progress>(*this, request, timeout, done);
+        const auto call = std::make_shared<call_in_progress>(
+            *this, request, timeout, std::move(done));
         if (m_cancelled)
         {
             call->fail_later(http_failure::not_sent);
--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -30,13 +30,13 @@
 constexpr std::size_t first_read_bytes = 2048;
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 // Buffers of idle connections above this size are released.
-constexpr std::size_t kept_buffer_bytes = 8 * 1024;
+constexpr std::size_t kept_buffer_bytes = std::size_t{8} * 1024;
 constexpr span accept_retry = span(100);
 // After an error response the rest of the request is read and dropped for this
 // long, as closing a connection with unread bytes resets it before the caller
 // has read the response.
 constexpr span drain_time = span(2000);
-constexpr std::size_t drain_bytes = 8 * 1024;
+constexpr std::size_t drain_bytes = std::size_t{8} * 1024;
 
 int hex_value(char digit)
 {
@@ -283,7 +283,7 @@
             received->m_body = std::move(m_parser->get().body());
             received->m_received_at = m_received_at;
             m_parser.reset();
-            m_owner.dispatch(shared_from_this(), std::move(received));
+            m_owner.dispatch(shared_from_this(), received);
         }
 
         friend class implementation;
@@ -454,7 +454,7 @@
     }
 
     void dispatch(const std::shared_ptr<session>& connection,
-                  std::shared_ptr<const http_request> received)
+                  const std::shared_ptr<const http_request>& received)
     {
         if (!m_threads)
         {
--- a/performance_test/dispatch_simulation.cpp
+++ b/performance_test/dispatch_simulation.cpp
@@ -392,8 +392,9 @@
         {
             m_renewals[changed.m_worker] = changed;
         }
-        for (const auto& [name, request] : m_renewals)
+        for (const auto& known : m_renewals)
         {
+            const renewal_request& request = known.second;
             if (request.m_address.empty())
             {
                 continue;
