--- a/kingcuprudder/runtime/event_loop.cpp
+++ b/kingcuprudder/runtime/event_loop.cpp
@@ -28,7 +28,12 @@
     {
     }
 
+    ~implementation() { *m_cancelled = true; }
+
     boost::asio::steady_timer m_timer;
+    /// Outlives the timer in its callback: one that has expired may already
+    /// wait for its turn and is not cancelled by the timer's destructor.
+    std::shared_ptr<bool> m_cancelled = std::make_shared<bool>(false);
 };
 
 event_loop::timer::timer() = default;
@@ -101,9 +106,11 @@
     boost::asio::steady_timer& clock = made.m_implementation->m_timer;
     clock.expires_after(std::chrono::milliseconds(delay.count()));
     clock.async_wait(
-        [call = std::move(call)](const boost::system::error_code& error)
+        [call = std::move(call),
+         cancelled = made.m_implementation->m_cancelled](
+            const boost::system::error_code& error)
         {
-            if (!error)
+            if (!error && !*cancelled)
             {
                 call();
             }
--- a/kingcuprudder/runtime/http_endpoint.cpp
+++ b/kingcuprudder/runtime/http_endpoint.cpp
@@ -4,12 +4,10 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
-#include <chrono>
 #include <optional>
 #include <set>
 #include <utility>
@@ -56,8 +54,8 @@
 public:
     implementation(event_loop& loop, const std::string& address,
                    span connect_timeout, send_check may_send)
-        : m_context(loop.context()), m_connect_timeout(connect_timeout),
-          m_may_send(std::move(may_send))
+        : m_loop(loop), m_context(loop.context()),
+          m_connect_timeout(connect_timeout), m_may_send(std::move(may_send))
     {
         const ip_address parsed = parse_ip_address(address);
         m_peer = tcp::endpoint(asio::ip::make_address(parsed.m_host),
@@ -98,7 +96,7 @@
         call_in_progress(implementation& owner, const http_post& request,
                          span timeout, completion done)
             : m_owner(owner.shared_from_this()), m_timeout(timeout),
-              m_done(std::move(done)), m_timer(owner.m_context)
+              m_done(std::move(done))
         {
             m_request.method(http::verb::post);
             m_request.target(request.m_path);
@@ -187,7 +185,7 @@
             const bool reusable = m_parser.get().keep_alive();
             http_answer answer{static_cast<int>(m_parser.get().result_int()),
                                std::move(m_parser.get().body())};
-            m_timer.cancel();
+            m_timer = event_loop::timer();
             m_owner->release(shared_from_this(),
                              reusable ? std::move(m_connection) : nullptr);
             m_done(answer);
@@ -195,7 +193,7 @@
 
         void finish(http_failure failure)
         {
-            m_timer.cancel();
+            m_timer = event_loop::timer();
             m_owner->m_calls.erase(shared_from_this());
             m_owner->m_idle.clear();
             m_done(failure);
@@ -204,25 +202,14 @@
         /// Aborts the call unless the limit is renewed or the call ends first.
         void limit(span time)
         {
-            m_timer.expires_after(std::chrono::milliseconds(time.count()));
-            ++m_limit_number;
-            m_timer.async_wait(
-                [self = shared_from_this(),
-                 number = m_limit_number](const error_code& error)
-                {
-                    // A timer that expired before its renewal still calls.
-                    if (!error && number == self->m_limit_number)
-                    {
-                        self->abort();
-                    }
-                });
+            m_timer = m_owner->m_loop.run_after(
+                time, [self = shared_from_this()] { self->abort(); });
         }
 
         std::shared_ptr<implementation> m_owner;
         span m_timeout;
         completion m_done;
-        asio::steady_timer m_timer;
-        int m_limit_number = 0;
+        event_loop::timer m_timer;
         std::unique_ptr<connection> m_connection;
         http::request<http::string_body> m_request;
         http::response_parser<http::string_body> m_parser;
@@ -252,6 +239,7 @@
         }
     }
 
+    event_loop& m_loop;
     asio::io_context& m_context;
     span m_connect_timeout;
     send_check m_may_send;
--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -3,7 +3,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -111,11 +110,11 @@
     implementation(event_loop& loop, const std::string& address,
                    const http_server_limits& limits, handler handle,
                    handler overloaded)
-        : m_context(loop.context()), m_on_error(loop.on_error()),
-          m_limits(limits), m_handle(std::move(handle)),
+        : m_loop(loop), m_context(loop.context()), m_limits(limits),
+          m_handle(std::move(handle)),
           m_overloaded(overloaded ? std::move(overloaded)
                                   : handler(service_unavailable)),
-          m_acceptor(m_context), m_retry(m_context)
+          m_acceptor(m_context)
     {
         const ip_address parsed = parse_ip_address(address);
         const tcp::endpoint where(asio::ip::make_address(parsed.m_host),
@@ -170,8 +169,7 @@
     {
     public:
         session(implementation& owner, tcp::socket socket)
-            : m_owner(owner), m_socket(std::move(socket)),
-              m_timer(owner.m_context)
+            : m_owner(owner), m_socket(std::move(socket))
         {
             error_code ignored;
             m_socket.set_option(tcp::no_delay(true), ignored);
@@ -267,7 +265,7 @@
 
         void handle()
         {
-            m_timer.cancel();
+            m_timer = event_loop::timer();
             m_keep_alive = m_parser->get().keep_alive();
             auto received = std::make_shared<http_request>();
             received->m_method = std::string(m_parser->get().method_string());
@@ -344,24 +342,13 @@
 
         void limit(span time)
         {
-            m_timer.expires_after(std::chrono::milliseconds(time.count()));
-            ++m_limit_number;
-            m_timer.async_wait(
-                [self = shared_from_this(),
-                 number = m_limit_number](const error_code& error)
-                {
-                    // A timer that expired before its renewal still calls.
-                    if (!error && number == self->m_limit_number)
-                    {
-                        self->close();
-                    }
-                });
+            m_timer = m_owner.m_loop.run_after(time, [self = shared_from_this()]
+                                               { self->close(); });
         }
 
         void close()
         {
-            ++m_limit_number;
-            m_timer.cancel();
+            m_timer = event_loop::timer();
             error_code ignored;
             m_socket.close(ignored);
             m_owner.m_connections.erase(shared_from_this());
@@ -369,8 +356,7 @@
 
         implementation& m_owner;
         tcp::socket m_socket;
-        asio::steady_timer m_timer;
-        int m_limit_number = 0;
+        event_loop::timer m_timer;
         boost::beast::flat_buffer m_buffer;
         std::optional<http::request_parser<http::string_body>> m_parser;
         http::response<http::string_body> m_response;
@@ -414,22 +400,21 @@
         }
         catch (const std::exception& error)
         {
-            m_on_error(error.what());
+            m_loop.on_error()(error.what());
             return plain_response(http::status::internal_server_error);
         }
     }
 
     void accept_later()
     {
-        m_retry.expires_after(std::chrono::milliseconds(accept_retry.count()));
-        m_retry.async_wait(
-            [self = shared_from_this()](const error_code& error)
-            {
-                if (!error && self->m_reading)
-                {
-                    self->accept();
-                }
-            });
+        m_retry = m_loop.run_after(accept_retry,
+                                   [self = shared_from_this()]
+                                   {
+                                       if (self->m_reading)
+                                       {
+                                           self->accept();
+                                       }
+                                   });
     }
 
     void make_room()
@@ -481,13 +466,13 @@
                    });
     }
 
+    event_loop& m_loop;
     asio::io_context& m_context;
-    event_loop::error_hook m_on_error;
     http_server_limits m_limits;
     handler m_handle;
     handler m_overloaded;
     tcp::acceptor m_acceptor;
-    asio::steady_timer m_retry;
+    event_loop::timer m_retry;
     std::string m_address;
     // The members below are used on the event loop's thread only.
     bool m_reading = true;
--- /dev/null
+++ b/unit_tests/platform/caller_interface_test.cpp
@@ -0,0 +1,77 @@
+#include <kingcuprudder/node/record_keys.hpp>
+
+#include <platform/caller_interface.hpp>
+#include <unit_tests/node/node_fixture.hpp>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+class caller_interface_test : public node_fixture
+{
+protected:
+    static http_request submission()
+    {
+        http_request request;
+        request.m_method = "POST";
+        request.m_path = "/queue/5c0e7a21d94b36f8";
+        request.m_headers = {{"host", "host:80"},
+                             {"authorization", "Bearer key"},
+                             {"x-deadline-ms", "3000"}};
+        request.m_body = R"({"steps":[{"count":1}]})";
+        request.m_received_at = std::chrono::steady_clock::now();
+        return request;
+    }
+
+    std::size_t stored_jobs()
+    {
+        return std::get<0>(
+                   m_store.list(record_keys::submission_prefix, span(1)))
+            .m_records.size();
+    }
+
+    configuration_view m_configuration{m_store, m_records, m_log};
+    job_service m_jobs{m_store, m_configuration, m_log};
+    node_metrics m_metrics;
+    platform::caller_traffic m_traffic;
+    platform::caller_interface m_callers{m_jobs, m_traffic, m_metrics, m_log};
+};
+
+} // namespace
+
+TEST_F(caller_interface_test, calls_are_answered_by_method)
+{
+    EXPECT_EQ(m_callers.handle(submission()).m_status, 200);
+    http_request query = submission();
+    query.m_method = "GET";
+    EXPECT_EQ(m_callers.handle(query).m_body, R"({"state":"queued"})");
+    query.m_headers["authorization"] = "Bearer other";
+    EXPECT_EQ(m_callers.handle(query).m_status, 401);
+    query.m_method = "PATCH";
+    query.m_headers["authorization"] = "Bearer key";
+    EXPECT_EQ(m_callers.handle(query).m_status, 405);
+    EXPECT_EQ(m_traffic.m_in_progress, 0);
+}
+
+// Guards against a request that is held until its deadline while all threads
+// wait for a store that does not answer: it is refused early and truthfully.
+TEST_F(caller_interface_test, a_request_that_waited_for_a_thread_is_refused)
+{
+    http_request late = submission();
+    late.m_received_at -= std::chrono::milliseconds(600);
+    const http_response refused = m_callers.handle(late);
+    EXPECT_EQ(refused.m_status, 503);
+    EXPECT_EQ(refused.m_headers.count("Retry-After"), 1u);
+    EXPECT_EQ(stored_jobs(), 0u);
+}
+
+// At shutdown callers are told to open a new connection elsewhere.
+TEST_F(caller_interface_test, connections_are_closed_at_shutdown)
+{
+    m_traffic.m_shutting_down = true;
+    EXPECT_TRUE(m_callers.handle(submission()).m_close);
+}
+
+} // namespace kingcuprudder::node
