Tell a caller that asks first to send its body

Change: the header is read first and answered with 100 Continue. Result: http_server_test.a_caller_that_asks_before_it_sends_is_told_to_send fails on the code before and passes; the other tests of the listener pass.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/thread_pool.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -25,6 +27,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+const std::string continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int listen_backlog = 256;
 constexpr std::size_t first_read_bytes = 2048;
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
@@ -232,6 +235,32 @@
             m_busy = true;
             m_received_at = std::chrono::steady_clock::now();
             limit(m_owner.m_limits.m_transfer_timeout);
+            http::async_read_header(
+                m_socket, m_buffer, *m_parser,
+                [self = shared_from_this()](const error_code& error,
+                                            std::size_t)
+                { error ? self->reject(error) : self->receive_body(); });
+        }
+
+        void receive_body()
+        {
+            if (boost::beast::iequals(m_parser->get()[http::field::expect],
+                                      "100-continue"))
+            {
+                // The caller sends the body only after this line, or after a
+                // second of waiting for it.
+                asio::async_write(
+                    m_socket, asio::buffer(continue_line),
+                    [self = shared_from_this()](const error_code& error,
+                                                std::size_t)
+                    { error ? self->close() : self->receive_rest(); });
+                return;
+            }
+            receive_rest();
+        }
+
+        void receive_rest()
+        {
             http::async_read(m_socket, m_buffer, *m_parser,
                              [self = shared_from_this()](
                                  const error_code& error, std::size_t)
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -184,6 +184,20 @@
     m_loop.stop();
 }
 
+// Guards against callers such as curl that wait a second before they send a
+// body of over 1,024 bytes.
+TEST_F(http_server_test, a_caller_that_asks_before_it_sends_is_told_to_send)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    raw_connection caller(server.address());
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                "Expect: 100-continue\r\n\r\n");
+    EXPECT_EQ(caller.read_until("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    caller.send("xy");
+    EXPECT_NE(caller.read_until("xy").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
 TEST_F(http_server_test, the_longest_idle_connection_makes_room_for_a_new_one)
 {
     http_server_limits limits;
