Give up a task that crashes the workers that start it

Cause: a run that ends with its worker counts for nothing. Only ends that a worker reports as failed are attempts, so nothing bounds the restarts of a task under which no worker lives to report. Class: a retry without a budget, as one kind of failure is not counted.

Change: the loss of a worker is attributed to the tasks that were started right before it became silent: certain if only one job had a new run there, possible if others had too, if the run was up to 5 s old, or if no leader saw the loss. The counts are stored with the task's progress, so they outlive the leader. Three crashes of which two are certain, or up to five, fail the job. Nothing is attributed if the worker was draining, if three or more workers were lost within 2.5 s and most of them had no new run, and it is withdrawn if the worker answers after all. A suspected task is started on the emptiest worker, not within 1 s of another start there, and no other run is started beside it for 1.5 s, so that the next crash shows who caused it. A run that lasts 30 s clears the counts.

--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -83,6 +83,8 @@
 // encoded as a single digit.
 constexpr int unstarted_task = 0;
 constexpr int done_task = 1;
+// The position of the lost workers of a task, which only suspected tasks have.
+constexpr std::size_t crash_fields_at = 5;
 
 json encode_task(const task_progress& task)
 {
@@ -94,9 +96,15 @@
     {
         return done_task;
     }
-    return json::array({task.m_last_run, task.m_worker,
-                        task.m_worker_incarnation, task.m_failed_runs,
-                        task.m_checkpoint});
+    json entry =
+        json::array({task.m_last_run, task.m_worker, task.m_worker_incarnation,
+                     task.m_failed_runs, task.m_checkpoint});
+    if (task.m_crashes.any())
+    {
+        entry.push_back(task.m_crashes.m_certain);
+        entry.push_back(task.m_crashes.m_possible);
+    }
+    return entry;
 }
 
 task_progress decode_task(const json& value)
@@ -112,6 +120,11 @@
     task.m_worker_incarnation = value.at(2);
     task.m_failed_runs = value.at(3).get<std::vector<int>>();
     task.m_checkpoint = value.at(4);
+    if (value.size() > crash_fields_at)
+    {
+        task.m_crashes.m_certain = value.at(crash_fields_at);
+        task.m_crashes.m_possible = value.at(crash_fields_at + 1);
+    }
     return task;
 }
 
--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -97,13 +97,16 @@
                 run.m_worker = stored.m_worker;
                 run.m_phase = run_phase::unverified;
                 run.m_assigned_at = now;
-                run.m_sent_at = now;
                 run.m_start_checkpoint = stored.m_checkpoint;
                 worker_entry& worker = find_or_add_worker(stored.m_worker);
                 std::int64_t& incarnation = worker.m_description.m_incarnation;
                 if (stored.m_worker_incarnation < incarnation)
                 {
-                    stored.m_worker.clear(); // The run ended with its process.
+                    // The run ended with its process.
+                    m_runs_lost_before_term[stored.m_worker].push_back(task_ref{
+                        submission.m_id, static_cast<int>(repeat),
+                        static_cast<int>(step), static_cast<int>(index)});
+                    stored.m_worker.clear();
                     continue;
                 }
                 if (incarnation != 0 &&
@@ -253,6 +256,7 @@
 
 void dispatcher::plan(instant now, instant wall_now)
 {
+    attribute_losses_of_earlier_term();
     expire_leases(now);
     release_stuck_assignments(now);
     m_changed = false;
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include <kingcuprudder/dispatch/service_configuration.hpp>
 #include <kingcuprudder/dispatch/urgent_headroom.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
+#include <kingcuprudder/dispatch/worker_loss.hpp>
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/dispatch/worker_table.hpp>
 
@@ -149,6 +150,34 @@
     void complete_if_done(job_entry& job, instant now);
     void release_worker_runs(worker_entry& worker, const std::string& reason,
                              instant now);
+    /// Releases the runs of a worker that was lost, and attributes the loss to
+    /// the tasks that may have caused it. A task that crashes its workers is
+    /// given up, and its job fails.
+    void lose_worker_runs(worker_entry& worker, const std::string& reason,
+                          instant now);
+    /// Returns the tasks of the lost worker that must not be started again.
+    std::vector<task_ref> attribute_loss(worker_entry& worker, instant now);
+    void attribute_crash(const std::string& worker, const task_ref& ref,
+                         crash_suspicion suspicion);
+    /// Returns whether several workers were lost together with this one for a
+    /// reason other than their tasks.
+    bool is_lost_with_others(const worker_entry& worker,
+                             const worker_loss& loss) const;
+    worker_loss loss_of(const worker_entry& worker, instant now,
+                        std::vector<task_ref>& refs);
+    /// Notes that a renewal of the worker was not answered.
+    void note_silence(worker_entry& worker, instant now);
+    /// Withdraws what was attributed to the loss of a worker that answers.
+    void note_answer(worker_entry& worker);
+    /// Notes that a run was assigned to the worker or started on it.
+    static void note_start(worker_entry& worker, const task_entry& task,
+                           instant now);
+    /// Attributes the workers that an earlier leader lost while it ended.
+    void attribute_losses_of_earlier_term();
+    /// Discards the crashes of a task whose run lasts.
+    void clear_crashes_of_lasting_run(job_entry& job, const task_ref& ref,
+                                      instant now);
+    void fail_job(job_entry& job, const decision_fields& cause, instant now);
     void begin_incarnation(worker_entry& worker, std::int64_t incarnation,
                            instant now);
 
@@ -210,6 +239,10 @@
     /// The workers whose renewal request may have changed since the last call
     /// of changed_renewals().
     std::set<std::string> m_changed_renewals;
+    /// The workers that became silent recently, oldest first.
+    std::vector<silent_worker> m_silent_workers;
+    /// The runs that had ended with their worker before this term, by worker.
+    std::map<std::string, std::vector<task_ref>> m_runs_lost_before_term;
     instant m_term_start;
     bool m_changed = true;
     bool m_superseded = false;
--- /dev/null
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -0,0 +1,231 @@
+#include <kingcuprudder/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace kingcuprudder::dispatch
+{
+
+namespace
+{
+
+// Silent workers are remembered this long, which is more than it takes until a
+// lease has expired.
+constexpr span silence_memory = span(15'000);
+// A suspected task is on trial for this long after its start is sent. Until it
+// is sent, its worker is kept for it at most for the second time.
+constexpr span trial_after_start = crash_after_start + span(500);
+constexpr span trial_before_start = span(2000);
+// A run that lasts this long has not crashed its worker.
+constexpr span lasting_run = span(30'000);
+
+} // namespace
+
+// Attributes lost workers to the tasks that may have crashed them.
+
+void dispatcher::note_start(worker_entry& worker, const task_entry& task,
+                            instant now)
+{
+    worker.m_last_start_at = now;
+    if (task.m_progress.m_crashes.any())
+    {
+        const bool sent = task.m_active && task.m_active->m_first_sent_at;
+        worker.m_trial_until =
+            now + (sent ? trial_after_start : trial_before_start);
+    }
+}
+
+void dispatcher::note_silence(worker_entry& worker, instant now)
+{
+    if (!worker.m_synced || worker.m_silent_since)
+    {
+        return;
+    }
+    worker.m_silent_since = now;
+    std::vector<task_ref> refs;
+    const bool follows_a_start = loss_of(worker, now, refs).follows_a_start();
+    std::erase_if(m_silent_workers, [now](const silent_worker& each)
+                  { return now - each.m_silent_since > silence_memory; });
+    m_silent_workers.push_back({worker.id(), now, follows_a_start});
+}
+
+void dispatcher::note_answer(worker_entry& worker)
+{
+    if (worker.m_silent_since)
+    {
+        worker.m_silent_since.reset();
+        std::erase_if(m_silent_workers, [&worker](const silent_worker& each)
+                      { return each.m_id == worker.id(); });
+    }
+    for (const auto& [ref, suspicion] : worker.m_attributed)
+    {
+        if (job_entry* job = m_jobs.find_task(ref))
+        {
+            job->task(ref).m_progress.m_crashes.add(suspicion, -1);
+            m_jobs.mark_changed(*job);
+            m_log("crash_withdrawn", ref.str(), {{"worker", worker.id()}});
+        }
+    }
+    worker.m_attributed.clear();
+}
+
+worker_loss dispatcher::loss_of(const worker_entry& worker, instant now,
+                                std::vector<task_ref>& refs)
+{
+    worker_loss loss;
+    loss.m_silent_since = worker.m_silent_since;
+    if (!loss.m_silent_since && worker.m_synced)
+    {
+        loss.m_silent_since = now; // It restarted between two renewals.
+    }
+    for (const task_ref& ref : worker.m_tasks)
+    {
+        const job_entry* job = m_jobs.find_task(ref);
+        const task_entry& task =
+            job->m_tasks[ref.m_repeat][ref.m_step][ref.m_index];
+        if (task.m_active->m_phase != run_phase::assigned)
+        {
+            refs.push_back(ref);
+            loss.m_runs.push_back({ref.m_job, task.m_active->m_first_sent_at});
+        }
+    }
+    return loss;
+}
+
+bool dispatcher::is_lost_with_others(const worker_entry& worker,
+                                     const worker_loss& loss) const
+{
+    int lost = 1;
+    int with_new_run = loss.follows_a_start() ? 1 : 0;
+    if (!loss.m_silent_since)
+    {
+        for (const auto& [id, other] : m_workers)
+        {
+            const bool never_answered =
+                !other.m_synced && !other.m_tasks.empty();
+            lost += never_answered && id != worker.id() ? 1 : 0;
+        }
+        return has_common_cause(lost, with_new_run);
+    }
+    for (const silent_worker& other : m_silent_workers)
+    {
+        const span apart = other.m_silent_since - *loss.m_silent_since;
+        if (other.m_id != worker.id() && apart <= common_loss_period &&
+            apart >= span(0) - common_loss_period)
+        {
+            ++lost;
+            with_new_run += other.m_follows_a_start ? 1 : 0;
+        }
+    }
+    return has_common_cause(lost, with_new_run);
+}
+
+void dispatcher::attribute_crash(const std::string& worker, const task_ref& ref,
+                                 crash_suspicion suspicion)
+{
+    job_entry& job = *m_jobs.find_task(ref);
+    crash_evidence& crashes = job.task(ref).m_progress.m_crashes;
+    crashes.add(suspicion);
+    m_jobs.mark_changed(job);
+    m_log("crash_attributed", ref.str(),
+          {{"worker", worker},
+           {"suspicion",
+            suspicion == crash_suspicion::certain ? "certain" : "possible"},
+           {"certain", number(crashes.m_certain)},
+           {"possible", number(crashes.m_possible)}});
+}
+
+std::vector<task_ref> dispatcher::attribute_loss(worker_entry& worker,
+                                                 instant now)
+{
+    std::vector<task_ref> refs;
+    const worker_loss loss = loss_of(worker, now, refs);
+    const bool with_others = is_lost_with_others(worker, loss);
+    if (!refs.empty())
+    {
+        m_log("worker_lost", worker.id(),
+              {{"tasks", number(static_cast<std::int64_t>(refs.size()))},
+               {"draining", worker.m_description.m_draining ? "true" : "false"},
+               {"with_others", with_others ? "true" : "false"},
+               {"follows_a_start", loss.follows_a_start() ? "true" : "false"},
+               {"silent_ms", loss.m_silent_since
+                                 ? number((now - *loss.m_silent_since).count())
+                                 : "never answered"}});
+    }
+    std::vector<task_ref> given_up;
+    if (with_others || worker.m_description.m_draining)
+    {
+        return given_up;
+    }
+    for (std::size_t at = 0; at < refs.size(); ++at)
+    {
+        const crash_suspicion suspicion = loss.suspicion_of(at);
+        if (suspicion == crash_suspicion::none)
+        {
+            continue;
+        }
+        attribute_crash(worker.id(), refs[at], suspicion);
+        worker.m_attributed.emplace_back(refs[at], suspicion);
+        if (m_jobs.find_task(refs[at])
+                ->task(refs[at])
+                .m_progress.m_crashes.is_conclusive())
+        {
+            given_up.push_back(refs[at]);
+        }
+    }
+    return given_up;
+}
+
+void dispatcher::lose_worker_runs(worker_entry& worker,
+                                  const std::string& reason, instant now)
+{
+    const std::vector<task_ref> given_up = attribute_loss(worker, now);
+    release_worker_runs(worker, reason, now);
+    for (const task_ref& ref : given_up)
+    {
+        job_entry& job = *m_jobs.find_task(ref);
+        const crash_evidence& crashes = job.task(ref).m_progress.m_crashes;
+        fail_job(job,
+                 {{"task", ref.str()},
+                  {"reason", "crashes its workers"},
+                  {"certain", number(crashes.m_certain)},
+                  {"possible", number(crashes.m_possible)}},
+                 now);
+    }
+}
+
+void dispatcher::attribute_losses_of_earlier_term()
+{
+    const bool with_others =
+        has_common_cause(static_cast<int>(m_runs_lost_before_term.size()), 0);
+    for (const auto& [id, refs] : m_runs_lost_before_term)
+    {
+        m_log("worker_lost", id,
+              {{"tasks", number(static_cast<std::int64_t>(refs.size()))},
+               {"with_others", with_others ? "true" : "false"},
+               {"silent_ms", "before this term"}});
+        for (const task_ref& ref : refs)
+        {
+            if (!with_others && m_jobs.find_task(ref) != nullptr)
+            {
+                attribute_crash(id, ref, crash_suspicion::possible);
+            }
+        }
+    }
+    m_runs_lost_before_term.clear();
+}
+
+void dispatcher::clear_crashes_of_lasting_run(job_entry& job,
+                                              const task_ref& ref, instant now)
+{
+    task_entry& task = job.task(ref);
+    if (task.m_progress.m_crashes.any() &&
+        now - *task.m_active->m_started_at >= lasting_run)
+    {
+        task.m_progress.m_crashes = crash_evidence();
+        m_jobs.mark_changed(job);
+        m_log("crashes_cleared", ref.str(),
+              {{"run", number(task.m_active->m_number)}});
+    }
+}
+
+} // namespace kingcuprudder::dispatch
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -42,6 +42,7 @@
     task.m_active = active;
     worker.m_reserved += job.step(ref).occupied();
     worker.m_tasks.insert(ref);
+    note_start(worker, task, now);
     // A start needs a recent reading of the worker's clock.
     mark_renewal(worker.id());
     m_unsent_starts.insert(ref);
@@ -279,7 +280,7 @@
                     number(static_cast<std::int64_t>(worker.m_tasks.size()))},
                    {"last_answer_age_ms",
                     number((now - worker.m_last_answer).count())}});
-            release_worker_runs(worker, "worker lease over", now);
+            lose_worker_runs(worker, "worker lease over", now);
         }
     }
 }
@@ -406,7 +407,11 @@
     {
         return true; // Answered meanwhile, no repetition is needed.
     }
-    active.m_sent_at = now;
+    if (active.m_send_count == 0)
+    {
+        active.m_first_sent_at = now;
+        note_start(worker, job.task(ref), now);
+    }
     ++active.m_send_count;
     worker.m_lease_end = std::max(worker.m_lease_end, lease_end(now));
     effects.m_starts.push_back({worker.id(),
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -51,6 +51,7 @@
     mark_renewal(id);
     worker.m_reachable = true;
     worker.m_last_answer = now;
+    note_answer(worker);
     for (const completion_report& end : report.m_ended)
     {
         apply_completion(worker, end, now);
@@ -75,6 +76,7 @@
                 number(static_cast<std::int64_t>(worker.m_tasks.size()))},
                {"lease_left_ms", number((worker.m_lease_end - now).count())}});
     }
+    note_silence(worker, now);
     m_changed = m_changed || worker.m_reachable;
     worker.m_reachable = false;
     mark_renewal(id);
@@ -88,7 +90,9 @@
            {"started", number(incarnation)}});
     m_changed = true;
     mark_renewal(worker.id());
-    release_worker_runs(worker, "worker restarted", now);
+    lose_worker_runs(worker, "worker restarted", now);
+    worker.m_attributed.clear();
+    worker.m_silent_since.reset();
     worker.m_synced = false;
     worker.m_acknowledged = 0;
     worker.m_last_completion = 0;
@@ -149,6 +153,7 @@
         active.m_listed_from = now;
     }
     mark_started(*job, active, now);
+    clear_crashes_of_lasting_run(*job, *ref, now);
     update_progress(*job, *ref, report.m_percent, now);
     if (!report.m_checkpoint.empty())
     {
@@ -360,16 +365,28 @@
         failed.push_back(run);
     }
     const int max_attempts = job.m_policy.m_max_attempts;
-    if (!job.step(ref).m_persistent && !is_final(job.m_state) &&
+    if (!job.step(ref).m_persistent &&
         static_cast<int>(failed.size()) >= max_attempts)
     {
-        job.m_state = job_state::failed;
-        m_log("job_failed", ref.m_job,
-              {{"task", counted.str()}, {"attempts", number(max_attempts)}});
-        stop_job(job, "job failed", now);
+        fail_job(job,
+                 {{"task", counted.str()}, {"attempts", number(max_attempts)}},
+                 now);
     }
 }
 
+void dispatcher::fail_job(job_entry& job, const decision_fields& cause,
+                          instant now)
+{
+    if (is_final(job.m_state))
+    {
+        return;
+    }
+    job.m_state = job_state::failed;
+    m_log("job_failed", job.m_submission.m_id, cause);
+    stop_job(job, "job failed", now);
+    m_jobs.mark_changed(job);
+}
+
 void dispatcher::complete_if_done(job_entry& job, instant now)
 {
     if (is_final(job.m_state))
--- a/kingcuprudder/dispatch/job_progress.hpp
+++ b/kingcuprudder/dispatch/job_progress.hpp
@@ -1,6 +1,8 @@
 #ifndef KINGCUPRUDDER_DISPATCH_JOB_PROGRESS_HPP
 #define KINGCUPRUDDER_DISPATCH_JOB_PROGRESS_HPP
 
+#include <kingcuprudder/dispatch/crash_evidence.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -40,6 +42,8 @@
     std::vector<int> m_failed_runs;
     /// The newest checkpoint; empty for none.
     std::string m_checkpoint;
+    /// The lost workers that are attributed to the task.
+    crash_evidence m_crashes = {};
 
     friend bool operator==(const task_progress&,
                            const task_progress&) = default;
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -35,7 +35,8 @@
     instant m_assigned_at;
     /// The record version that must be stored before the start is sent.
     std::int64_t m_required_version = 0;
-    instant m_sent_at;
+    /// When the start was sent first; empty if an earlier leader sent it.
+    std::optional<instant> m_first_sent_at;
     int m_send_count = 0;
     /// Reports that are requested after this time list the run if the worker
     /// has it; an unlisted run has ended.
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -53,14 +53,6 @@
     return gpus;
 }
 
-/// Returns whether free capacity and the label alone determine which workers
-/// are suitable for the step's tasks.
-bool needs_only_free_capacity(const job_step& step)
-{
-    return step.m_max_per_worker == 0 && !step.m_uses_idle_cpu &&
-           step.m_target_latency == span(0);
-}
-
 } // namespace
 
 bool precedes(const waiting_step& left, const waiting_step& right)
@@ -233,6 +225,8 @@
                 if (tasks[task].is_waiting())
                 {
                     step.m_waiting.push_back(static_cast<int>(task));
+                    step.m_suspected = step.m_suspected ||
+                                       tasks[task].m_progress.m_crashes.any();
                 }
             }
             const bool whole = step.m_waiting.size() == tasks.size();
@@ -287,9 +281,35 @@
 {
     const job_step& wanted = step.m_job->step(step.m_step);
     return has_label(worker.m_description, wanted.m_required_label) &&
+           is_apart_from_suspects(worker, step) &&
            !has_interference(worker, wanted);
 }
 
+bool planner::is_apart_from_suspects(const worker_entry& worker,
+                                     const waiting_step& step) const
+{
+    if (worker.m_trial_until > m_now)
+    {
+        return false;
+    }
+    return !step.m_suspected ||
+           (worker.m_reserved == resources() &&
+            m_now - worker.m_last_start_at > crash_after_start);
+}
+
+bool planner::needs_only_free_capacity(const waiting_step& step)
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    return wanted.m_max_per_worker == 0 && !wanted.m_uses_idle_cpu &&
+           wanted.m_target_latency == span(0) && !step.m_suspected;
+}
+
+std::int64_t planner::packing_rank(const waiting_step& step,
+                                   std::int64_t free_gpus)
+{
+    return step.m_suspected ? -free_gpus : free_gpus;
+}
+
 bool planner::has_interference(const worker_entry& worker,
                                const job_step& wanted) const
 {
@@ -384,7 +404,7 @@
     {
         // A worker with more free GPUs ranks after one that is neither far nor
         // failing.
-        if (best != nullptr && !std::get<0>(best_rank) &&
+        if (best != nullptr && !step.m_suspected && !std::get<0>(best_rank) &&
             !std::get<1>(best_rank))
         {
             break;
@@ -400,7 +420,8 @@
             const resources left =
                 worker->plannable_capacity() - wanted.occupied();
             const rank found(is_far(*worker), recently_failed(*worker),
-                             left.m_gpus, left.m_cpu_millis);
+                             packing_rank(step, left.m_gpus),
+                             packing_rank(step, left.m_cpu_millis));
             if (best == nullptr || found < best_rank)
             {
                 best = worker;
@@ -408,7 +429,7 @@
             }
         }
     }
-    if (best == nullptr && needs_only_free_capacity(wanted))
+    if (best == nullptr && needs_only_free_capacity(step))
     {
         m_index.record_failure(request);
     }
@@ -521,9 +542,10 @@
             fitting_tasks(*worker, step, worker->plannable_capacity());
         if (fitting > 0 && is_eligible(*worker, step))
         {
-            ranked.emplace_back(recently_failed(*worker),
-                                worker->plannable_capacity().m_gpus, worker,
-                                fitting);
+            ranked.emplace_back(
+                recently_failed(*worker),
+                packing_rank(step, worker->plannable_capacity().m_gpus), worker,
+                fitting);
             total += fitting;
         }
     }
@@ -608,7 +630,7 @@
             best = std::move(shares);
         }
     }
-    if (best.empty() && needs_only_free_capacity(wanted))
+    if (best.empty() && needs_only_free_capacity(step))
     {
         m_index.record_failure(request);
     }
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -29,6 +29,8 @@
     bool m_late = false;
     /// The job would end so late that it yields no credit.
     bool m_expired = false;
+    /// Lost workers are attributed to one of the waiting tasks.
+    bool m_suspected = false;
     /// The time by which the job must end to meet its objective.
     instant m_objective;
 };
@@ -72,6 +74,18 @@
     bool has_interference(const worker_entry& worker,
                           const job_step& wanted) const;
     bool recently_failed(const worker_entry& worker) const;
+    /// Returns whether the step may be started on the worker now, so that a
+    /// crash of the worker can be attributed to one job.
+    bool is_apart_from_suspects(const worker_entry& worker,
+                                const waiting_step& step) const;
+    /// Returns whether free capacity and the label alone determine which
+    /// workers are suitable for the step's tasks.
+    static bool needs_only_free_capacity(const waiting_step& step);
+    /// Returns the order in which workers with this many free GPUs are used:
+    /// the fullest first, but the emptiest first for a suspected task, as its
+    /// crash would end all other work there.
+    static std::int64_t packing_rank(const waiting_step& step,
+                                     std::int64_t free_gpus);
     static capacity_request capacity_request_of(const waiting_step& step,
                                                 int count, bool one_rack);
     /// Returns how many more tasks of the step fit on the worker.
--- /dev/null
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -0,0 +1,66 @@
+#ifndef KINGCUPRUDDER_DISPATCH_WORKER_LOSS_HPP
+#define KINGCUPRUDDER_DISPATCH_WORKER_LOSS_HPP
+
+#include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/dispatch/crash_evidence.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcuprudder::dispatch
+{
+
+/// A run on a worker that was lost.
+struct lost_run
+{
+    std::string m_job;
+    /// When its start was sent first; empty if an earlier leader sent it.
+    std::optional<instant> m_first_sent_at;
+
+    friend bool operator==(const lost_run&, const lost_run&) = default;
+};
+
+/// A worker that stopped answering and whose runs have ended.
+struct worker_loss
+{
+    /// The first call that was not answered; empty if the worker has not
+    /// answered this leader at all.
+    std::optional<instant> m_silent_since;
+    std::vector<lost_run> m_runs;
+
+    /// Returns whether a run was started right before the worker was lost.
+    bool follows_a_start() const;
+    /// Returns how strongly this loss, taken alone, points to the run with this
+    /// position in m_runs.
+    crash_suspicion suspicion_of(std::size_t position) const;
+};
+
+/// A worker that became silent.
+struct silent_worker
+{
+    std::string m_id;
+    instant m_silent_since;
+    /// A run was started on it right before.
+    bool m_follows_a_start = false;
+
+    friend bool operator==(const silent_worker&,
+                           const silent_worker&) = default;
+};
+
+/// Returns whether several workers were lost together for a reason other than
+/// their tasks, such as a power loss: most of them had no new run.
+/// `with_new_run` of `lost` workers had one.
+bool has_common_cause(int lost, int with_new_run);
+
+/// A task that crashes its worker does so when it starts. The loss of the
+/// worker is noticed within this time.
+constexpr span crash_after_start = span(1000);
+
+/// Workers that become silent within this time of each other may have one
+/// cause.
+constexpr span common_loss_period = span(2500);
+
+} // namespace kingcuprudder::dispatch
+
+#endif
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_DISPATCH_WORKER_TABLE_HPP
 
 #include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/dispatch/crash_evidence.hpp>
 #include <kingcuprudder/dispatch/task_ref.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
 
@@ -10,6 +11,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace kingcuprudder::dispatch
 {
@@ -25,6 +28,17 @@
     /// The last renewal was answered.
     bool m_reachable = true;
     instant m_last_answer;
+    /// The first renewal since the last answer that was not answered; empty if
+    /// the worker answers or has not answered this leader at all.
+    std::optional<instant> m_silent_since;
+    /// The tasks to which the loss of this incarnation was attributed. It is
+    /// withdrawn if the worker answers after all.
+    std::vector<std::pair<task_ref, crash_suspicion>> m_attributed;
+    /// When a run was last assigned to the worker or started on it.
+    instant m_last_start_at;
+    /// No other run is started before this time, so that a crash of the worker
+    /// can be attributed to the suspected task that was started.
+    instant m_trial_until;
     /// The time at which the last description was read.
     instant m_last_heartbeat;
     /// All runs on the worker have ended by this time unless a later renewal or
