A restarted worker and persistent tasks take starts at once

Change: a new incarnation starts without trial; persistent tasks, which must restart at once, are not kept apart from runs that started before them, so a crash under them counts as possible if there were any.

--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -93,6 +93,8 @@
     lose_worker_runs(worker, "worker restarted", now);
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
+    worker.m_last_start_at = instant();
+    worker.m_trial_until = instant();
     worker.m_synced = false;
     worker.m_acknowledged = 0;
     worker.m_last_completion = 0;
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -292,7 +292,8 @@
     {
         return false;
     }
-    return !step.m_suspected ||
+    // Persistent tasks restart at once, even if a crash then shows less.
+    return !step.m_suspected || step.m_persistent ||
            (worker.m_reserved == resources() &&
             m_now - worker.m_last_start_at > crash_after_start);
 }
