Log why a call to a worker failed

Change: http_failure holds whether the call may have been carried out, as before, and a cause; the platform adapter turns it into a call_result, which the sessions pass to the dispatcher and which is logged as "reason". The outcome 421 is logged as "wrong_incarnation" instead of "wrong_life". No decision uses the reason. Tests that compared an http_failure now compare its cause too.

--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPRUDDER_DISPATCH_DISPATCHER_HPP
 #define KINGCUPRUDDER_DISPATCH_DISPATCHER_HPP
 
+#include <kingcuprudder/dispatch/call_result.hpp>
 #include <kingcuprudder/dispatch/decision_log.hpp>
 #include <kingcuprudder/dispatch/duration_model.hpp>
 #include <kingcuprudder/dispatch/job_table.hpp>
@@ -72,9 +73,10 @@
     /// Applies the answer to a renewal that was sent at the given time.
     void renewal_answered(const std::string& id, const worker_report& report,
                           instant sent, instant now);
-    void renewal_failed(const std::string& id, instant now);
+    void renewal_failed(const std::string& id, const call_result& result,
+                        instant now);
 
-    void start_finished(const start_order& order, order_outcome outcome,
+    void start_finished(const start_order& order, const call_result& result,
                         instant now);
     void stop_finished(const stop_order& order, order_outcome outcome,
                        instant now);
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -167,16 +167,18 @@
     }
 }
 
-void dispatcher::start_finished(const start_order& order, order_outcome outcome,
-                                instant now)
+void dispatcher::start_finished(const start_order& order,
+                                const call_result& result, instant now)
 {
+    const order_outcome outcome = result.m_outcome;
     const task_ref& ref = order.m_run.m_task;
     if (outcome != order_outcome::accepted)
     {
         m_log("start_not_accepted", ref.str(),
               {{"run", number(order.m_run.m_run)},
                {"worker", order.m_worker},
-               {"outcome", std::string(to_string(outcome))}});
+               {"outcome", std::string(to_string(outcome))},
+               {"reason", std::string(to_string(result))}});
     }
     if (outcome == order_outcome::refused_fence)
     {
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -65,13 +65,15 @@
     advance_acknowledged(worker);
 }
 
-void dispatcher::renewal_failed(const std::string& id, instant now)
+void dispatcher::renewal_failed(const std::string& id,
+                                const call_result& result, instant now)
 {
     worker_entry& worker = find_or_add_worker(id);
     if (worker.m_reachable)
     {
         m_log("worker_silent", id,
-              {{"tasks",
+              {{"reason", std::string(to_string(result))},
+               {"tasks",
                 number(static_cast<std::int64_t>(worker.m_tasks.size()))},
                {"lease_left_ms", number((worker.m_lease_end - now).count())}});
     }
--- a/kingcuprudder/dispatch/worker_orders.cpp
+++ b/kingcuprudder/dispatch/worker_orders.cpp
@@ -24,7 +24,7 @@
     case order_outcome::refused_invalid:
         return "refused_invalid";
     case order_outcome::wrong_incarnation:
-        return "wrong_life";
+        return "wrong_incarnation";
     case order_outcome::not_sent:
         return "not_sent";
     case order_outcome::may_have_arrived:
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -213,8 +213,10 @@
         }
         else
         {
-            m_dispatcher.start_finished(
-                order, dispatch::order_outcome::not_sent, boottime_now());
+            m_dispatcher.start_finished(order,
+                                        {dispatch::order_outcome::not_sent,
+                                         dispatch::call_failure::given_up},
+                                        boottime_now());
         }
     }
 }
@@ -282,16 +284,17 @@
                                               boottime_now());
             });
     };
-    hooks.m_renewal_failed = [this](const std::string& worker)
+    hooks.m_renewal_failed =
+        [this](const std::string& worker, const dispatch::call_result& result)
     {
-        post([this, worker]
-             { m_dispatcher.renewal_failed(worker, boottime_now()); });
+        post([this, worker, result]
+             { m_dispatcher.renewal_failed(worker, result, boottime_now()); });
     };
     hooks.m_start_finished = [this](const dispatch::start_order& order,
-                                    dispatch::order_outcome outcome)
+                                    const dispatch::call_result& result)
     {
-        post([this, order, outcome]
-             { m_dispatcher.start_finished(order, outcome, boottime_now()); });
+        post([this, order, result]
+             { m_dispatcher.start_finished(order, result, boottime_now()); });
     };
     hooks.m_stop_finished = [this](const dispatch::stop_order& order,
                                    dispatch::order_outcome outcome)
--- a/kingcuprudder/node/worker_calls.hpp
+++ b/kingcuprudder/node/worker_calls.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_NODE_WORKER_CALLS_HPP
 
 #include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/dispatch/call_result.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/runtime/event_loop.hpp>
@@ -19,7 +20,7 @@
 /// The answer to an order.
 struct order_answer
 {
-    dispatch::order_outcome m_outcome = dispatch::order_outcome::not_sent;
+    dispatch::call_result m_result;
     /// The worker's clock in milliseconds, if the answer contains it.
     std::optional<std::int64_t> m_clock;
 };
@@ -36,9 +37,9 @@
     span m_wait;
 };
 
-/// The worker's report, or the outcome of a renewal without one.
+/// The worker's report, or the result of a renewal without one.
 using renewal_answer =
-    std::variant<dispatch::worker_report, dispatch::order_outcome>;
+    std::variant<dispatch::worker_report, dispatch::call_result>;
 
 /// Interface for calls to one worker. A call returns at once and reports its
 /// answer once, later, on the thread of the event loop. Used on that thread
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -157,15 +157,15 @@
         consider_renewal();
         return;
     }
-    if (std::get<dispatch::order_outcome>(answer) ==
-        dispatch::order_outcome::refused_fence)
+    const auto& result = std::get<dispatch::call_result>(answer);
+    if (result.m_outcome == dispatch::order_outcome::refused_fence)
     {
         m_term->end();
         return;
     }
     m_last_renewal_answered = false;
     m_unanswered_lease_end = call.m_lease_end_clock;
-    m_hooks.m_renewal_failed(m_request.m_worker);
+    m_hooks.m_renewal_failed(m_request.m_worker, result);
     pause_renewals();
 }
 
@@ -206,7 +206,8 @@
             lease_end_clock(start_lease);
         if (!m_term->is_valid() || (start != nullptr && !lease_end))
         {
-            report_order(next, dispatch::order_outcome::not_sent);
+            report_order(next, {dispatch::order_outcome::not_sent,
+                                dispatch::call_failure::given_up});
             continue;
         }
         m_order_in_flight = true;
@@ -233,19 +234,20 @@
     {
         update_clock(*answer.m_clock, boottime_now());
     }
-    report_order(sent, answer.m_outcome);
+    report_order(sent, answer.m_result);
     execute_next();
 }
 
 void worker_session::report_order(const order& sent,
-                                  dispatch::order_outcome outcome)
+                                  const dispatch::call_result& result)
 {
     if (const auto* start = std::get_if<dispatch::start_order>(&sent))
     {
-        m_hooks.m_start_finished(*start, outcome);
+        m_hooks.m_start_finished(*start, result);
         return;
     }
-    m_hooks.m_stop_finished(std::get<dispatch::stop_order>(sent), outcome);
+    m_hooks.m_stop_finished(std::get<dispatch::stop_order>(sent),
+                            result.m_outcome);
 }
 
 std::optional<std::int64_t> worker_session::lease_end_clock(span length) const
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -34,9 +34,11 @@
         std::function<void(const std::string& worker,
                            const dispatch::worker_report& report, instant sent)>
             m_renewal_answered;
-        std::function<void(const std::string& worker)> m_renewal_failed;
+        std::function<void(const std::string& worker,
+                           const dispatch::call_result& result)>
+            m_renewal_failed;
         std::function<void(const dispatch::start_order&,
-                           dispatch::order_outcome)>
+                           const dispatch::call_result& result)>
             m_start_finished;
         std::function<void(const dispatch::stop_order&,
                            dispatch::order_outcome)>
@@ -87,7 +89,7 @@
     void pause_renewals();
     void execute_next();
     void finish_order(const order& sent, const order_answer& answer);
-    void report_order(const order& sent, dispatch::order_outcome outcome);
+    void report_order(const order& sent, const dispatch::call_result& result);
     /// Returns the end of a lease of this length from now, on the worker's
     /// clock; nothing before the first reading of that clock.
     std::optional<std::int64_t> lease_end_clock(span length) const;
--- a/kingcuprudder/runtime/http_connection_pool.cpp
+++ b/kingcuprudder/runtime/http_connection_pool.cpp
@@ -30,7 +30,8 @@
         std::unique_ptr<httplib::Client> client = acquire();
         if (!client)
         {
-            return http_failure::not_sent;
+            return http_failure{http_delivery::not_sent,
+                                http_failure_cause::cancelled};
         }
         const std::chrono::milliseconds limit(timeout.count());
         client->set_read_timeout(limit);
@@ -41,10 +42,11 @@
         {
             return http_answer{result->status, result->body};
         }
-        return result.error() == httplib::Error::Connection ||
-                       result.error() == httplib::Error::ConnectionTimeout
-                   ? http_failure::not_sent
-                   : http_failure::unanswered;
+        const bool not_sent =
+            result.error() == httplib::Error::Connection ||
+            result.error() == httplib::Error::ConnectionTimeout;
+        return http_failure{not_sent ? http_delivery::not_sent
+                                     : http_delivery::unanswered};
     }
 
     void stop()
--- a/kingcuprudder/runtime/http_endpoint.cpp
+++ b/kingcuprudder/runtime/http_endpoint.cpp
@@ -2,6 +2,7 @@
 #include <kingcuprudder/runtime/ip_address.hpp>
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -46,6 +47,35 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Returns why a connection could not be opened.
+http_failure_cause cause_of_connect_error(const error_code& error)
+{
+    if (error == asio::error::connection_refused ||
+        error == asio::error::connection_reset)
+    {
+        return http_failure_cause::refused;
+    }
+    return error == asio::error::timed_out ? http_failure_cause::timed_out
+                                           : http_failure_cause::unreachable;
+}
+
+/// Returns why a call on an open connection was not answered.
+http_failure_cause cause_of_call_error(const error_code& error)
+{
+    if (error == asio::error::timed_out)
+    {
+        return http_failure_cause::timed_out;
+    }
+    const bool ended_early = error == http::error::end_of_stream ||
+                             error == http::error::partial_message;
+    const bool wrong_content =
+        error.category() ==
+            http::make_error_code(http::error::bad_version).category() &&
+        !ended_early;
+    return wrong_content ? http_failure_cause::unreadable
+                         : http_failure_cause::closed;
+}
+
 } // namespace
 
 class http_endpoint::implementation
@@ -69,7 +99,7 @@
             *this, request, timeout, std::move(done));
         if (m_cancelled)
         {
-            call->fail_later(http_failure::not_sent);
+            call->fail_later();
             return;
         }
         m_calls.insert(call);
@@ -83,7 +113,7 @@
         const auto calls = m_calls;
         for (const auto& call : calls)
         {
-            call->abort();
+            call->abort(http_failure_cause::cancelled);
         }
     }
 
@@ -124,20 +154,35 @@
             limit(m_owner->m_connect_timeout);
             m_connection->m_socket.async_connect(
                 m_owner->m_peer,
-                [self = shared_from_this()](const error_code& error) {
-                    error ? self->finish(http_failure::not_sent) : self->send();
+                [self = shared_from_this()](const error_code& error)
+                {
+                    if (error)
+                    {
+                        self->finish(http_delivery::not_sent,
+                                     cause_of_connect_error(error));
+                        return;
+                    }
+                    self->send();
                 });
         }
 
-        void fail_later(http_failure failure)
+        /// Completes the call, which was not sent, from the event loop.
+        void fail_later()
         {
-            asio::post(m_owner->m_context, [self = shared_from_this(), failure]
-                       { self->finish(failure); });
+            asio::post(m_owner->m_context,
+                       [self = shared_from_this()] {
+                           self->finish(http_delivery::not_sent,
+                                        http_failure_cause::cancelled);
+                       });
         }
 
         /// Closes the connection, which completes the pending operation.
-        void abort()
+        void abort(http_failure_cause cause)
         {
+            if (!m_abort_cause)
+            {
+                m_abort_cause = cause;
+            }
             error_code ignored;
             if (m_connection)
             {
@@ -150,7 +195,7 @@
         {
             if (!m_owner->m_may_send())
             {
-                fail_later(http_failure::not_sent);
+                fail_later();
                 return;
             }
             error_code ignored;
@@ -158,9 +203,14 @@
             limit(m_timeout);
             http::async_write(m_connection->m_socket, m_request,
                               [self = shared_from_this()](
-                                  const error_code& error, std::size_t) {
-                                  error ? self->finish(http_failure::unanswered)
-                                        : self->receive();
+                                  const error_code& error, std::size_t)
+                              {
+                                  if (error)
+                                  {
+                                      self->finish_unanswered(error);
+                                      return;
+                                  }
+                                  self->receive();
                               });
         }
 
@@ -173,7 +223,7 @@
                              {
                                  if (error)
                                  {
-                                     self->finish(http_failure::unanswered);
+                                     self->finish_unanswered(error);
                                      return;
                                  }
                                  self->finish_answered();
@@ -191,24 +241,34 @@
             m_done(answer);
         }
 
-        void finish(http_failure failure)
+        void finish_unanswered(const error_code& error)
+        {
+            finish(http_delivery::unanswered, cause_of_call_error(error));
+        }
+
+        /// Completes the call without an answer. The given cause applies unless
+        /// the connection was closed on this side.
+        void finish(http_delivery delivery, http_failure_cause cause)
         {
             m_timer = event_loop::timer();
             m_owner->m_calls.erase(shared_from_this());
             m_owner->m_idle.clear();
-            m_done(failure);
+            m_done(http_failure{delivery, m_abort_cause.value_or(cause)});
         }
 
         /// Aborts the call unless the limit is renewed or the call ends first.
         void limit(span time)
         {
             m_timer = m_owner->m_loop.run_after(
-                time, [self = shared_from_this()] { self->abort(); });
+                time, [self = shared_from_this()]
+                { self->abort(http_failure_cause::timed_out); });
         }
 
         std::shared_ptr<implementation> m_owner;
         span m_timeout;
         completion m_done;
+        /// Why the connection was closed on this side.
+        std::optional<http_failure_cause> m_abort_cause;
         event_loop::timer m_timer;
         std::unique_ptr<connection> m_connection;
         http::request<http::string_body> m_request;
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -59,7 +59,7 @@
     const auto starts = start_all();
     confirm(starts);
     m_dispatcher.renewal_sent("w1", m_now);
-    m_dispatcher.renewal_failed("w1", m_now);
+    m_dispatcher.renewal_failed("w1", order_outcome::may_have_arrived, m_now);
     m_dispatcher.worker_unlisted("w1", m_now);
     add_worker("w2");
     pass(dispatch_limits().m_worker_lease);
@@ -237,7 +237,7 @@
     accept(job("j", 1, 1));
     const auto first = start_all();
     confirm(first);
-    m_dispatcher.renewal_failed("w1", m_now);
+    m_dispatcher.renewal_failed("w1", order_outcome::may_have_arrived, m_now);
     add_worker("w2");
     pass(span(7000));
     const auto second = start_all();
@@ -446,7 +446,7 @@
     EXPECT_FALSE(changed());
     report("w1", {}, {ended(1, starts[0], run_outcome::done)});
     EXPECT_TRUE(changed());
-    m_dispatcher.renewal_failed("w1", m_now);
+    m_dispatcher.renewal_failed("w1", order_outcome::may_have_arrived, m_now);
     EXPECT_TRUE(changed());
     report("w1", {});
     EXPECT_TRUE(changed());
--- a/unit_tests/dispatch/planner_test.cpp
+++ b/unit_tests/dispatch/planner_test.cpp
@@ -108,7 +108,7 @@
     accept(job("u", 1, 1, "urgent"));
     confirm(start_all());
     accept(job("b", 1, 1));
-    m_dispatcher.renewal_failed("w1", m_now);
+    m_dispatcher.renewal_failed("w1", order_outcome::may_have_arrived, m_now);
     EXPECT_TRUE(start_all().empty());
 }
 
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -24,6 +24,7 @@
     std::vector<std::string> m_orders;
     std::vector<renewal_call> m_renewals;
     std::vector<renewal_answer> m_renewal_answers;
+    dispatch::call_result m_start_result = dispatch::order_outcome::accepted;
 
     std::size_t renewals()
     {
@@ -52,8 +53,8 @@
     {
         note("start " + order.m_run.m_task.str());
         m_loop.post(
-            [done] {
-                done({dispatch::order_outcome::accepted, worker_clock});
+            [done, result = m_record.m_start_result] {
+                done({result, worker_clock});
             });
     }
 
@@ -104,9 +105,15 @@
         hooks.m_renewal_answered =
             [this](const std::string&, const dispatch::worker_report&, instant)
         { ++m_answered; };
-        hooks.m_renewal_failed = [this](const std::string&) { ++m_failed; };
-        hooks.m_start_finished =
-            [this](const dispatch::start_order&, dispatch::order_outcome got)
+        hooks.m_renewal_failed =
+            [this](const std::string&, const dispatch::call_result& got)
+        {
+            std::lock_guard lock(m_record.m_mutex);
+            m_failures.push_back(got);
+            ++m_failed;
+        };
+        hooks.m_start_finished = [this](const dispatch::start_order&,
+                                        const dispatch::call_result& got)
         { note(got); };
         hooks.m_stop_finished =
             [this](const dispatch::stop_order&, dispatch::order_outcome got)
@@ -117,7 +124,7 @@
             span(6000), hooks);
     }
 
-    void note(dispatch::order_outcome outcome)
+    void note(const dispatch::call_result& outcome)
     {
         std::lock_guard lock(m_record.m_mutex);
         m_outcomes.push_back(outcome);
@@ -163,7 +170,8 @@
     std::shared_ptr<term> m_term =
         std::make_shared<term>(7, boottime_now() + span(60'000));
     recorded_calls m_record;
-    std::vector<dispatch::order_outcome> m_outcomes;
+    std::vector<dispatch::call_result> m_outcomes;
+    std::vector<dispatch::call_result> m_failures;
     std::atomic<int> m_answered = 0;
     std::atomic<int> m_failed = 0;
 };
@@ -207,7 +215,9 @@
     const std::size_t renewals = m_record.renewals();
     tested->send(start(0));
     ASSERT_TRUE(eventually([&] { return finished() == 1; }));
-    EXPECT_EQ(m_outcomes[0], dispatch::order_outcome::not_sent);
+    EXPECT_EQ(m_outcomes[0],
+              dispatch::call_result(dispatch::order_outcome::not_sent,
+                                    dispatch::call_failure::given_up));
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
     EXPECT_EQ(m_record.renewals(), renewals);
     EXPECT_TRUE(m_record.orders().empty());
@@ -232,6 +242,30 @@
     }
 }
 
+// Guards against a log that cannot tell a crashed worker from one that is slow,
+// cut off or replaced.
+TEST_F(worker_session_test, failed_calls_are_reported_with_their_reason)
+{
+    const std::vector<dispatch::call_result> reasons = {
+        {dispatch::order_outcome::may_have_arrived,
+         dispatch::call_failure::connection_closed},
+        {dispatch::order_outcome::not_sent,
+         dispatch::call_failure::connection_refused},
+        {dispatch::order_outcome::may_have_arrived,
+         dispatch::call_failure::timed_out},
+        dispatch::order_outcome::wrong_incarnation};
+    m_record.m_renewal_answers.assign(reasons.begin(), reasons.end());
+    m_record.m_start_result = reasons[0];
+    const auto tested = session();
+    tested->update(request());
+    tested->send(start(0));
+    ASSERT_TRUE(eventually([&] { return m_failed >= 4 && finished() == 1; }));
+    m_loop.stop();
+    m_failures.resize(reasons.size());
+    EXPECT_EQ(m_failures, reasons);
+    EXPECT_EQ(m_outcomes[0], reasons[0]);
+}
+
 TEST_F(worker_session_test, a_refused_fencing_token_ends_the_term)
 {
     m_record.m_renewal_answers = {dispatch::order_outcome::refused_fence};
--- a/unit_tests/platform/platform_worker_test.cpp
+++ b/unit_tests/platform/platform_worker_test.cpp
@@ -1,12 +1,16 @@
 #include <gtest/gtest.h>
 #include <platform/platform_worker.hpp>
 
+#include <map>
+
 namespace kingcuprudder::platform
 {
 
 namespace
 {
 
+using dispatch::call_failure;
+using dispatch::call_result;
 using dispatch::order_outcome;
 
 node::order_answer decode(int status, const std::string& body)
@@ -18,17 +22,44 @@
 
 TEST(platform_worker, answers_to_orders_are_read)
 {
-    EXPECT_EQ(decode(200, R"({"clockMs":482113})").m_outcome,
+    EXPECT_EQ(decode(200, R"({"clockMs":482113})").m_result,
               order_outcome::accepted);
     EXPECT_EQ(decode(200, R"({"clockMs":482113})").m_clock, 482113);
-    EXPECT_EQ(decode(409, R"({"clockMs":1,"reason":"fence"})").m_outcome,
+    EXPECT_EQ(decode(409, R"({"clockMs":1,"reason":"fence"})").m_result,
               order_outcome::refused_fence);
-    EXPECT_EQ(decode(421, "").m_outcome, order_outcome::wrong_incarnation);
-    EXPECT_EQ(decode(503, "").m_outcome, order_outcome::refused_busy);
-    EXPECT_EQ(decode_order_answer(http_failure::not_sent).m_outcome,
-              order_outcome::not_sent);
-    EXPECT_EQ(decode_order_answer(http_failure::unanswered).m_outcome,
-              order_outcome::may_have_arrived);
+    EXPECT_EQ(decode(421, "").m_result, order_outcome::wrong_incarnation);
+    EXPECT_EQ(decode(503, "").m_result, order_outcome::refused_busy);
+}
+
+// Guards against a crashed worker that is logged like one that was cut off.
+TEST(platform_worker, calls_without_an_answer_have_a_reason)
+{
+    const std::map<http_failure_cause, call_failure> reasons = {
+        {http_failure_cause::unspecified, call_failure::none},
+        {http_failure_cause::cancelled, call_failure::given_up},
+        {http_failure_cause::refused, call_failure::connection_refused},
+        {http_failure_cause::closed, call_failure::connection_closed},
+        {http_failure_cause::unreachable, call_failure::unreachable},
+        {http_failure_cause::timed_out, call_failure::timed_out},
+        {http_failure_cause::unreadable, call_failure::unreadable_answer}};
+    for (const auto& [cause, reason] : reasons)
+    {
+        const http_failure not_sent{http_delivery::not_sent, cause};
+        const http_failure unanswered{http_delivery::unanswered, cause};
+        EXPECT_EQ(decode_order_answer(not_sent).m_result,
+                  call_result(order_outcome::not_sent, reason));
+        EXPECT_EQ(decode_order_answer(unanswered).m_result,
+                  call_result(order_outcome::may_have_arrived, reason));
+        EXPECT_EQ(decode_renewal_answer(unanswered),
+                  node::renewal_answer(
+                      call_result(order_outcome::may_have_arrived, reason)));
+    }
+    EXPECT_EQ(
+        decode_renewal_answer(http_answer{421, ""}),
+        node::renewal_answer(call_result(order_outcome::wrong_incarnation)));
+    EXPECT_EQ(decode(500, "").m_result,
+              call_result(order_outcome::may_have_arrived,
+                          call_failure::unreadable_answer));
 }
 
 // Guards against one malformed answer of a worker that ends the process.
@@ -38,9 +69,9 @@
          {"", "[]", "7", "{\"clockMs\":\"late\"}", "{\"clockMs\":null}",
           "{\"reason\":7}", "{\"reason\":{}}", "\xff\xfe"})
     {
-        EXPECT_EQ(decode(200, body).m_outcome, order_outcome::accepted);
+        EXPECT_EQ(decode(200, body).m_result, order_outcome::accepted);
         EXPECT_EQ(decode(200, body).m_clock, std::nullopt);
-        EXPECT_EQ(decode(409, body).m_outcome, order_outcome::refused_invalid);
+        EXPECT_EQ(decode(409, body).m_result, order_outcome::refused_invalid);
     }
     for (const char* body :
          {"", "{}", "{\"clockMs\":\"late\"}", "{\"clockMs\":1,\"running\":7}",
@@ -50,7 +81,9 @@
     {
         const node::renewal_answer answer =
             decode_renewal_answer(http_answer{200, body});
-        EXPECT_EQ(answer, node::renewal_answer(order_outcome::may_have_arrived))
+        EXPECT_EQ(answer, node::renewal_answer(
+                              call_result(order_outcome::may_have_arrived,
+                                          call_failure::unreadable_answer)))
             << body;
     }
 }
--- a/unit_tests/runtime/http_endpoint_test.cpp
+++ b/unit_tests/runtime/http_endpoint_test.cpp
@@ -2,6 +2,8 @@
 #include <kingcuprudder/runtime/http_server.hpp>
 
 #include <gtest/gtest.h>
+#include <unit_tests/runtime/raw_connection.hpp>
+#include <unit_tests/runtime/raw_listener.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -16,6 +18,16 @@
 
 constexpr span connect_timeout = span(300);
 
+http_outcome not_sent(http_failure_cause cause)
+{
+    return http_failure{http_delivery::not_sent, cause};
+}
+
+http_outcome unanswered(http_failure_cause cause)
+{
+    return http_failure{http_delivery::unanswered, cause};
+}
+
 class http_endpoint_test : public ::testing::Test
 {
 protected:
@@ -49,6 +61,20 @@
         return response;
     }
 
+    /// Makes one call to a peer that reads it, sends the answer and ends the
+    /// connection.
+    http_outcome call_peer_that_sends(std::string_view answer,
+                                      connection_end end)
+    {
+        raw_listener peer;
+        std::thread serving([&] { peer.serve_one("body", answer, end); });
+        http_endpoint endpoint(m_loop, peer.address(), connect_timeout,
+                               [] { return true; });
+        const http_outcome outcome = call(endpoint);
+        serving.join();
+        return outcome;
+    }
+
     std::atomic<int> m_requests = 0;
     std::atomic<bool> m_may_send = true;
     std::atomic<bool> m_close = false;
@@ -81,11 +107,11 @@
 TEST_F(http_endpoint_test, a_call_is_not_sent_when_the_permission_has_run_out)
 {
     m_may_send = false;
-    EXPECT_EQ(call(m_endpoint), http_outcome(http_failure::not_sent));
+    EXPECT_EQ(call(m_endpoint), not_sent(http_failure_cause::cancelled));
     m_may_send = true;
     call(m_endpoint);
     m_may_send = false;
-    EXPECT_EQ(call(m_endpoint), http_outcome(http_failure::not_sent));
+    EXPECT_EQ(call(m_endpoint), not_sent(http_failure_cause::cancelled));
     EXPECT_EQ(m_requests, 1);
 }
 
@@ -94,7 +120,7 @@
 {
     m_delay = std::chrono::milliseconds(400);
     EXPECT_EQ(call(m_endpoint, span(100)),
-              http_outcome(http_failure::unanswered));
+              unanswered(http_failure_cause::timed_out));
     EXPECT_EQ(m_requests, 1);
 }
 
@@ -102,7 +128,43 @@
 {
     http_endpoint nowhere(m_loop, "127.0.0.1:1", connect_timeout,
                           [] { return true; });
-    EXPECT_EQ(call(nowhere), http_outcome(http_failure::not_sent));
+    EXPECT_EQ(call(nowhere), not_sent(http_failure_cause::refused));
+}
+
+// Guards against a crashed peer that looks like one that was cut off.
+TEST_F(http_endpoint_test, a_closed_connection_differs_from_a_silent_peer)
+{
+    constexpr std::string_view half =
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    for (const connection_end end :
+         {connection_end::close, connection_end::reset})
+    {
+        EXPECT_EQ(call_peer_that_sends("", end),
+                  unanswered(http_failure_cause::closed));
+        EXPECT_EQ(call_peer_that_sends(half, end),
+                  unanswered(http_failure_cause::closed));
+    }
+    const raw_listener silent;
+    http_endpoint endpoint(m_loop, silent.address(), connect_timeout,
+                           [] { return true; });
+    EXPECT_EQ(call(endpoint, span(100)),
+              unanswered(http_failure_cause::timed_out));
+}
+
+TEST_F(http_endpoint_test, a_connection_that_is_not_accepted_times_out)
+{
+    const raw_listener full;
+    const raw_connection waiting(full.address());
+    ASSERT_TRUE(waiting.connected());
+    http_endpoint endpoint(m_loop, full.address(), connect_timeout,
+                           [] { return true; });
+    EXPECT_EQ(call(endpoint), not_sent(http_failure_cause::timed_out));
+}
+
+TEST_F(http_endpoint_test, an_answer_that_is_not_http_is_told_from_a_crash)
+{
+    EXPECT_EQ(call_peer_that_sends("what\r\n\r\n", connection_end::close),
+              unanswered(http_failure_cause::unreadable));
 }
 
 TEST_F(http_endpoint_test, cancelling_fails_the_calls_in_progress_and_later)
@@ -122,8 +184,8 @@
     }
     m_loop.post([&] { m_endpoint.cancel(); });
     EXPECT_EQ(promise.get_future().get(),
-              http_outcome(http_failure::unanswered));
-    EXPECT_EQ(call(m_endpoint), http_outcome(http_failure::not_sent));
+              unanswered(http_failure_cause::cancelled));
+    EXPECT_EQ(call(m_endpoint), not_sent(http_failure_cause::cancelled));
 }
 
 // Guards against a thread or a lost completion for each of many peers.
