Log that another incarnation answers at a worker's address

Cause: when a worker crashes, it becomes silent by its closed connection; that its address then answers for another incarnation (421) was not logged, as worker_silent is written once. Change: worker_replaced, once between two answers of the worker, with its address and the age of its last answer. No decision uses it.

--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -62,6 +62,7 @@
     release_unlisted_runs(worker, report, sent, now);
     stop_slow_runs(worker, now);
     worker.m_synced = true;
+    worker.m_replaced = false;
     advance_acknowledged(worker);
 }
 
@@ -80,6 +81,15 @@
     m_changed = m_changed || worker.m_reachable;
     worker.m_reachable = false;
     mark_renewal(id);
+    if (result.m_outcome == order_outcome::wrong_incarnation &&
+        !worker.m_replaced)
+    {
+        worker.m_replaced = true;
+        m_log("worker_replaced", id,
+              {{"address", worker.m_description.m_address},
+               {"last_answer_age_ms",
+                number((now - worker.m_last_answer).count())}});
+    }
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -52,6 +52,9 @@
     instant m_last_failure;
     /// The worker gets no new work before this time.
     instant m_quarantined_until;
+    /// Since the worker's last answer, another incarnation has answered at its
+    /// address.
+    bool m_replaced = false;
 
     const std::string& id() const { return m_description.m_id; }
     /// Returns the resources for new assignments. Runs that are being stopped
--- a/unit_tests/dispatch/worker_silence_test.cpp
+++ b/unit_tests/dispatch/worker_silence_test.cpp
@@ -95,6 +95,34 @@
     EXPECT_EQ(silent[2].field("reason"), "refused_busy");
 }
 
+// Guards against a worker whose crash goes unseen as another one is already up
+// at its address, and against a line for each renewal.
+TEST_F(worker_silence_test, another_incarnation_at_the_address_is_logged_once)
+{
+    m_dispatcher.renewal_failed(
+        "w1",
+        {order_outcome::may_have_arrived, call_failure::connection_closed},
+        m_now);
+    EXPECT_TRUE(lines("worker_replaced").empty());
+    for (int renewal = 0; renewal < 3; ++renewal)
+    {
+        m_now = m_now + span(350);
+        m_dispatcher.renewal_failed("w1", order_outcome::wrong_incarnation,
+                                    m_now);
+    }
+    EXPECT_EQ(lines("worker_silent").size(), 1u);
+    const std::vector<log_line> replaced = lines("worker_replaced");
+    ASSERT_EQ(replaced.size(), 1u);
+    EXPECT_EQ(replaced[0].m_id, "w1");
+    EXPECT_EQ(replaced[0].field("address"), "10.0.0.1:1");
+    EXPECT_EQ(replaced[0].field("last_answer_age_ms"), "350");
+    answer();
+    m_dispatcher.renewal_failed("w1", order_outcome::wrong_incarnation, m_now);
+    EXPECT_EQ(lines("worker_silent").back().field("reason"),
+              "wrong_incarnation");
+    EXPECT_EQ(lines("worker_replaced").size(), 2u);
+}
+
 TEST_F(worker_silence_test, the_log_says_why_a_start_was_not_accepted)
 {
     const start_order order{"w1", {{"5c0e7a21d94b36f8", 0, 0, 0}, 1}, "", ""};
