Metrics of the leader

Cause: the length of a planning pass, the records that wait to be stored, the silent workers and the losses that are attributed to tasks were not among the metrics. Change: leader_metrics: kcr_leader_planning_ms, kcr_leader_waiting_records, kcr_leader_silent_workers and kcr_leader_decisions_total. The scheduler counts four named events of the decision log, so no decision needs a metric and the number of counters is fixed. The gauges are 0 when a term has ended.

--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -88,6 +88,8 @@
     /// Sets the revision of the stored record after a conflicting write.
     void update_revision(const std::string& job, std::int64_t revision);
     bool has_writes() const { return m_jobs.has_writes(); }
+    /// Returns the number of records that take_writes() can still return.
+    std::size_t waiting_writes() const { return m_jobs.waiting_writes(); }
 
     /// Returns whether a job, a worker or free capacity has changed since the
     /// last planning. Without such a change planning finds the same as before,
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -129,6 +129,7 @@
     std::map<std::string, job_entry>& jobs() { return m_jobs; }
     const std::map<std::string, job_entry>& jobs() const { return m_jobs; }
     bool has_writes() const { return !m_pending_writes.empty(); }
+    std::size_t waiting_writes() const { return m_pending_writes.size(); }
 
 private:
     job_progress progress_of(const job_entry& job) const;
--- /dev/null
+++ b/kingcuprudder/node/leader_metrics.cpp
@@ -0,0 +1,56 @@
+#include <kingcuprudder/node/leader_metrics.hpp>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+/// The events of the decision log that are counted.
+constexpr const char* counted_events[] = {"worker_lost", "crash_attributed",
+                                          "crash_withdrawn", "job_failed"};
+
+} // namespace
+
+leader_metrics::leader_metrics(metrics_registry& registry)
+    : m_planning_ms(registry.add_histogram(
+          "kcr_leader_planning_ms", "Length of a planning pass of the leader",
+          latency_bounds_ms())),
+      m_waiting_records(registry.add_gauge(
+          "kcr_leader_waiting_records", "Job records that wait to be stored")),
+      m_silent_workers(registry.add_gauge(
+          "kcr_leader_silent_workers",
+          "Workers in use that did not answer the last renewal"))
+{
+    // Each counter is there from the start, so that its first increase shows.
+    for (const char* event : counted_events)
+    {
+        m_decisions.emplace(
+            event, registry.add_counter("kcr_leader_decisions_total",
+                                        "Decisions of the leader, by event",
+                                        {{"event", event}}));
+    }
+}
+
+void leader_metrics::observe_planning(double took_ms) const
+{
+    m_planning_ms.observe(took_ms);
+}
+
+void leader_metrics::count_decision(const std::string& event) const
+{
+    const auto found = m_decisions.find(event);
+    if (found != m_decisions.end())
+    {
+        found->second.increment();
+    }
+}
+
+void leader_metrics::set_state(std::size_t waiting_records,
+                               std::size_t silent_workers) const
+{
+    m_waiting_records.set(static_cast<double>(waiting_records));
+    m_silent_workers.set(static_cast<double>(silent_workers));
+}
+
+} // namespace kingcuprudder::node
--- /dev/null
+++ b/kingcuprudder/node/leader_metrics.hpp
@@ -0,0 +1,39 @@
+#ifndef KINGCUPRUDDER_NODE_LEADER_METRICS_HPP
+#define KINGCUPRUDDER_NODE_LEADER_METRICS_HPP
+
+#include <kingcuprudder/runtime/metrics.hpp>
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace kingcuprudder::node
+{
+
+/// The metrics of the scheduler while this process is the leader. The gauges
+/// are 0 otherwise. Safe to use from several threads.
+class leader_metrics
+{
+public:
+    explicit leader_metrics(metrics_registry& registry);
+
+    /// Records the length of a planning pass.
+    void observe_planning(double took_ms) const;
+    /// Counts a decision, if its event is among those that are counted. The
+    /// number of counters does not depend on the events.
+    void count_decision(const std::string& event) const;
+    /// Sets the number of job records that wait to be stored and the number of
+    /// workers that did not answer the last renewal.
+    void set_state(std::size_t waiting_records,
+                   std::size_t silent_workers) const;
+
+private:
+    metric_histogram m_planning_ms;
+    metric_gauge m_waiting_records;
+    metric_gauge m_silent_workers;
+    std::map<std::string, metric_counter> m_decisions;
+};
+
+} // namespace kingcuprudder::node
+
+#endif
--- a/kingcuprudder/node/node.cpp
+++ b/kingcuprudder/node/node.cpp
@@ -17,8 +17,8 @@
 
 node::node(const node_settings& settings, record_store& store,
            external_records records, worker_calls_factory worker_calls,
-           event_log& log)
-    : m_settings(settings), m_store(store), m_log(log),
+           event_log& log, const node_metrics& metrics)
+    : m_settings(settings), m_store(store), m_log(log), m_metrics(metrics),
       m_records(std::move(records)), m_worker_calls(std::move(worker_calls)),
       m_configuration(store, m_records, log),
       m_jobs(store, m_configuration, log)
@@ -45,9 +45,9 @@
 {
     std::lock_guard lock(m_mutex);
     m_scheduler = std::make_unique<scheduler>(
-        scheduler_environment{m_store, m_log, m_configuration, m_records,
-                              m_worker_calls, m_settings.m_limits,
-                              m_settings.m_status_retention},
+        scheduler_environment{
+            m_store, m_log, m_metrics.leader(), m_configuration, m_records,
+            m_worker_calls, m_settings.m_limits, m_settings.m_status_retention},
         current_term);
 }
 
--- a/kingcuprudder/node/node.hpp
+++ b/kingcuprudder/node/node.hpp
@@ -6,6 +6,7 @@
 #include <kingcuprudder/node/external_records.hpp>
 #include <kingcuprudder/node/job_service.hpp>
 #include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/node_metrics.hpp>
 #include <kingcuprudder/node/node_settings.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/scheduler.hpp>
@@ -26,7 +27,7 @@
 public:
     node(const node_settings& settings, record_store& store,
          external_records records, worker_calls_factory worker_calls,
-         event_log& log);
+         event_log& log, const node_metrics& metrics);
     ~node();
     node(const node&) = delete;
     node& operator=(const node&) = delete;
@@ -45,6 +46,7 @@
     node_settings m_settings;
     record_store& m_store;
     event_log& m_log;
+    const node_metrics& m_metrics;
     external_records m_records;
     worker_calls_factory m_worker_calls;
     configuration_view m_configuration;
--- a/kingcuprudder/node/node_metrics.hpp
+++ b/kingcuprudder/node/node_metrics.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPRUDDER_NODE_NODE_METRICS_HPP
 #define KINGCUPRUDDER_NODE_NODE_METRICS_HPP
 
+#include <kingcuprudder/node/leader_metrics.hpp>
 #include <kingcuprudder/runtime/metrics.hpp>
 
 #include <map>
@@ -30,11 +31,14 @@
     /// Records an answer to a caller by method and status.
     void observe_caller_answer(const std::string& method, int status,
                                double took_ms);
+    /// Returns the metrics of this process as the leader.
+    const leader_metrics& leader() const { return m_leader; }
     /// Returns all metrics in the Prometheus text format.
     std::string text() const { return m_registry.text(); }
 
 private:
     metrics_registry m_registry;
+    leader_metrics m_leader{m_registry};
     std::mutex m_mutex;
     std::map<std::pair<std::string, std::string>, call_metrics> m_calls;
     std::map<std::pair<std::string, int>, call_metrics> m_answers;
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -34,6 +34,7 @@
 constexpr span load_retry = span(150);
 constexpr span write_retry = span(80);
 constexpr span summary_interval = span(500);
+constexpr span metrics_interval = span(500);
 constexpr span removal_interval = span(5000);
 // Records of ended jobs are kept this much longer, as clocks differ.
 constexpr span removal_margin = span(60'000);
@@ -52,7 +53,9 @@
     : m_environment(std::move(environment)), m_term(std::move(current_term)),
       m_dispatcher(m_environment.m_limits,
                    [this](const std::string& kind, const std::string& id,
-                          const dispatch::decision_fields& fields) {
+                          const dispatch::decision_fields& fields)
+                   {
+                       m_environment.m_metrics.count_decision(kind);
                        m_environment.m_log.write("scheduler", kind, id, fields);
                    }),
       m_worker_loop([this](const std::string& error) { abandon_term(error); }),
@@ -72,6 +75,7 @@
     m_worker_loop.stop();
     m_sessions.clear();
     m_writer.join();
+    m_environment.m_metrics.set_state(0, 0);
 }
 
 void scheduler::post(event next)
@@ -158,7 +162,11 @@
         return;
     }
     m_planned_at = began;
+    const auto pass_began = std::chrono::steady_clock::now();
     m_dispatcher.plan(began, wall_now());
+    const std::chrono::duration<double, std::milli> pass_took =
+        std::chrono::steady_clock::now() - pass_began;
+    m_environment.m_metrics.observe_planning(pass_took.count());
     const instant ended = boottime_now();
     m_next_planning_at =
         ended +
@@ -180,6 +188,7 @@
     send_orders(effects);
     begin_write();
     publish_summary();
+    publish_metrics();
     remove_old_records();
 }
 
@@ -459,6 +468,27 @@
     m_write_queue.try_push(std::move(next));
 }
 
+void scheduler::publish_metrics()
+{
+    const instant now = boottime_now();
+    if (now - m_metrics_published_at < metrics_interval)
+    {
+        return;
+    }
+    m_metrics_published_at = now;
+    const auto& workers = m_dispatcher.workers();
+    const auto silent =
+        std::count_if(workers.begin(), workers.end(),
+                      [](const auto& each)
+                      {
+                          const dispatch::worker_entry& worker = each.second;
+                          return !worker.m_reachable &&
+                                 (worker.m_listed || !worker.m_tasks.empty());
+                      });
+    m_environment.m_metrics.set_state(m_dispatcher.waiting_writes(),
+                                      static_cast<std::size_t>(silent));
+}
+
 void scheduler::remove_old_records()
 {
     const instant now = boottime_now();
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -5,6 +5,7 @@
 #include <kingcuprudder/node/configuration_view.hpp>
 #include <kingcuprudder/node/event_log.hpp>
 #include <kingcuprudder/node/external_records.hpp>
+#include <kingcuprudder/node/leader_metrics.hpp>
 #include <kingcuprudder/node/leadership.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
@@ -32,6 +33,7 @@
 {
     record_store& m_store;
     event_log& m_log;
+    const leader_metrics& m_metrics;
     configuration_view& m_configuration;
     const external_records& m_records;
     worker_calls_factory m_worker_calls;
@@ -93,6 +95,7 @@
     /// Schedules the removal of an ended job's progress record.
     void schedule_removal(const std::string& job, instant now);
     void publish_summary();
+    void publish_metrics();
     void remove_old_records();
     std::shared_ptr<worker_session>
     make_session(const dispatch::renewal_request& request);
@@ -121,6 +124,7 @@
     bool m_step_due = false;
     instant m_next_write_at;
     instant m_summary_published_at;
+    instant m_metrics_published_at;
     instant m_last_removal_at;
     /// The configuration that the dispatcher uses.
     configuration_view::snapshot m_applied_configuration;
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -484,4 +484,18 @@
     EXPECT_EQ(assigned, 16);
 }
 
+TEST_F(dispatcher_fixture, the_records_that_wait_to_be_stored_are_counted)
+{
+    accept(job("j1", 1, 1));
+    accept(job("j2", 1, 1));
+    EXPECT_EQ(m_dispatcher.waiting_writes(), 0u);
+    m_dispatcher.cancel_job("j1", m_now);
+    m_dispatcher.cancel_job("j2", m_now);
+    EXPECT_EQ(m_dispatcher.waiting_writes(), 2u);
+    m_dispatcher.take_writes(1000);
+    EXPECT_EQ(m_dispatcher.waiting_writes(), 0u);
+    m_dispatcher.write_failed("j1");
+    EXPECT_EQ(m_dispatcher.waiting_writes(), 1u);
+}
+
 } // namespace kingcuprudder::dispatch
