--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPRUDDER_DISPATCH_DISPATCHER_HPP
 #define KINGCUPRUDDER_DISPATCH_DISPATCHER_HPP
 
+#include <kingcuprudder/dispatch/call_result.hpp>
 #include <kingcuprudder/dispatch/decision_log.hpp>
 #include <kingcuprudder/dispatch/duration_model.hpp>
 #include <kingcuprudder/dispatch/job_table.hpp>
@@ -73,9 +74,10 @@
     /// Applies the answer to a renewal that was sent at the given time.
     void renewal_answered(const std::string& id, const worker_report& report,
                           instant sent, instant now);
-    void renewal_failed(const std::string& id, instant now);
+    void renewal_failed(const std::string& id, const call_result& result,
+                        instant now);
 
-    void start_finished(const start_order& order, order_outcome outcome,
+    void start_finished(const start_order& order, const call_result& result,
                         instant now);
     void stop_finished(const stop_order& order, order_outcome outcome,
                        instant now);
@@ -87,6 +89,8 @@
     /// Sets the revision of the stored record after a conflicting write.
     void update_revision(const std::string& job, std::int64_t revision);
     bool has_writes() const { return m_jobs.has_writes(); }
+    /// Returns the number of records that take_writes() can still return.
+    std::size_t waiting_writes() const { return m_jobs.waiting_writes(); }
 
     /// Returns whether a job, a worker or free capacity has changed since the
     /// last planning. Without such a change planning finds the same as before,
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -63,16 +63,19 @@
     release_unlisted_runs(worker, report, sent, now);
     stop_slow_runs(worker, now);
     worker.m_synced = true;
+    worker.m_replaced = false;
     advance_acknowledged(worker);
 }
 
-void dispatcher::renewal_failed(const std::string& id, instant now)
+void dispatcher::renewal_failed(const std::string& id,
+                                const call_result& result, instant now)
 {
     worker_entry& worker = find_or_add_worker(id);
     if (worker.m_reachable)
     {
         m_log("worker_silent", id,
-              {{"tasks",
+              {{"reason", std::string(to_string(result))},
+               {"tasks",
                 number(static_cast<std::int64_t>(worker.m_tasks.size()))},
                {"lease_left_ms", number((worker.m_lease_end - now).count())}});
     }
@@ -80,6 +83,15 @@
     m_changed = m_changed || worker.m_reachable;
     worker.m_reachable = false;
     mark_renewal(id);
+    if (result.m_outcome == order_outcome::wrong_incarnation &&
+        !worker.m_replaced)
+    {
+        worker.m_replaced = true;
+        m_log("worker_replaced", id,
+              {{"address", worker.m_description.m_address},
+               {"last_answer_age_ms",
+                number((now - worker.m_last_answer).count())}});
+    }
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
