--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -28,7 +28,10 @@
     /// Makes the worker silent now, and its runs end with its lease.
     void lose(const std::string& worker)
     {
-        m_dispatcher.renewal_failed(worker, m_now);
+        m_dispatcher.renewal_failed(
+            worker,
+            {order_outcome::may_have_arrived, call_failure::connection_closed},
+            m_now);
         m_dispatcher.worker_unlisted(worker, m_now);
     }
 
@@ -132,7 +135,10 @@
         ASSERT_EQ(starts.size(), 1u) << "round " << round;
         confirm(starts);
         pass(span(10));
-        m_dispatcher.renewal_failed("w1", m_now);
+        m_dispatcher.renewal_failed(
+            "w1",
+            {order_outcome::may_have_arrived, call_failure::connection_closed},
+            m_now);
         pass(after_the_lease);
         step();
         store();
