Log why a caller gets no state of a job

Change: one line for each call that does not get the state or the count (status_not_given), whose queue and key could not be checked (access_not_given) or that cannot cancel (cancellation_refused, with more fields), and one for a record that cannot be decoded (progress_record_not_read, with its revision). No change of logic.

--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -34,6 +34,13 @@
                     std::min(store_call_timeout, time_left(deadline)));
 }
 
+/// Returns the part of a path after the last '/', which is the id in the path
+/// of a job.
+std::string last_segment(const std::string& path)
+{
+    return path.substr(path.rfind('/') + 1);
+}
+
 /// Counts the jobs without a started task by queue.
 std::map<std::string, int> count_waiting_jobs(const record_list& jobs,
                                               const record_list& progress)
@@ -99,6 +106,19 @@
 
 service_result<caller_access>
 job_service::authorize(const caller_request& request)
+{
+    const instant began = boottime_now();
+    service_result<caller_access> access = authorize_once(request);
+    if (const refusal* refused = std::get_if<refusal>(&access))
+    {
+        log_refusal("access_not_given", last_segment(request.m_path), *refused,
+                    request, began);
+    }
+    return access;
+}
+
+service_result<caller_access>
+job_service::authorize_once(const caller_request& request)
 {
     const configuration_view::snapshot snapshot = m_configuration.confirmed(
         configuration_max_age, call_timeout(request.m_deadline));
@@ -151,6 +171,22 @@
     return refused;
 }
 
+void job_service::log_refusal(const std::string& event, const std::string& id,
+                              refusal reason, const caller_request& request,
+                              instant began)
+{
+    const instant now = boottime_now();
+    m_log.write(
+        "jobs", event, id,
+        {{"reason", std::string(to_string(reason))},
+         {"host", request.m_host},
+         {"path", request.m_path},
+         {"configuration_age_ms",
+          std::to_string((now - m_configuration.confirmed_at()).count())},
+         {"took_ms", std::to_string((now - began).count())},
+         {"left_ms", std::to_string((request.m_deadline - now).count())}});
+}
+
 job_service::write_outcome
 job_service::write_once(const caller_request& request,
                         const store_transaction& transaction,
@@ -232,7 +268,7 @@
     const std::string progress_key = record_keys::progress(job.m_id);
     const auto build = [&]() -> prepared_write
     {
-        const service_result<caller_access> access = authorize(request);
+        const service_result<caller_access> access = authorize_once(request);
         if (const refusal* refused = std::get_if<refusal>(&access))
         {
             return *refused;
@@ -270,13 +306,33 @@
     {
         return std::optional<dispatch::job_progress>();
     }
-    return dispatch::decode_progress(std::get<0>(found)->m_value);
+    const record& stored = *std::get<0>(found);
+    const std::optional<dispatch::job_progress> progress =
+        dispatch::decode_progress(stored.m_value);
+    if (!progress)
+    {
+        m_log.write("jobs", "progress_record_not_read", id,
+                    {{"revision", std::to_string(stored.m_revision)}});
+    }
+    return progress;
 }
 
 service_result<dispatch::job_state>
 job_service::state(const caller_request& request, const std::string& id)
 {
-    const service_result<caller_access> access = authorize(request);
+    const instant began = boottime_now();
+    const service_result<dispatch::job_state> found = find_state(request, id);
+    if (const refusal* refused = std::get_if<refusal>(&found))
+    {
+        log_refusal("status_not_given", id, *refused, request, began);
+    }
+    return found;
+}
+
+service_result<dispatch::job_state>
+job_service::find_state(const caller_request& request, const std::string& id)
+{
+    const service_result<caller_access> access = authorize_once(request);
     if (const refusal* refused = std::get_if<refusal>(&access))
     {
         return *refused;
@@ -298,10 +354,12 @@
 std::optional<refusal> job_service::cancel(const caller_request& request,
                                            const std::string& id)
 {
+    const instant began = boottime_now();
     const std::string key = record_keys::cancellation(id);
     const auto build = [&]() -> prepared_write
     {
-        const service_result<dispatch::job_state> found = state(request, id);
+        const service_result<dispatch::job_state> found =
+            find_state(request, id);
         if (const refusal* refused = std::get_if<refusal>(&found))
         {
             return *refused;
@@ -318,16 +376,33 @@
         return transaction;
     };
     const std::optional<refusal> refused = write(request, key, build);
-    m_log.write(
-        "jobs", refused ? "cancellation_refused" : "cancellation_stored", id,
-        {{"reason", refused ? std::string(to_string(*refused)) : "none"}});
+    if (refused)
+    {
+        log_refusal("cancellation_refused", id, *refused, request, began);
+    }
+    else
+    {
+        m_log.write("jobs", "cancellation_stored", id, {});
+    }
     return refused;
 }
 
 service_result<int>
 job_service::waiting_job_count(const caller_request& request)
 {
-    const service_result<caller_access> access = authorize(request);
+    const instant began = boottime_now();
+    const service_result<int> found = find_waiting_count(request);
+    if (const refusal* refused = std::get_if<refusal>(&found))
+    {
+        log_refusal("status_not_given", "", *refused, request, began);
+    }
+    return found;
+}
+
+service_result<int>
+job_service::find_waiting_count(const caller_request& request)
+{
+    const service_result<caller_access> access = authorize_once(request);
     if (const refusal* refused = std::get_if<refusal>(&access))
     {
         return *refused;
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -64,7 +64,7 @@
                 event_log& log);
 
     /// Looks up the queue and checks the key in a recently confirmed
-    /// configuration.
+    /// configuration. Logs a refusal.
     service_result<caller_access> authorize(const caller_request& request);
 
     /// Stores the job. Submitting the same id again succeeds without a change.
@@ -94,6 +94,14 @@
         unknown,
     };
 
+    service_result<caller_access> authorize_once(const caller_request& request);
+    service_result<dispatch::job_state>
+    find_state(const caller_request& request, const std::string& id);
+    service_result<int> find_waiting_count(const caller_request& request);
+    /// Logs why a caller does not get what it asked for.
+    void log_refusal(const std::string& event, const std::string& id,
+                     refusal reason, const caller_request& request,
+                     instant began);
     write_outcome write_once(const caller_request& request,
                              const store_transaction& transaction,
                              const std::string& new_key);
