Report a job whose record cannot be decoded as unavailable, not as unknown

Callers saw: 410, no such job, for an accepted job whose progress record could not be decoded; a cancellation of it got the same answer. Cause: the reader returned the same empty value for an absent record and for one that it could not decode (an error reported as a regular result). That such a record ever was in the store is not shown.

--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -92,6 +92,8 @@
         return "invalid";
     case refusal::unavailable:
         return "unavailable";
+    case refusal::unreadable:
+        return "unreadable";
     case refusal::unknown:
         return "unknown";
     }
@@ -293,28 +295,29 @@
     return write(request, progress_key, build);
 }
 
-std::optional<std::optional<dispatch::job_progress>>
+service_result<dispatch::job_progress>
 job_service::read_progress(const std::string& id, instant deadline)
 {
     const store_result<std::optional<record>> found =
         m_store.read(record_keys::progress(id), call_timeout(deadline));
     if (!is_ok(found))
     {
-        return std::nullopt;
+        return refusal::unavailable;
     }
-    if (!std::get<0>(found))
+    const std::optional<record>& stored = std::get<0>(found);
+    if (!stored)
     {
-        return std::optional<dispatch::job_progress>();
+        return refusal::unknown_job;
     }
-    const record& stored = *std::get<0>(found);
     const std::optional<dispatch::job_progress> progress =
-        dispatch::decode_progress(stored.m_value);
+        dispatch::decode_progress(stored->m_value);
     if (!progress)
     {
         m_log.write("jobs", "progress_record_not_read", id,
-                    {{"revision", std::to_string(stored.m_revision)}});
+                    {{"revision", std::to_string(stored->m_revision)}});
+        return refusal::unreadable;
     }
-    return progress;
+    return *progress;
 }
 
 service_result<dispatch::job_state>
@@ -337,18 +340,15 @@
     {
         return *refused;
     }
-    const auto progress = read_progress(id, request.m_deadline);
-    if (!progress)
-    {
-        return refusal::unavailable;
-    }
     // Any key that is valid for the queue may read the state, so that an
     // account can still follow its jobs after all its keys were replaced.
-    if (!*progress)
+    const service_result<dispatch::job_progress> progress =
+        read_progress(id, request.m_deadline);
+    if (const refusal* refused = std::get_if<refusal>(&progress))
     {
-        return refusal::unknown_job;
+        return *refused;
     }
-    return (**progress).m_state;
+    return std::get<0>(progress).m_state;
 }
 
 std::optional<refusal> job_service::cancel(const caller_request& request,
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -28,6 +28,7 @@
     too_large,      ///< The body is larger than the configured limit.
     invalid,        ///< The request is malformed or can never be met.
     unavailable,    ///< The store is unavailable; nothing was written.
+    unreadable,     ///< The record of the job cannot be decoded.
     unknown,        ///< The write may have taken effect.
 };
 
@@ -112,8 +113,8 @@
                                  const transaction_builder& build);
     std::optional<refusal> store_job(const caller_request& request,
                                      const dispatch::job_submission& job);
-    std::optional<std::optional<dispatch::job_progress>>
-    read_progress(const std::string& id, instant deadline);
+    service_result<dispatch::job_progress> read_progress(const std::string& id,
+                                                         instant deadline);
     std::optional<std::map<std::string, int>> count_waiting(instant deadline);
 
     record_store& m_store;
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -84,6 +84,14 @@
         return made;
     }
 
+    /// Overwrites the job's progress with bytes that are not a record.
+    void damage_progress()
+    {
+        store_transaction transaction;
+        transaction.m_writes = {{record_keys::progress(job().m_id), "\x01", 0}};
+        m_writer.commit(transaction, span(100));
+    }
+
     std::size_t stored_jobs()
     {
         return std::get<0>(
@@ -203,6 +211,16 @@
               refusal::unknown_job);
 }
 
+// Guards against an accepted job that is reported as absent (410).
+TEST_F(job_service_test, a_job_whose_record_cannot_be_read_is_not_unknown)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    damage_progress();
+    EXPECT_EQ(m_jobs.state(request(), job().m_id),
+              service_result<dispatch::job_state>(refusal::unreadable));
+    EXPECT_EQ(m_jobs.cancel(request(), job().m_id), refusal::unreadable);
+}
+
 TEST_F(job_service_test, a_cancellation_is_stored_before_it_is_acknowledged)
 {
     ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
--- a/unit_tests/platform/caller_interface_test.cpp
+++ b/unit_tests/platform/caller_interface_test.cpp
@@ -67,6 +67,20 @@
     EXPECT_EQ(stored_jobs(), 0u);
 }
 
+// Guards against a caller that is told that its accepted job does not exist.
+TEST_F(caller_interface_test, an_unreadable_job_is_answered_as_unavailable)
+{
+    ASSERT_EQ(m_callers.handle(submission()).m_status, 200);
+    store_transaction damage;
+    damage.m_writes = {{record_keys::progress("5c0e7a21d94b36f8"), "{", 0}};
+    m_store.commit(damage, span(100));
+    http_request query = submission();
+    query.m_method = "GET";
+    const http_response answered = m_callers.handle(query);
+    EXPECT_EQ(answered.m_status, 503);
+    EXPECT_EQ(answered.m_headers.count("Retry-After"), 1u);
+}
+
 // At shutdown callers are told to open a new connection elsewhere.
 TEST_F(caller_interface_test, connections_are_closed_at_shutdown)
 {
