Repeat a caller's call to the store when one attempt fails

Callers saw: 503 in place of a job's state, a count, a cancellation or an acceptance after one refused or lost call to the store, although they wait 3 s and a second call would have been answered. Cause: only a write with an unknown outcome was repeated; every other failure of one call was final (no retry of an idempotent call). Change: all calls of callers share one loop (call_retry). The first read waits 450 ms, so that one broken connection leaves time for a new one; later ones 900 ms as before. At most five attempts with growing, jittered pauses, all begun in the first third of the caller's time. Weighed: retrying until the deadline helps in an outage of 1 to 3 s, but a caller that waits at an instance without a path gets its 503 too late to ask another one, and the nine threads are held three times as long; no retry costs the caller a second of Retry-After for each lost call. Every caller gets one retry, only four at a time get more, so a store that refuses everyone is called at most about twice as often and at least five threads serve others. Writes with an unknown outcome still go on until the deadline, as only 504 would be true. Submissions are repeated too when nothing was done. Result: eight tests failed before and pass now: a_refused_read_does_not_fail_* (status call, cancellation, count, check of a key), a_refused_commit_does_not_ fail_* (cancellation, submission), an_unanswered_read_does_not_fail_a_status_ call, retries_of_many_callers_are_bounded. a_silent_store_is_reported_while_ time_is_left passed before (900 ms), failed with attempts in the first half (2,355 ms) and passes with a third (1,398 ms of 3,000). With a store that refuses all, nine callers are answered after 46 to 706 ms. 27 of 27 tests of job service and caller interface pass; the new ones three times more.

--- /dev/null
+++ b/kingcuprudder/node/call_retry.hpp
@@ -0,0 +1,68 @@
+#ifndef KINGCUPRUDDER_NODE_CALL_RETRY_HPP
+#define KINGCUPRUDDER_NODE_CALL_RETRY_HPP
+
+#include <kingcuprudder/base/time.hpp>
+
+#include <atomic>
+
+namespace kingcuprudder::node
+{
+
+/// Limits how many calls are retried more than once at the same time, so that a
+/// store that refuses everyone is not flooded and other callers find a thread.
+class retry_capacity
+{
+public:
+    /// Takes a place. Returns false if none is free.
+    bool acquire();
+    void release();
+
+private:
+    std::atomic<int> m_in_use = 0;
+};
+
+/// The attempts of one caller's request at the store: their timeouts, and
+/// whether and when the next one follows. An instance that does not reach the
+/// store gives up while its caller still has time to ask another one. Not safe
+/// to use from several threads.
+class call_retry
+{
+public:
+    /// When to give up.
+    enum class persistence
+    {
+        while_useful, ///< After a part of the caller's time.
+        until_deadline,
+    };
+
+    call_retry(instant deadline, retry_capacity& capacity);
+    ~call_retry();
+    call_retry(const call_retry&) = delete;
+    call_retry& operator=(const call_retry&) = delete;
+
+    /// Number of attempts that have begun.
+    int attempts() const { return m_attempts; }
+    /// Timeout of a read. The first attempt leaves time for one on a new
+    /// connection.
+    span read_timeout() const;
+    span write_timeout() const;
+    /// Whether the time left suffices for another call.
+    bool has_time() const;
+    /// Waits before the next attempt. Returns false, without waiting, if there
+    /// is to be none.
+    bool next(persistence wanted);
+
+private:
+    bool is_useful_after(span pause);
+    span pause_length() const;
+
+    retry_capacity& m_capacity;
+    instant m_deadline;
+    instant m_last_start; ///< No attempt begins later, unless it must.
+    int m_attempts = 1;
+    bool m_holds_place = false;
+};
+
+} // namespace kingcuprudder::node
+
+#endif
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -3,9 +3,7 @@
 #include <kingcuprudder/node/job_service.hpp>
 #include <kingcuprudder/node/record_keys.hpp>
 
-#include <algorithm>
-#include <chrono>
-#include <thread>
+#include <functional>
 
 namespace kingcuprudder::node
 {
@@ -16,22 +14,56 @@
 // A deleted key must stop working within seconds, so a configuration whose last
 // confirmation is older than this is confirmed before it is used.
 constexpr span configuration_max_age = span(2000);
-constexpr span store_call_timeout = span(900);
-constexpr span min_call_timeout = span(50);
-constexpr span answer_margin = span(60);
-constexpr std::chrono::milliseconds retry_pause(60);
 constexpr span summary_max_age = span(1800);
 constexpr span max_waiting_cache_age = span(400);
 
-span time_left(instant deadline)
+bool is_temporary(refusal reason)
 {
-    return deadline - boottime_now() - answer_margin;
+    return reason == refusal::unavailable || reason == refusal::unknown ||
+           reason == refusal::not_configured;
 }
 
-span call_timeout(instant deadline)
+/// Repeats a call until it succeeds or its failure is final. Returns why it
+/// failed.
+std::optional<refusal>
+repeat(call_retry& retry, const std::function<std::optional<refusal>()>& call)
+{
+    // Once an attempt has an unknown outcome, no later answer proves that
+    // nothing was stored.
+    bool may_be_stored = false;
+    while (true)
+    {
+        const std::optional<refusal> refused = call();
+        if (!refused)
+        {
+            return std::nullopt;
+        }
+        may_be_stored = may_be_stored || *refused == refusal::unknown;
+        const auto persistence = may_be_stored
+                                     ? call_retry::persistence::until_deadline
+                                     : call_retry::persistence::while_useful;
+        if (!is_temporary(*refused) || !retry.next(persistence))
+        {
+            return may_be_stored ? refusal::unknown : *refused;
+        }
+    }
+}
+
+/// Repeats a call that writes nothing, and returns the last result.
+template <class T>
+service_result<T> repeat_read(call_retry& retry,
+                              const std::function<service_result<T>()>& call)
 {
-    return std::max(min_call_timeout,
-                    std::min(store_call_timeout, time_left(deadline)));
+    service_result<T> result = refusal::unavailable;
+    repeat(retry,
+           [&]() -> std::optional<refusal>
+           {
+               result = call();
+               const refusal* refused = std::get_if<refusal>(&result);
+               return refused == nullptr ? std::nullopt
+                                         : std::optional<refusal>(*refused);
+           });
+    return result;
 }
 
 /// Returns the part of a path after the last '/', which is the id in the path
@@ -110,20 +142,23 @@
 job_service::authorize(const caller_request& request)
 {
     const instant began = boottime_now();
-    service_result<caller_access> access = authorize_once(request);
+    call_retry retry(request.m_deadline, m_retries);
+    service_result<caller_access> access = repeat_read<caller_access>(
+        retry, [&] { return authorize_once(request, retry); });
     if (const refusal* refused = std::get_if<refusal>(&access))
     {
         log_refusal("access_not_given", last_segment(request.m_path), *refused,
-                    request, began);
+                    request, began, retry.attempts());
     }
     return access;
 }
 
 service_result<caller_access>
-job_service::authorize_once(const caller_request& request)
+job_service::authorize_once(const caller_request& request,
+                            const call_retry& retry)
 {
-    const configuration_view::snapshot snapshot = m_configuration.confirmed(
-        configuration_max_age, call_timeout(request.m_deadline));
+    const configuration_view::snapshot snapshot =
+        m_configuration.confirmed(configuration_max_age, retry.read_timeout());
     if (!snapshot)
     {
         return m_configuration.current() ? refusal::unavailable
@@ -160,12 +195,15 @@
 {
     const instant began = boottime_now();
     submission.m_accepted_at = wall_now();
-    const std::optional<refusal> refused = store_job(request, submission);
+    call_retry retry(request.m_deadline, m_retries);
+    const std::optional<refusal> refused =
+        store_job(request, submission, retry);
     m_log.write(
         "jobs", refused ? "job_refused" : "job_accepted", submission.m_id,
         {{"reason", refused ? std::string(to_string(*refused)) : "none"},
          {"host", request.m_host},
          {"path", request.m_path},
+         {"attempts", std::to_string(retry.attempts())},
          {"configuration_age_ms",
           std::to_string(
               (boottime_now() - m_configuration.confirmed_at()).count())},
@@ -175,7 +213,7 @@
 
 void job_service::log_refusal(const std::string& event, const std::string& id,
                               refusal reason, const caller_request& request,
-                              instant began)
+                              instant began, int attempts)
 {
     const instant now = boottime_now();
     m_log.write(
@@ -183,6 +221,7 @@
         {{"reason", std::string(to_string(reason))},
          {"host", request.m_host},
          {"path", request.m_path},
+         {"attempts", std::to_string(attempts)},
          {"configuration_age_ms",
           std::to_string((now - m_configuration.confirmed_at()).count())},
          {"took_ms", std::to_string((now - began).count())},
@@ -190,13 +229,12 @@
 }
 
 job_service::write_outcome
-job_service::write_once(const caller_request& request,
-                        const store_transaction& transaction,
-                        const std::string& new_key)
+job_service::commit_once(const store_transaction& transaction,
+                         const std::string& new_key, const call_retry& retry)
 {
     const instant sent = boottime_now();
     const store_result<commit_answer> outcome =
-        m_store.commit(transaction, call_timeout(request.m_deadline));
+        m_store.commit(transaction, retry.write_timeout());
     if (!is_ok(outcome))
     {
         return std::get<1>(outcome) == store_failure::not_done
@@ -223,54 +261,55 @@
     return write_outcome::outdated;
 }
 
-std::optional<refusal> job_service::write(const caller_request& request,
-                                          const std::string& new_key,
-                                          const transaction_builder& build)
+std::optional<refusal> job_service::write_once(const std::string& new_key,
+                                               const transaction_builder& build,
+                                               const call_retry& retry)
 {
-    // Once an attempt has an unknown outcome, no later answer proves that
-    // nothing was stored.
-    bool may_be_stored = false;
     while (true)
     {
         const prepared_write prepared = build();
         if (const refusal* refused = std::get_if<refusal>(&prepared))
         {
-            return may_be_stored ? refusal::unknown : *refused;
+            return *refused;
         }
         if (std::holds_alternative<nothing_to_write>(prepared))
         {
             return std::nullopt;
         }
-        const write_outcome outcome =
-            write_once(request, std::get<store_transaction>(prepared), new_key);
-        if (outcome == write_outcome::done)
+        switch (
+            commit_once(std::get<store_transaction>(prepared), new_key, retry))
         {
+        case write_outcome::done:
             return std::nullopt;
-        }
-        may_be_stored = may_be_stored || outcome == write_outcome::unknown;
-        if (outcome == write_outcome::not_done && !may_be_stored)
-        {
+        case write_outcome::not_done:
             return refusal::unavailable;
-        }
-        if (time_left(request.m_deadline) < min_call_timeout)
-        {
-            return may_be_stored ? refusal::unknown : refusal::unavailable;
-        }
-        if (outcome != write_outcome::outdated)
-        {
-            std::this_thread::sleep_for(retry_pause);
+        case write_outcome::unknown:
+            return refusal::unknown;
+        case write_outcome::outdated:
+            if (!retry.has_time())
+            {
+                return refusal::unavailable;
+            }
         }
     }
 }
 
+std::optional<refusal> job_service::write(const std::string& new_key,
+                                          const transaction_builder& build,
+                                          call_retry& retry)
+{
+    return repeat(retry, [&] { return write_once(new_key, build, retry); });
+}
+
 std::optional<refusal>
 job_service::store_job(const caller_request& request,
-                       const dispatch::job_submission& job)
+                       const dispatch::job_submission& job, call_retry& retry)
 {
     const std::string progress_key = record_keys::progress(job.m_id);
     const auto build = [&]() -> prepared_write
     {
-        const service_result<caller_access> access = authorize_once(request);
+        const service_result<caller_access> access =
+            authorize_once(request, retry);
         if (const refusal* refused = std::get_if<refusal>(&access))
         {
             return *refused;
@@ -292,14 +331,14 @@
             {progress_key, dispatch::encode_progress(progress), 0}};
         return transaction;
     };
-    return write(request, progress_key, build);
+    return write(progress_key, build, retry);
 }
 
 service_result<dispatch::job_progress>
-job_service::read_progress(const std::string& id, instant deadline)
+job_service::read_progress(const std::string& id, const call_retry& retry)
 {
     const store_result<std::optional<record>> found =
-        m_store.read(record_keys::progress(id), call_timeout(deadline));
+        m_store.read(record_keys::progress(id), retry.read_timeout());
     if (!is_ok(found))
     {
         return refusal::unavailable;
@@ -324,18 +363,22 @@
 job_service::state(const caller_request& request, const std::string& id)
 {
     const instant began = boottime_now();
-    const service_result<dispatch::job_state> found = find_state(request, id);
+    call_retry retry(request.m_deadline, m_retries);
+    const auto found = repeat_read<dispatch::job_state>(
+        retry, [&] { return find_state(request, id, retry); });
     if (const refusal* refused = std::get_if<refusal>(&found))
     {
-        log_refusal("status_not_given", id, *refused, request, began);
+        log_refusal("status_not_given", id, *refused, request, began,
+                    retry.attempts());
     }
     return found;
 }
 
 service_result<dispatch::job_state>
-job_service::find_state(const caller_request& request, const std::string& id)
+job_service::find_state(const caller_request& request, const std::string& id,
+                        const call_retry& retry)
 {
-    const service_result<caller_access> access = authorize_once(request);
+    const service_result<caller_access> access = authorize_once(request, retry);
     if (const refusal* refused = std::get_if<refusal>(&access))
     {
         return *refused;
@@ -343,7 +386,7 @@
     // Any key that is valid for the queue may read the state, so that an
     // account can still follow its jobs after all its keys were replaced.
     const service_result<dispatch::job_progress> progress =
-        read_progress(id, request.m_deadline);
+        read_progress(id, retry);
     if (const refusal* refused = std::get_if<refusal>(&progress))
     {
         return *refused;
@@ -355,11 +398,12 @@
                                            const std::string& id)
 {
     const instant began = boottime_now();
+    call_retry retry(request.m_deadline, m_retries);
     const std::string key = record_keys::cancellation(id);
     const auto build = [&]() -> prepared_write
     {
         const service_result<dispatch::job_state> found =
-            find_state(request, id);
+            find_state(request, id, retry);
         if (const refusal* refused = std::get_if<refusal>(&found))
         {
             return *refused;
@@ -375,10 +419,11 @@
         transaction.m_writes = {{key, "{}", 0}};
         return transaction;
     };
-    const std::optional<refusal> refused = write(request, key, build);
+    const std::optional<refusal> refused = write(key, build, retry);
     if (refused)
     {
-        log_refusal("cancellation_refused", id, *refused, request, began);
+        log_refusal("cancellation_refused", id, *refused, request, began,
+                    retry.attempts());
     }
     else
     {
@@ -391,24 +436,28 @@
 job_service::waiting_job_count(const caller_request& request)
 {
     const instant began = boottime_now();
-    const service_result<int> found = find_waiting_count(request);
+    call_retry retry(request.m_deadline, m_retries);
+    const auto found = repeat_read<int>(
+        retry, [&] { return find_waiting_count(request, retry); });
     if (const refusal* refused = std::get_if<refusal>(&found))
     {
-        log_refusal("status_not_given", "", *refused, request, began);
+        log_refusal("status_not_given", "", *refused, request, began,
+                    retry.attempts());
     }
     return found;
 }
 
 service_result<int>
-job_service::find_waiting_count(const caller_request& request)
+job_service::find_waiting_count(const caller_request& request,
+                                const call_retry& retry)
 {
-    const service_result<caller_access> access = authorize_once(request);
+    const service_result<caller_access> access = authorize_once(request, retry);
     if (const refusal* refused = std::get_if<refusal>(&access))
     {
         return *refused;
     }
     const std::optional<std::map<std::string, int>> counts =
-        count_waiting(request.m_deadline);
+        count_waiting(retry);
     if (!counts)
     {
         return refusal::unavailable;
@@ -418,7 +467,7 @@
 }
 
 std::optional<std::map<std::string, int>>
-job_service::count_waiting(instant deadline)
+job_service::count_waiting(const call_retry& retry)
 {
     {
         std::lock_guard lock(m_waiting_mutex);
@@ -430,7 +479,7 @@
     const instant sent = boottime_now();
     std::map<std::string, int> waiting;
     const store_result<std::optional<record>> found =
-        m_store.read(record_keys::summary, call_timeout(deadline));
+        m_store.read(record_keys::summary, retry.read_timeout());
     if (!is_ok(found))
     {
         return std::nullopt;
@@ -449,9 +498,9 @@
     {
         // No scheduler updates the summary at present.
         const store_result<record_list> jobs =
-            m_store.list(record_keys::live_prefix, call_timeout(deadline));
+            m_store.list(record_keys::live_prefix, retry.read_timeout());
         const store_result<record_list> progress =
-            m_store.list(record_keys::progress_prefix, call_timeout(deadline));
+            m_store.list(record_keys::progress_prefix, retry.read_timeout());
         if (!is_ok(jobs) || !is_ok(progress))
         {
             return std::nullopt;
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/dispatch/job_progress.hpp>
 #include <kingcuprudder/dispatch/job_submission.hpp>
+#include <kingcuprudder/node/call_retry.hpp>
 #include <kingcuprudder/node/configuration_view.hpp>
 #include <kingcuprudder/node/event_log.hpp>
 #include <kingcuprudder/node/record_store.hpp>
@@ -57,7 +58,8 @@
 using service_result = std::variant<T, refusal>;
 
 /// Accepts and cancels jobs and reports their states. An accepted job is stored
-/// before it is acknowledged. Safe to use from several threads.
+/// before it is acknowledged. Calls to the store that fail are repeated while
+/// that can help the caller. Safe to use from several threads.
 class job_service
 {
 public:
@@ -95,31 +97,43 @@
         unknown,
     };
 
-    service_result<caller_access> authorize_once(const caller_request& request);
+    // One attempt each.
+    service_result<caller_access> authorize_once(const caller_request& request,
+                                                 const call_retry& retry);
     service_result<dispatch::job_state>
-    find_state(const caller_request& request, const std::string& id);
-    service_result<int> find_waiting_count(const caller_request& request);
+    find_state(const caller_request& request, const std::string& id,
+               const call_retry& retry);
+    service_result<dispatch::job_progress>
+    read_progress(const std::string& id, const call_retry& retry);
+    service_result<int> find_waiting_count(const caller_request& request,
+                                           const call_retry& retry);
+    std::optional<std::map<std::string, int>>
+    count_waiting(const call_retry& retry);
+    /// A conflict on `new_key` means that an earlier call has written it.
+    write_outcome commit_once(const store_transaction& transaction,
+                              const std::string& new_key,
+                              const call_retry& retry);
+    /// Prepares and commits until no newer configuration interferes.
+    std::optional<refusal> write_once(const std::string& new_key,
+                                      const transaction_builder& build,
+                                      const call_retry& retry);
+
+    /// Writes until the outcome is certain or further attempts are useless.
+    std::optional<refusal> write(const std::string& new_key,
+                                 const transaction_builder& build,
+                                 call_retry& retry);
+    std::optional<refusal> store_job(const caller_request& request,
+                                     const dispatch::job_submission& job,
+                                     call_retry& retry);
     /// Logs why a caller does not get what it asked for.
     void log_refusal(const std::string& event, const std::string& id,
                      refusal reason, const caller_request& request,
-                     instant began);
-    write_outcome write_once(const caller_request& request,
-                             const store_transaction& transaction,
-                             const std::string& new_key);
-    /// Prepares and writes until the outcome is certain or the deadline is
-    /// near. A conflict on `new_key` means that an earlier call has written it.
-    std::optional<refusal> write(const caller_request& request,
-                                 const std::string& new_key,
-                                 const transaction_builder& build);
-    std::optional<refusal> store_job(const caller_request& request,
-                                     const dispatch::job_submission& job);
-    service_result<dispatch::job_progress> read_progress(const std::string& id,
-                                                         instant deadline);
-    std::optional<std::map<std::string, int>> count_waiting(instant deadline);
+                     instant began, int attempts);
 
     record_store& m_store;
     configuration_view& m_configuration;
     event_log& m_log;
+    retry_capacity m_retries;
     std::mutex m_waiting_mutex;
     std::map<std::string, int> m_waiting;
     instant m_waiting_read_at;
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -3,6 +3,10 @@
 #include <kingcuprudder/node/job_service.hpp>
 #include <kingcuprudder/node/record_keys.hpp>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 namespace kingcuprudder::node
 {
 
@@ -61,9 +65,73 @@
     record_store& m_inner;
 };
 
+/// A store whose calls for callers fail. Watches and lists go on.
+class failing_store final : public record_store
+{
+public:
+    explicit failing_store(record_store& inner) : m_inner(inner) {}
+
+    store_result<std::optional<record>> read(const std::string& key,
+                                             span timeout) override
+    {
+        ++m_reads;
+        if (m_silent_reads > 0)
+        {
+            --m_silent_reads;
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(timeout.count()));
+            return store_failure::unknown;
+        }
+        if (m_refuses_reads)
+        {
+            return store_failure::not_done;
+        }
+        return m_inner.read(key, timeout);
+    }
+    store_result<record_list> list(const std::string& prefix,
+                                   span timeout) override
+    {
+        return m_inner.list(prefix, timeout);
+    }
+    store_result<record_changes> watch(const std::string& prefix,
+                                       std::int64_t after, span wait) override
+    {
+        return m_inner.watch(prefix, after, wait);
+    }
+    store_result<commit_answer> commit(const store_transaction& transaction,
+                                       span timeout) override
+    {
+        return m_inner.commit(transaction, timeout);
+    }
+    store_result<std::int64_t> grant_lease(span time_to_live,
+                                           span timeout) override
+    {
+        return m_inner.grant_lease(time_to_live, timeout);
+    }
+    store_result<std::monostate> renew_lease(std::int64_t lease,
+                                             span timeout) override
+    {
+        return m_inner.renew_lease(lease, timeout);
+    }
+    void revoke_lease(std::int64_t lease, span timeout) override
+    {
+        m_inner.revoke_lease(lease, timeout);
+    }
+
+    std::atomic<int> m_reads = 0;
+    /// The next so many reads get no answer within their timeout.
+    std::atomic<int> m_silent_reads = 0;
+    std::atomic<bool> m_refuses_reads = false;
+
+private:
+    record_store& m_inner;
+};
+
 class job_service_test : public node_fixture
 {
 protected:
+    static constexpr span patience = span(3000);
+
     job_service_test()
         : m_configuration(m_store, m_records, m_log),
           m_jobs(m_store, m_configuration, m_log)
@@ -84,6 +152,29 @@
         return made;
     }
 
+    /// A request of a caller that waits as long as most do.
+    static caller_request patient_request()
+    {
+        caller_request made = request();
+        made.m_deadline = boottime_now() + patience;
+        return made;
+    }
+
+    /// Makes the next call of this kind fail without effect.
+    void refuse_once(const std::string& kind)
+    {
+        m_store.set_fault_hook(
+            [kind, refused = false](const std::string& call) mutable
+            {
+                if (refused || call != kind)
+                {
+                    return memory_store::fault::none;
+                }
+                refused = true;
+                return memory_store::fault::refuse;
+            });
+    }
+
     /// Overwrites the job's progress with bytes that are not a record.
     void damage_progress()
     {
@@ -230,6 +321,121 @@
         m_store.read(record_keys::cancellation(job().m_id), span(1))));
 }
 
+// Guards against a caller without an answer after one refused call to the store
+// that a second call would have mended; so do the tests up to the next comment.
+TEST_F(job_service_test, a_refused_read_does_not_fail_a_status_call)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    refuse_once("read");
+    EXPECT_EQ(m_jobs.state(patient_request(), job().m_id),
+              service_result<dispatch::job_state>(dispatch::job_state::queued));
+}
+
+TEST_F(job_service_test, a_refused_read_does_not_fail_a_cancellation)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    refuse_once("read");
+    EXPECT_EQ(m_jobs.cancel(patient_request(), job().m_id), std::nullopt);
+}
+
+TEST_F(job_service_test, a_refused_commit_does_not_fail_a_cancellation)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    refuse_once("commit");
+    EXPECT_EQ(m_jobs.cancel(patient_request(), job().m_id), std::nullopt);
+}
+
+TEST_F(job_service_test, a_refused_commit_does_not_fail_a_submission)
+{
+    refuse_once("commit");
+    EXPECT_EQ(m_jobs.submit(patient_request(), job()), std::nullopt);
+    EXPECT_EQ(stored_jobs(), 1u);
+}
+
+TEST_F(job_service_test, a_refused_read_does_not_fail_the_count)
+{
+    refuse_once("read");
+    EXPECT_EQ(m_jobs.waiting_job_count(patient_request()),
+              service_result<int>(0));
+}
+
+TEST_F(job_service_test, a_refused_read_does_not_fail_the_check_of_a_key)
+{
+    m_store.set_fault_hook(
+        [refused = false](const std::string& call) mutable
+        {
+            const bool refuse = call != "read" || !refused;
+            refused = refused || call == "read";
+            return refuse ? memory_store::fault::refuse
+                          : memory_store::fault::none;
+        });
+    configuration_view unread(m_store, m_records, m_log);
+    job_service jobs(m_store, unread, m_log);
+    EXPECT_EQ(jobs.authorize(patient_request()).index(), 0u);
+}
+
+// Guards against a status call that waits on one broken connection.
+TEST_F(job_service_test, an_unanswered_read_does_not_fail_a_status_call)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_EQ(jobs.submit(request(), job()), std::nullopt);
+    store.m_silent_reads = 1;
+    EXPECT_EQ(jobs.state(patient_request(), job().m_id),
+              service_result<dispatch::job_state>(dispatch::job_state::queued));
+}
+
+// Guards against a caller that is held until its deadline, too late to ask
+// another instance.
+TEST_F(job_service_test, a_silent_store_is_reported_while_time_is_left)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    store.m_silent_reads = 100;
+    const instant began = boottime_now();
+    EXPECT_EQ(jobs.state(patient_request(), job().m_id),
+              service_result<dispatch::job_state>(refusal::unavailable));
+    EXPECT_LT(boottime_now() - began, patience * 2 / 3);
+}
+
+// Guards against retries that flood a store that refuses everyone, and that
+// hold all threads.
+TEST_F(job_service_test, retries_of_many_callers_are_bounded)
+{
+    constexpr int callers = 9;
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    store.m_refuses_reads = true;
+    const instant began = boottime_now();
+    std::atomic<int> soon = 0;
+    std::vector<std::thread> threads;
+    threads.reserve(callers);
+    for (int index = 0; index < callers; ++index)
+    {
+        threads.emplace_back(
+            [&]
+            {
+                EXPECT_EQ(
+                    jobs.state(patient_request(), job().m_id),
+                    service_result<dispatch::job_state>(refusal::unavailable));
+                if (boottime_now() - began < span(500))
+                {
+                    ++soon;
+                }
+            });
+    }
+    for (std::thread& each : threads)
+    {
+        each.join();
+    }
+    EXPECT_LT(boottime_now() - began, patience / 2);
+    EXPECT_GE(soon, callers / 2);
+    EXPECT_GT(store.m_reads, callers);
+    EXPECT_LE(store.m_reads, 4 * callers);
+}
+
 // While no scheduler publishes the count, it is computed from the records.
 TEST_F(job_service_test, waiting_jobs_are_counted_without_a_scheduler)
 {
