Refuse a request that waits for a thread when its wait is over

Callers saw: an answer only after up to 3 s, at their deadline or after it, while all nine threads wait for a store that does not answer. Cause: the limit of 500 ms on the wait was checked by the thread that takes the request, so the refusal itself waited for a thread. Change: the server's event loop refuses the request when the wait is over; the thread that takes it later skips it. It counts as waiting until then, so the bound on waiting requests holds. The timer is set only when all threads are in use. Kept: the limit of 500 ms itself, as a request that waits on has no better chance here than at an instance with a path to the store.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -229,6 +229,22 @@
             }
         }
 
+        /// Refuses the request unless a thread has begun it in time; whoever
+        /// sets `answered` first sends the response.
+        void limit_wait(const std::shared_ptr<const http_request>& received,
+                        const std::shared_ptr<std::atomic<bool>>& answered)
+        {
+            m_timer = m_owner.m_loop.run_after(
+                m_owner.m_limits.m_max_thread_wait,
+                [self = shared_from_this(), received, answered]
+                {
+                    if (!answered->exchange(true))
+                    {
+                        self->send(self->m_owner.m_overloaded(*received));
+                    }
+                });
+        }
+
     private:
         void receive()
         {
@@ -481,16 +497,30 @@
             return;
         }
         ++m_requests;
+        const auto answered = std::make_shared<std::atomic<bool>>(false);
+        if (m_limits.m_max_thread_wait > span(0) &&
+            m_requests > m_limits.m_handler_threads)
+        {
+            connection->limit_wait(received, answered);
+        }
         asio::post(*m_threads,
-                   [self = shared_from_this(), connection, received]
+                   [self = shared_from_this(), connection, received, answered]
                    {
-                       auto response = std::make_shared<http_response>(
-                           self->handle(*received));
+                       std::shared_ptr<http_response> response;
+                       if (!answered->exchange(true))
+                       {
+                           response = std::make_shared<http_response>(
+                               self->handle(*received));
+                       }
                        asio::post(self->m_context,
                                   [self, connection, response]
                                   {
                                       --self->m_requests;
-                                      connection->send(std::move(*response));
+                                      if (response)
+                                      {
+                                          connection->send(
+                                              std::move(*response));
+                                      }
                                   });
                    });
     }
--- a/kingcuprudder/runtime/http_server.hpp
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -53,6 +53,9 @@
     std::size_t m_handler_threads = 0;
     /// Requests that wait for a handler thread or are being handled.
     std::size_t m_max_requests = 512;
+    /// A request that has waited for a handler thread for this long is not
+    /// handled; 0 for no limit.
+    span m_max_thread_wait = span(0);
     /// Over this number the connection that was idle longest is closed.
     std::size_t m_max_connections = 1500;
     std::size_t m_max_body_bytes = std::size_t{256} * 1024;
@@ -73,8 +76,9 @@
     using handler = std::function<http_response(const http_request&)>;
 
     /// Listens on "ip:port"; port 0 selects a free port. `overloaded` makes the
-    /// response to a request that is not handled as too many are waiting; it
-    /// runs on the event loop. Throws std::exception when it cannot listen.
+    /// response to a request that is not handled as too many are waiting or as
+    /// it has waited too long; it runs on the event loop. Throws std::exception
+    /// when it cannot listen.
     http_server(event_loop& loop, const std::string& address,
                 const http_server_limits& limits, handler handle,
                 handler overloaded = nullptr);
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -159,6 +159,40 @@
 }
 
 // Guards against a request that is read at shutdown and never answered.
+// Guards against a request that is refused only when a thread is free, by which
+// time its caller may have gone.
+TEST_F(http_server_test, a_request_is_refused_while_all_threads_are_blocked)
+{
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    std::atomic<int> handled = 0;
+    http_server_limits limits = pooled(1);
+    limits.m_max_thread_wait = span(200);
+    http_server server(m_loop, "127.0.0.1:0", limits,
+                       [&](const http_request& request)
+                       {
+                           ++handled;
+                           released.wait_for(std::chrono::seconds(5));
+                           return echo(request);
+                       });
+    raw_connection first(server.address());
+    ASSERT_TRUE(first.send(get_request));
+    raw_connection second(server.address());
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    ASSERT_TRUE(second.send(get_request));
+    const std::string refused = second.read_until("{}");
+    EXPECT_NE(refused.find("503"), std::string::npos) << refused;
+    EXPECT_EQ(released.wait_for(std::chrono::seconds(0)),
+              std::future_status::timeout);
+    EXPECT_EQ(handled, 1);
+    release.set_value();
+    EXPECT_NE(first.read_until("GET /a").find("200 OK"), std::string::npos);
+    ASSERT_TRUE(second.send(get_request));
+    EXPECT_NE(second.read_until("GET /a").find("200 OK"), std::string::npos);
+    EXPECT_EQ(handled, 2);
+    m_loop.stop();
+}
+
 TEST_F(http_server_test, a_server_that_stops_reading_answers_what_it_has_read)
 {
     std::promise<void> release;
