Put a test's comment back above its test

Cause: the merged test was inserted between a comment and its test. Change: the comment stands above its test again.

--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -158,7 +158,6 @@
     m_loop.stop();
 }
 
-// Guards against a request that is read at shutdown and never answered.
 // Guards against a request that is refused only when a thread is free, by which
 // time its caller may have gone.
 TEST_F(http_server_test, a_request_is_refused_while_all_threads_are_blocked)
@@ -193,6 +192,7 @@
     m_loop.stop();
 }
 
+// Guards against a request that is read at shutdown and never answered.
 TEST_F(http_server_test, a_server_that_stops_reading_answers_what_it_has_read)
 {
     std::promise<void> release;
