A suspected task does not wait for ever for a quiet worker

Cause: a suspected task waits for a worker on which nothing was started within the last second; on a busy pool there may be none, ever. Change: it waits for one for 3 s at most. Result: a_suspected_task_does_not_wait_for_ever_on_a_busy_pool failed before (not started in 4.8 s) and passes.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -88,6 +88,7 @@
             for (std::size_t index = 0; index < tasks.size(); ++index)
             {
                 task_progress& stored = tasks[index].m_progress;
+                tasks[index].m_waiting_since = now;
                 if (stored.m_done || stored.m_worker.empty())
                 {
                     continue;
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -113,6 +113,7 @@
     worker.m_tasks.erase(ref);
     m_unsent_starts.erase(ref);
     task.m_active.reset();
+    task.m_waiting_since = now;
     task.m_progress.m_worker.clear();
     m_jobs.mark_changed(job);
     if (reason != completion_reported) // Logged with the completion.
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -54,6 +54,8 @@
 {
     task_progress m_progress;
     std::optional<active_run> m_active;
+    /// When the task's last run ended, or when this leader read the task.
+    instant m_waiting_since;
 
     bool is_waiting() const { return !m_progress.m_done && !m_active; }
 };
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -14,6 +14,10 @@
 // Workers with a failure within this time are used after all others.
 constexpr span recent_failure_period = span(8000);
 
+// A suspected task waits this long for a worker without other new runs. On a
+// busy pool there may be none.
+constexpr span max_wait_for_quiet_worker = span(3000);
+
 // The weight of capacity for jobs of priority 0 and of 2 and above, relative to
 // priority 1, and the factor by which it drops once a job is late.
 constexpr double urgent_weight = 10;
@@ -225,8 +229,13 @@
                 if (tasks[task].is_waiting())
                 {
                     step.m_waiting.push_back(static_cast<int>(task));
-                    step.m_suspected = step.m_suspected ||
-                                       tasks[task].m_progress.m_crashes.any();
+                    const bool suspected =
+                        tasks[task].m_progress.m_crashes.any();
+                    step.m_suspected = step.m_suspected || suspected;
+                    step.m_wants_quiet_worker =
+                        step.m_wants_quiet_worker ||
+                        (suspected && m_now - tasks[task].m_waiting_since <
+                                          max_wait_for_quiet_worker);
                 }
             }
             const bool whole = step.m_waiting.size() == tasks.size();
@@ -293,7 +302,7 @@
         return false;
     }
     // Persistent tasks restart at once, even if a crash then shows less.
-    return !step.m_suspected || step.m_persistent ||
+    return !step.m_wants_quiet_worker || step.m_persistent ||
            (worker.m_reserved == resources() &&
             m_now - worker.m_last_start_at > crash_after_start);
 }
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -31,6 +31,8 @@
     bool m_expired = false;
     /// Lost workers are attributed to one of the waiting tasks.
     bool m_suspected = false;
+    /// The step waits for a worker without other new runs.
+    bool m_wants_quiet_worker = false;
     /// The time by which the job must end to meet its objective.
     instant m_objective;
 };
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -1,6 +1,8 @@
 #include "dispatcher_fixture.hpp"
 #include <kingcuprudder/codec/dispatch_codec.hpp>
 
+#include <set>
+
 namespace kingcuprudder::dispatch
 {
 
@@ -125,6 +127,34 @@
     EXPECT_EQ(start_all().size(), 1u);
 }
 
+TEST_F(crash_fixture, a_suspected_task_does_not_wait_for_ever_on_a_busy_pool)
+{
+    add_workers(1);
+    accept(job("suspected", 1, 1));
+    confirm(start_all());
+    pass(span(10));
+    lose("w1");
+    add_workers(1);
+    accept(job("before", 1, 1));
+    pass(after_the_lease - span(300));
+    confirm(start_all());
+    pass(span(300));
+    step();
+    std::set<std::string> started;
+    for (int round = 0; round < 8; ++round)
+    {
+        accept(job("other" + std::to_string(round), 1, 1));
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        for (const start_order& order : orders)
+        {
+            started.insert(order.m_run.m_task.m_job);
+        }
+        pass(span(600));
+    }
+    EXPECT_TRUE(started.contains("suspected"));
+}
+
 TEST_F(crash_fixture, a_worker_that_was_cut_off_is_not_held_against_its_tasks)
 {
     add_workers(1);
