Give the simulation's failed renewals their reason

Cause: the merges of 23:09 and 23:14 combined a renewal_failed that takes the result of the call with a simulation that calls it without one, so main did not compile (performance_test/dispatch_load/load_simulation.cpp). Change: a crashed worker closes the connection, a silent one times out.

--- a/performance_test/dispatch_load/load_simulation.cpp
+++ b/performance_test/dispatch_load/load_simulation.cpp
@@ -382,7 +382,12 @@
     if (worker.m_next_report <= m_now)
     {
         worker.m_next_report = m_now + poll_interval;
-        m_dispatcher.renewal_failed(worker.m_description.m_id, m_now);
+        const bool refuses = worker.m_crashed && worker.m_refuses_from <= m_now;
+        m_dispatcher.renewal_failed(worker.m_description.m_id,
+                                    {order_outcome::may_have_arrived,
+                                     refuses ? call_failure::connection_closed
+                                             : call_failure::timed_out},
+                                    m_now);
     }
 }
 
