Attribute the loss of a worker by the way it was noticed

Cause: any three workers that became silent within 2.5 s of each other cleared all tasks on them, also when their losses had nothing in common: a crash of which the open call told within milliseconds was cleared by losses seconds apart. The same time was used for machines that are lost, which only a timeout shows, up to 2.1 s late; starts sent in between counted as certain causes. Change: the first failed call tells whether the process ended (connection closed or refused, another incarnation) or the machine may be lost. Only losses of one kind count together, within 0.5 s for processes and 2.5 s for machines, and the loss of a machine is never a certain crash.

--- a/kingcuprudder/dispatch/call_result.cpp
+++ b/kingcuprudder/dispatch/call_result.cpp
@@ -3,6 +3,13 @@
 namespace kingcuprudder::dispatch
 {
 
+bool call_result::shows_ended_process() const
+{
+    return m_outcome == order_outcome::wrong_incarnation ||
+           m_failure == call_failure::connection_closed ||
+           m_failure == call_failure::connection_refused;
+}
+
 std::string_view to_string(const call_result& result)
 {
     switch (result.m_failure)
--- a/kingcuprudder/dispatch/call_result.hpp
+++ b/kingcuprudder/dispatch/call_result.hpp
@@ -21,7 +21,7 @@
 };
 
 /// The outcome of a call to a worker and, for a call without a usable answer,
-/// the reason. The reason is logged and decides nothing.
+/// the reason.
 struct call_result
 {
     call_result() = default;
@@ -35,6 +35,10 @@
     order_outcome m_outcome = order_outcome::not_sent;
     call_failure m_failure = call_failure::none;
 
+    /// Returns whether the process that was called has ended, although its
+    /// machine and the network work. Connections that are reset show the same.
+    bool shows_ended_process() const;
+
     friend bool operator==(const call_result&, const call_result&) = default;
 };
 
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -170,7 +170,8 @@
     worker_loss loss_of(const worker_entry& worker, instant now,
                         std::vector<task_ref>& refs);
     /// Notes that a renewal of the worker was not answered.
-    void note_silence(worker_entry& worker, instant now);
+    void note_silence(worker_entry& worker, const call_result& result,
+                      instant now);
     /// Withdraws what was attributed to the loss of a worker that answers.
     void note_answer(worker_entry& worker);
     /// Notes that a run was assigned to the worker or started on it.
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -34,18 +34,21 @@
     }
 }
 
-void dispatcher::note_silence(worker_entry& worker, instant now)
+void dispatcher::note_silence(worker_entry& worker, const call_result& result,
+                              instant now)
 {
     if (!worker.m_synced || worker.m_silent_since)
     {
         return;
     }
     worker.m_silent_since = now;
+    worker.m_process_ended = result.shows_ended_process();
     std::vector<task_ref> refs;
     const bool follows_a_start = loss_of(worker, now, refs).follows_a_start();
     std::erase_if(m_silent_workers, [now](const silent_worker& each)
                   { return now - each.m_silent_since > silence_memory; });
-    m_silent_workers.push_back({worker.id(), now, follows_a_start});
+    m_silent_workers.push_back(
+        {worker.id(), now, worker.m_process_ended, follows_a_start});
 }
 
 void dispatcher::note_answer(worker_entry& worker)
@@ -53,6 +56,7 @@
     if (worker.m_silent_since)
     {
         worker.m_silent_since.reset();
+        worker.m_process_ended = false;
         std::erase_if(m_silent_workers, [&worker](const silent_worker& each)
                       { return each.m_id == worker.id(); });
     }
@@ -73,9 +77,11 @@
 {
     worker_loss loss;
     loss.m_silent_since = worker.m_silent_since;
+    loss.m_process_ended = worker.m_process_ended;
     if (!loss.m_silent_since && worker.m_synced)
     {
         loss.m_silent_since = now; // It restarted between two renewals.
+        loss.m_process_ended = true;
     }
     for (const task_ref& ref : worker.m_tasks)
     {
@@ -106,11 +112,13 @@
         }
         return has_common_cause(lost, with_new_run);
     }
+    const span period = common_loss_period(loss.m_process_ended);
     for (const silent_worker& other : m_silent_workers)
     {
         const span apart = other.m_silent_since - *loss.m_silent_since;
-        if (other.m_id != worker.id() && apart <= common_loss_period &&
-            apart >= span(0) - common_loss_period)
+        if (other.m_id != worker.id() &&
+            other.m_process_ended == loss.m_process_ended && apart <= period &&
+            apart >= span(0) - period)
         {
             ++lost;
             with_new_run += other.m_follows_a_start ? 1 : 0;
@@ -147,6 +155,7 @@
                {"draining", worker.m_description.m_draining ? "true" : "false"},
                {"with_others", with_others ? "true" : "false"},
                {"follows_a_start", loss.follows_a_start() ? "true" : "false"},
+               {"process_ended", loss.m_process_ended ? "true" : "false"},
                {"silent_ms", loss.m_silent_since
                                  ? number((now - *loss.m_silent_since).count())
                                  : "never answered"}});
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -79,7 +79,7 @@
                 number(static_cast<std::int64_t>(worker.m_tasks.size()))},
                {"lease_left_ms", number((worker.m_lease_end - now).count())}});
     }
-    note_silence(worker, now);
+    note_silence(worker, result, now);
     m_changed = m_changed || worker.m_reachable;
     worker.m_reachable = false;
     mark_renewal(id);
@@ -105,6 +105,7 @@
     lose_worker_runs(worker, "worker restarted", now);
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
+    worker.m_process_ended = false;
     worker.m_last_start_at = instant();
     worker.m_trial_until = instant();
     worker.m_synced = false;
--- a/kingcuprudder/dispatch/worker_loss.cpp
+++ b/kingcuprudder/dispatch/worker_loss.cpp
@@ -11,6 +11,9 @@
 // The loss of a worker is possibly caused by runs up to this age.
 constexpr span new_run_age = span(5000);
 constexpr int workers_lost_together = 3;
+constexpr span ended_together = span(500);
+// More than the timeout of a call and the wait of the poll before it.
+constexpr span unanswered_together = span(2500);
 
 bool is_within(const lost_run& run, instant silent_since, span age)
 {
@@ -48,7 +51,10 @@
             return other.m_job == run.m_job ||
                    !is_within(other, *m_silent_since, crash_after_start);
         });
-    return only_new_job && is_within(run, *m_silent_since, crash_after_start)
+    // A worker that is cut off is noticed late, so starts may have been sent
+    // to it since.
+    return only_new_job && m_process_ended &&
+                   is_within(run, *m_silent_since, crash_after_start)
                ? crash_suspicion::certain
                : crash_suspicion::possible;
 }
@@ -58,4 +64,9 @@
     return lost >= workers_lost_together && 2 * with_new_run < lost;
 }
 
+span common_loss_period(bool process_ended)
+{
+    return process_ended ? ended_together : unanswered_together;
+}
+
 } // namespace kingcuprudder::dispatch
--- a/kingcuprudder/dispatch/worker_loss.hpp
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -27,6 +27,8 @@
     /// The first call that was not answered; empty if the worker has not
     /// answered this leader at all.
     std::optional<instant> m_silent_since;
+    /// The process ended; else the machine or its network may be lost.
+    bool m_process_ended = false;
     std::vector<lost_run> m_runs;
 
     /// Returns whether a run was started right before the worker was lost.
@@ -41,6 +43,7 @@
 {
     std::string m_id;
     instant m_silent_since;
+    bool m_process_ended = false;
     /// A run was started on it right before.
     bool m_follows_a_start = false;
 
@@ -57,9 +60,10 @@
 /// worker is noticed within this time.
 constexpr span crash_after_start = span(1000);
 
-/// Workers that become silent within this time of each other may have one
-/// cause.
-constexpr span common_loss_period = span(2500);
+/// Returns within which time of each other workers become silent if they have
+/// one cause. The end of a process is noticed at once, as its connections are
+/// closed; the loss of a machine only when a call is not answered in time.
+span common_loss_period(bool process_ended);
 
 } // namespace kingcuprudder::dispatch
 
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -31,6 +31,8 @@
     /// The first renewal since the last answer that was not answered; empty if
     /// the worker answers or has not answered this leader at all.
     std::optional<instant> m_silent_since;
+    /// The renewal failed as the worker's process had ended.
+    bool m_process_ended = false;
     /// The tasks to which the loss of this incarnation was attributed. It is
     /// withdrawn if the worker answers after all.
     std::vector<std::pair<task_ref, crash_suspicion>> m_attributed;
--- a/performance_test/dispatch_load/load_simulation.cpp
+++ b/performance_test/dispatch_load/load_simulation.cpp
@@ -95,7 +95,7 @@
     worker.m_index = index;
     worker.m_description.m_id = id;
     worker.m_description.m_pool = "pool";
-    worker.m_description.m_address = "10.0.0.1:1";
+    worker.m_description.m_address = "10.0.0.1:" + std::to_string(index + 1);
     worker.m_description.m_zone = "z" + std::to_string(zone);
     worker.m_description.m_capacity = m_profile.m_worker;
     worker.m_description.m_rack =
@@ -382,11 +382,11 @@
     if (worker.m_next_report <= m_now)
     {
         worker.m_next_report = m_now + poll_interval;
-        const bool refuses = worker.m_crashed && worker.m_refuses_from <= m_now;
         m_dispatcher.renewal_failed(worker.m_description.m_id,
                                     {order_outcome::may_have_arrived,
-                                     refuses ? call_failure::connection_closed
-                                             : call_failure::timed_out},
+                                     worker.m_closed_connections
+                                         ? call_failure::connection_closed
+                                         : call_failure::timed_out},
                                     m_now);
     }
 }
--- a/performance_test/dispatch_load/load_simulation_faults.cpp
+++ b/performance_test/dispatch_load/load_simulation_faults.cpp
@@ -77,6 +77,7 @@
     worker.m_runs.clear();
     worker.m_ended.clear();
     worker.m_crashed = true;
+    worker.m_closed_connections = unnoticed == span(0);
     worker.m_refuses_from = m_now + unnoticed;
     worker.m_next_report = worker.m_refuses_from;
     m_replacements.push_back({m_now + replacement_time, worker.m_index});
--- a/performance_test/dispatch_load/simulated_worker.hpp
+++ b/performance_test/dispatch_load/simulated_worker.hpp
@@ -45,6 +45,8 @@
     /// The time of the last renewal or start that the worker has received.
     instant m_renewed_at;
     bool m_crashed = false;
+    /// The process crashed; else its machine lost power or is cut off.
+    bool m_closed_connections = false;
     /// Calls to a crashed worker are refused from this time on; earlier ones
     /// are not answered.
     instant m_refuses_from;
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -28,15 +28,22 @@
     }
 
     /// Makes the worker silent now, and its runs end with its lease.
-    void lose(const std::string& worker)
+    void lose(const std::string& worker,
+              call_failure reason = call_failure::connection_closed)
     {
         m_dispatcher.renewal_failed(
-            worker,
-            {order_outcome::may_have_arrived, call_failure::connection_closed},
-            m_now);
+            worker, {order_outcome::may_have_arrived, reason}, m_now);
         m_dispatcher.worker_unlisted(worker, m_now);
     }
 
+    crash_evidence crashes_of(const std::string& job) const
+    {
+        return m_dispatcher.jobs()
+            .at(job)
+            .m_tasks[0][0][0]
+            .m_progress.m_crashes;
+    }
+
     /// Starts what waits and crashes each worker that starts a task of the job,
     /// until the job is not started any more. Returns the number of starts.
     int crash_workers_of(const std::string& job)
@@ -205,6 +212,53 @@
     EXPECT_TRUE(m_dispatcher.has_job("good"));
 }
 
+TEST_F(crash_fixture, losses_elsewhere_do_not_hide_a_crashing_task)
+{
+    constexpr int lost_beside = 3;
+    constexpr int old_workers = lost_beside * starts_allowed;
+    add_workers(old_workers);
+    accept(job("old", old_workers, 8));
+    confirm(start_all());
+    pass(span(10'000));
+    accept(job("deadly", 1, 8));
+    int old_worker = 0;
+    for (int round = 0;
+         round < starts_allowed && m_dispatcher.has_job("deadly"); ++round)
+    {
+        add_workers(1 + lost_beside);
+        for (const start_order& order : start_all())
+        {
+            confirm({order});
+            if (order.m_run.m_task.m_job == "deadly")
+            {
+                pass(span(10));
+                lose(order.m_worker);
+            }
+        }
+        for (int beside = 0; beside < lost_beside; ++beside)
+        {
+            pass(span(700));
+            lose("w" + std::to_string(++old_worker));
+        }
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
+TEST_F(crash_fixture, a_machine_that_is_lost_is_no_certain_crash)
+{
+    add_workers(1);
+    accept(job("good", 1, 8));
+    confirm(start_all());
+    pass(span(900));
+    lose("w1", call_failure::timed_out);
+    pass(after_the_lease);
+    step();
+    EXPECT_EQ(crashes_of("good"), (crash_evidence{0, 1}));
+}
+
 TEST_F(crash_fixture, a_worker_that_left_as_announced_is_no_crash)
 {
     add_workers(1);
--- a/unit_tests/dispatch/dispatcher_fixture.hpp
+++ b/unit_tests/dispatch/dispatcher_fixture.hpp
@@ -46,7 +46,7 @@
         worker_description made;
         made.m_id = id;
         made.m_pool = "pool";
-        made.m_address = "10.0.0.1:1";
+        made.m_address = "address-of-" + id;
         made.m_zone = "zone";
         made.m_rack = "rack-1";
         made.m_labels = {"a", "rack-1"};
