Weigh the loss of a worker against its other losses

Cause: each loss of a worker counted in full against the tasks that were new there, however often that worker had been lost. Change: a worker is unreliable for 60 s after a loss that no start explains. On an unreliable worker, in a loss together with others, or at an address where the task was lost before, a crash counts less (possible in place of certain, slight in place of possible), and a suspected task uses such workers last. A slight crash makes a task suspected, so that its next run is kept apart, but weighs little. A task that crashes every worker is still given up after five crashes at most, the users' bound, also if only one worker is left.

--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -103,6 +103,7 @@
     {
         entry.push_back(task.m_crashes.m_certain);
         entry.push_back(task.m_crashes.m_possible);
+        entry.push_back(task.m_crashes.m_slight);
     }
     return entry;
 }
@@ -120,10 +121,11 @@
     task.m_worker_incarnation = value.at(2);
     task.m_failed_runs = value.at(3).get<std::vector<int>>();
     task.m_checkpoint = value.at(4);
-    if (value.size() > crash_fields_at)
+    if (value.size() > crash_fields_at + 2)
     {
         task.m_crashes.m_certain = value.at(crash_fields_at);
         task.m_crashes.m_possible = value.at(crash_fields_at + 1);
+        task.m_crashes.m_slight = value.at(crash_fields_at + 2);
     }
     return task;
 }
--- a/kingcuprudder/dispatch/crash_evidence.cpp
+++ b/kingcuprudder/dispatch/crash_evidence.cpp
@@ -8,15 +8,32 @@
 namespace
 {
 
-// Conclusive are three certain crashes, two and a possible one, or five
-// possible ones: workers crash for other reasons too, and two of these may well
-// follow the starts of one task.
+// Conclusive are three certain crashes, two with a lesser one, or a slight one
+// and four possible ones: workers crash for other reasons too, and two of these
+// may well follow the starts of one task.
 constexpr int certain_weight = 4;
 constexpr int possible_weight = 2;
-constexpr int conclusive_weight = 10;
+constexpr int slight_weight = 1;
+constexpr int conclusive_weight = 9;
 
 } // namespace
 
+std::string_view to_string(crash_suspicion suspicion)
+{
+    switch (suspicion)
+    {
+    case crash_suspicion::none:
+        return "none";
+    case crash_suspicion::slight:
+        return "slight";
+    case crash_suspicion::possible:
+        return "possible";
+    case crash_suspicion::certain:
+        return "certain";
+    }
+    return "unknown";
+}
+
 void crash_evidence::add(crash_suspicion suspicion, int count)
 {
     if (suspicion == crash_suspicion::certain)
@@ -27,12 +44,17 @@
     {
         m_possible = std::max(0, m_possible + count);
     }
+    else if (suspicion == crash_suspicion::slight)
+    {
+        m_slight = std::max(0, m_slight + count);
+    }
 }
 
 bool crash_evidence::is_conclusive() const
 {
-    return certain_weight * m_certain + possible_weight * m_possible >=
-           conclusive_weight;
+    const int weight = certain_weight * m_certain +
+                       possible_weight * m_possible + slight_weight * m_slight;
+    return weight >= conclusive_weight;
 }
 
 } // namespace kingcuprudder::dispatch
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -172,6 +172,11 @@
     /// Notes that a renewal of the worker was not answered.
     void note_silence(worker_entry& worker, const call_result& result,
                       instant now);
+    /// Returns whether the worker's address was lost recently although no run
+    /// had been started on it right before.
+    bool is_unreliable(const worker_entry& worker, instant now) const;
+    void note_unexplained_loss(const worker_entry& worker,
+                               const worker_loss& loss, instant now);
     /// Withdraws what was attributed to the loss of a worker that answers.
     void note_answer(worker_entry& worker);
     /// Notes that a run was assigned to the worker or started on it.
@@ -246,6 +251,8 @@
     std::set<std::string> m_changed_renewals;
     /// The workers that became silent recently, oldest first.
     std::vector<silent_worker> m_silent_workers;
+    /// The last unexplained loss by the address of the worker.
+    std::map<std::string, instant> m_unexplained_losses;
     /// The runs that had ended with their worker before this term, by worker.
     std::map<std::string, std::vector<task_ref>> m_runs_lost_before_term;
     instant m_term_start;
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -65,6 +65,8 @@
         if (job_entry* job = m_jobs.find_task(ref))
         {
             job->task(ref).m_progress.m_crashes.add(suspicion, -1);
+            job->task(ref).m_lost_addresses.erase(
+                worker.m_description.m_address);
             m_jobs.mark_changed(*job);
             m_log("crash_withdrawn", ref.str(), {{"worker", worker.id()}});
         }
@@ -78,6 +80,7 @@
     worker_loss loss;
     loss.m_silent_since = worker.m_silent_since;
     loss.m_process_ended = worker.m_process_ended;
+    loss.m_unreliable = is_unreliable(worker, now);
     if (!loss.m_silent_since && worker.m_synced)
     {
         loss.m_silent_since = now; // It restarted between two renewals.
@@ -91,7 +94,9 @@
         if (task.m_active->m_phase != run_phase::assigned)
         {
             refs.push_back(ref);
-            loss.m_runs.push_back({ref.m_job, task.m_active->m_first_sent_at});
+            loss.m_runs.push_back({ref.m_job, task.m_active->m_first_sent_at,
+                                   task.m_lost_addresses.contains(
+                                       worker.m_description.m_address)});
         }
     }
     return loss;
@@ -127,6 +132,25 @@
     return has_common_cause(lost, with_new_run);
 }
 
+bool dispatcher::is_unreliable(const worker_entry& worker, instant now) const
+{
+    const auto lost = m_unexplained_losses.find(worker.m_description.m_address);
+    return lost != m_unexplained_losses.end() &&
+           now - lost->second <= unreliable_period;
+}
+
+void dispatcher::note_unexplained_loss(const worker_entry& worker,
+                                       const worker_loss& loss, instant now)
+{
+    std::erase_if(m_unexplained_losses, [now](const auto& each)
+                  { return now - each.second > unreliable_period; });
+    if (loss.m_silent_since && loss.m_process_ended && !loss.m_with_others &&
+        !loss.follows_a_start())
+    {
+        m_unexplained_losses[worker.m_description.m_address] = now;
+    }
+}
+
 void dispatcher::attribute_crash(const std::string& worker, const task_ref& ref,
                                  crash_suspicion suspicion)
 {
@@ -136,35 +160,37 @@
     m_jobs.mark_changed(job);
     m_log("crash_attributed", ref.str(),
           {{"worker", worker},
-           {"suspicion",
-            suspicion == crash_suspicion::certain ? "certain" : "possible"},
+           {"suspicion", std::string(to_string(suspicion))},
            {"certain", number(crashes.m_certain)},
-           {"possible", number(crashes.m_possible)}});
+           {"possible", number(crashes.m_possible)},
+           {"slight", number(crashes.m_slight)}});
 }
 
 std::vector<task_ref> dispatcher::attribute_loss(worker_entry& worker,
                                                  instant now)
 {
     std::vector<task_ref> refs;
-    const worker_loss loss = loss_of(worker, now, refs);
-    const bool with_others = is_lost_with_others(worker, loss);
+    worker_loss loss = loss_of(worker, now, refs);
+    loss.m_with_others = is_lost_with_others(worker, loss);
     if (!refs.empty())
     {
         m_log("worker_lost", worker.id(),
               {{"tasks", number(static_cast<std::int64_t>(refs.size()))},
                {"draining", worker.m_description.m_draining ? "true" : "false"},
-               {"with_others", with_others ? "true" : "false"},
+               {"with_others", loss.m_with_others ? "true" : "false"},
                {"follows_a_start", loss.follows_a_start() ? "true" : "false"},
                {"process_ended", loss.m_process_ended ? "true" : "false"},
+               {"unreliable", loss.m_unreliable ? "true" : "false"},
                {"silent_ms", loss.m_silent_since
                                  ? number((now - *loss.m_silent_since).count())
                                  : "never answered"}});
     }
     std::vector<task_ref> given_up;
-    if (with_others || worker.m_description.m_draining)
+    if (worker.m_description.m_draining)
     {
         return given_up;
     }
+    note_unexplained_loss(worker, loss, now);
     for (std::size_t at = 0; at < refs.size(); ++at)
     {
         const crash_suspicion suspicion = loss.suspicion_of(at);
@@ -173,6 +199,8 @@
             continue;
         }
         attribute_crash(worker.id(), refs[at], suspicion);
+        m_jobs.find_task(refs[at])->task(refs[at]).m_lost_addresses.insert(
+            worker.m_description.m_address);
         worker.m_attributed.emplace_back(refs[at], suspicion);
         if (m_jobs.find_task(refs[at])
                 ->task(refs[at])
@@ -197,7 +225,8 @@
                  {{"task", ref.str()},
                   {"reason", "crashes its workers"},
                   {"certain", number(crashes.m_certain)},
-                  {"possible", number(crashes.m_possible)}},
+                  {"possible", number(crashes.m_possible)},
+                  {"slight", number(crashes.m_slight)}},
                  now);
     }
 }
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -10,7 +10,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 namespace kingcuprudder::dispatch
@@ -54,6 +53,8 @@
 {
     task_progress m_progress;
     std::optional<active_run> m_active;
+    /// The addresses of the lost workers that this leader attributed to it.
+    std::set<std::string> m_lost_addresses;
     /// When the task's last run ended, or when this leader read the task.
     instant m_waiting_since;
 
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -232,6 +232,9 @@
                     const bool suspected =
                         tasks[task].m_progress.m_crashes.any();
                     step.m_suspected = step.m_suspected || suspected;
+                    step.m_lost_addresses.insert(
+                        tasks[task].m_lost_addresses.begin(),
+                        tasks[task].m_lost_addresses.end());
                     step.m_wants_quiet_worker =
                         step.m_wants_quiet_worker ||
                         (suspected && m_now - tasks[task].m_waiting_since <
@@ -342,6 +345,15 @@
            m_now - worker.m_last_failure < recent_failure_period;
 }
 
+bool planner::is_last_choice(const worker_entry& worker,
+                             const waiting_step& step) const
+{
+    return recently_failed(worker) ||
+           (step.m_suspected &&
+            (m_state.is_unreliable(worker, m_now) ||
+             step.m_lost_addresses.contains(worker.m_description.m_address)));
+}
+
 capacity_request planner::capacity_request_of(const waiting_step& step,
                                               int count, bool one_rack)
 {
@@ -429,7 +441,7 @@
             }
             const resources left =
                 worker->plannable_capacity() - wanted.occupied();
-            const rank found(is_far(*worker), recently_failed(*worker),
+            const rank found(is_far(*worker), is_last_choice(*worker, step),
                              packing_rank(step, left.m_gpus),
                              packing_rank(step, left.m_cpu_millis));
             if (best == nullptr || found < best_rank)
@@ -553,7 +565,7 @@
         if (fitting > 0 && is_eligible(*worker, step))
         {
             ranked.emplace_back(
-                recently_failed(*worker),
+                is_last_choice(*worker, step),
                 packing_rank(step, worker->plannable_capacity().m_gpus), worker,
                 fitting);
             total += fitting;
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -31,6 +31,8 @@
     bool m_expired = false;
     /// Lost workers are attributed to one of the waiting tasks.
     bool m_suspected = false;
+    /// The addresses of these workers.
+    std::set<std::string> m_lost_addresses;
     /// The step waits for a worker without other new runs.
     bool m_wants_quiet_worker = false;
     /// The time by which the job must end to meet its objective.
@@ -76,6 +78,9 @@
     bool has_interference(const worker_entry& worker,
                           const job_step& wanted) const;
     bool recently_failed(const worker_entry& worker) const;
+    /// Returns whether the step uses the worker only if no other one fits.
+    bool is_last_choice(const worker_entry& worker,
+                        const waiting_step& step) const;
     /// Returns whether the step may be started on the worker now, so that a
     /// crash of the worker can be attributed to one job.
     bool is_apart_from_suspects(const worker_entry& worker,
--- a/kingcuprudder/dispatch/worker_loss.cpp
+++ b/kingcuprudder/dispatch/worker_loss.cpp
@@ -33,6 +33,29 @@
 }
 
 crash_suspicion worker_loss::suspicion_of(std::size_t position) const
+{
+    const lost_run& run = m_runs[position];
+    const crash_suspicion found = suspicion_by_start(position);
+    if (m_with_others && !m_process_ended)
+    {
+        return crash_suspicion::none;
+    }
+    if (found == crash_suspicion::certain)
+    {
+        const bool other_reason =
+            m_unreliable || m_with_others || run.m_repeated;
+        return other_reason ? crash_suspicion::possible : found;
+    }
+    if (m_unreliable || m_with_others)
+    {
+        const bool new_run = m_silent_since &&
+                             is_within(run, *m_silent_since, crash_after_start);
+        return new_run ? crash_suspicion::slight : crash_suspicion::none;
+    }
+    return found;
+}
+
+crash_suspicion worker_loss::suspicion_by_start(std::size_t position) const
 {
     const lost_run& run = m_runs[position];
     if (!m_silent_since || !run.m_first_sent_at)
--- a/kingcuprudder/dispatch/worker_loss.hpp
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -17,6 +17,8 @@
     std::string m_job;
     /// When its start was sent first; empty if an earlier leader sent it.
     std::optional<instant> m_first_sent_at;
+    /// A loss at the same address was attributed to the task before.
+    bool m_repeated = false;
 
     friend bool operator==(const lost_run&, const lost_run&) = default;
 };
@@ -29,6 +31,10 @@
     std::optional<instant> m_silent_since;
     /// The process ended; else the machine or its network may be lost.
     bool m_process_ended = false;
+    /// The address was lost before without a start to explain it.
+    bool m_unreliable = false;
+    /// Several workers were lost together for a reason other than their tasks.
+    bool m_with_others = false;
     std::vector<lost_run> m_runs;
 
     /// Returns whether a run was started right before the worker was lost.
@@ -36,6 +42,10 @@
     /// Returns how strongly this loss, taken alone, points to the run with this
     /// position in m_runs.
     crash_suspicion suspicion_of(std::size_t position) const;
+
+private:
+    /// The same without regard to the worker's other losses.
+    crash_suspicion suspicion_by_start(std::size_t position) const;
 };
 
 /// A worker that became silent.
@@ -65,6 +75,10 @@
 /// closed; the loss of a machine only when a call is not answered in time.
 span common_loss_period(bool process_ended);
 
+/// A worker that was lost without a start to explain it counts as unreliable
+/// for this time.
+constexpr span unreliable_period = span(60'000);
+
 } // namespace kingcuprudder::dispatch
 
 #endif
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -36,6 +36,16 @@
         m_dispatcher.worker_unlisted(worker, m_now);
     }
 
+    /// The worker's process crashes and another one answers at once.
+    void restart(const std::string& worker)
+    {
+        lose(worker);
+        worker_description next = this->worker(worker);
+        next.m_incarnation = 100 + ++m_restarts;
+        m_dispatcher.worker_listed(next, m_now);
+        report(worker, {}, {}, next.m_incarnation);
+    }
+
     crash_evidence crashes_of(const std::string& job) const
     {
         return m_dispatcher.jobs()
@@ -79,6 +89,7 @@
     }
 
     int m_workers_added = 0;
+    int m_restarts = 0;
 };
 
 TEST_F(crash_fixture, a_task_does_not_crash_one_worker_after_the_other)
@@ -259,6 +270,53 @@
     EXPECT_EQ(crashes_of("good"), (crash_evidence{0, 1}));
 }
 
+TEST_F(crash_fixture, an_unreliable_worker_proves_little_about_its_tasks)
+{
+    add_workers(1);
+    accept(job("old", 1, 1));
+    confirm(start_all());
+    pass(span(10'000));
+    restart("w1");
+    EXPECT_FALSE(crashes_of("old").any());
+    m_dispatcher.cancel_job("old", m_now);
+    accept(job("good", 1, 8));
+    confirm(start_all());
+    pass(span(10));
+    restart("w1");
+    EXPECT_EQ(crashes_of("good"), (crash_evidence{0, 1}));
+}
+
+TEST_F(crash_fixture, a_worker_that_is_lost_repeatedly_fails_no_good_job)
+{
+    add_workers(1);
+    accept(job("good", 1, 8));
+    for (int round = 0; round < 3; ++round)
+    {
+        const std::vector<start_order> starts = start_all();
+        ASSERT_EQ(starts.size(), 1u) << "round " << round;
+        confirm(starts);
+        pass(span(10));
+        restart("w1");
+        pass(span(1500));
+    }
+    EXPECT_TRUE(m_dispatcher.has_job("good"));
+    EXPECT_EQ(crashes_of("good"), (crash_evidence{1, 2}));
+}
+
+TEST_F(crash_fixture, a_suspected_task_is_started_on_another_worker)
+{
+    add_workers(1);
+    accept(job("suspected", 1, 8));
+    confirm(start_all());
+    pass(span(10));
+    restart("w1");
+    pass(span(1500));
+    add_workers(1);
+    const std::vector<start_order> starts = start_all();
+    ASSERT_EQ(starts.size(), 1u);
+    EXPECT_EQ(starts[0].m_worker, "w2");
+}
+
 TEST_F(crash_fixture, a_worker_that_left_as_announced_is_no_crash)
 {
     add_workers(1);
