Split the planner by duty

Cause: planner.cpp had 680 lines with the order of the queue, the choice of workers and the placement of gangs. Change: planner_tasks.cpp (suitable workers, single tasks) and planner_gangs.cpp; moved lines only.

--- /dev/null
+++ b/kingcuprudder/dispatch/planner_gangs.cpp
@@ -0,0 +1,199 @@
+#include <kingcuprudder/dispatch/planner.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace kingcuprudder::dispatch
+{
+
+// The placement of gangs, whose tasks start together.
+
+bool planner::may_span_racks(const waiting_step& step)
+{
+    return !step.m_job->step(step.m_step).m_same_rack || step.m_late ||
+           guarantee_is_due(step) ||
+           (!fits_some_usable_rack(step) && !fits_some_rack(step));
+}
+
+std::vector<const worker_index::workers*>
+planner::gang_domains(const waiting_step& step, bool across)
+{
+    std::vector<const worker_index::workers*> domains;
+    if (step.m_job->step(step.m_step).m_same_rack)
+    {
+        for (const auto& [rack, workers] : m_index.racks(step.m_policy.m_pool))
+        {
+            domains.push_back(&workers);
+        }
+    }
+    if (across)
+    {
+        domains.push_back(&m_index.pool(step.m_policy.m_pool));
+    }
+    return domains;
+}
+
+bool planner::fits_some_usable_rack(const waiting_step& step) const
+{
+    const int wanted = step.m_job->step(step.m_step).m_count;
+    for (const auto& [rack, workers] : m_index.racks(step.m_policy.m_pool))
+    {
+        int fitting = 0;
+        for (const worker_entry* worker : workers)
+        {
+            fitting +=
+                fitting_tasks(*worker, step, worker->m_description.m_capacity);
+            if (fitting >= wanted)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool planner::fits_some_rack(const waiting_step& step) const
+{
+    std::map<std::string, int> capacity_by_rack;
+    for (const auto& [id, worker] : m_state.m_workers)
+    {
+        if (worker.m_listed &&
+            worker.m_description.m_pool == step.m_policy.m_pool)
+        {
+            capacity_by_rack[worker.m_description.m_rack] +=
+                fitting_tasks(worker, step, worker.m_description.m_capacity);
+        }
+    }
+    return std::any_of(
+        capacity_by_rack.begin(), capacity_by_rack.end(),
+        [&](const auto& each)
+        { return each.second >= step.m_job->step(step.m_step).m_count; });
+}
+
+std::vector<planner::gang_share>
+planner::gang_shares(const waiting_step& step,
+                     const worker_index::workers& candidates)
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    std::vector<std::tuple<bool, std::int64_t, worker_entry*, int>> ranked;
+    int total = 0;
+    for (worker_entry* worker : candidates)
+    {
+        const int fitting =
+            fitting_tasks(*worker, step, worker->plannable_capacity());
+        if (fitting > 0 && is_eligible(*worker, step))
+        {
+            ranked.emplace_back(
+                is_last_choice(*worker, step),
+                packing_rank(step, worker->plannable_capacity().m_gpus), worker,
+                fitting);
+            total += fitting;
+        }
+    }
+    if (total < wanted.m_count)
+    {
+        return {};
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& left, const auto& right)
+              {
+                  return std::tuple(std::get<0>(left), std::get<1>(left),
+                                    std::get<2>(left)->id()) <
+                         std::tuple(std::get<0>(right), std::get<1>(right),
+                                    std::get<2>(right)->id());
+              });
+    std::vector<gang_share> shares;
+    int missing = wanted.m_count;
+    for (const auto& [failing, free, worker, fitting] : ranked)
+    {
+        if (missing == 0)
+        {
+            break;
+        }
+        const int taken = std::min(fitting, missing);
+        shares.emplace_back(worker, taken);
+        missing -= taken;
+    }
+    return shares;
+}
+
+void planner::assign_gang(waiting_step& step,
+                          const std::vector<gang_share>& shares)
+{
+    int run = 0;
+    for (const task_entry& task : step.m_job->step_tasks(step.m_step))
+    {
+        run = std::max(run, task.m_progress.m_last_run);
+    }
+    // All members resume from the same checkpoint.
+    std::string checkpoint;
+    for (const task_entry& task : step.m_job->step_tasks(step.m_step))
+    {
+        if (!task.m_progress.m_checkpoint.empty())
+        {
+            checkpoint = task.m_progress.m_checkpoint;
+            break;
+        }
+    }
+    task_ref ref = step.m_step;
+    for (const auto& [worker, count] : shares)
+    {
+        for (int member = 0; member < count; ++member)
+        {
+            step.m_job->task(ref).m_progress.m_checkpoint = checkpoint;
+            assign(step, ref, *worker, run + 1);
+            ++ref.m_index;
+        }
+    }
+    // The start waits until a record with all members is stored.
+    for (task_entry& task : step.m_job->step_tasks(step.m_step))
+    {
+        task.m_active->m_required_version = step.m_job->m_version;
+    }
+}
+
+std::vector<planner::gang_share>
+planner::best_gang_shares(const waiting_step& step, bool across)
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    const capacity_request request =
+        capacity_request_of(step, wanted.m_count, !across);
+    if (m_index.has_failed(request))
+    {
+        return {};
+    }
+    std::vector<gang_share> best;
+    for (const worker_index::workers* domain : gang_domains(step, across))
+    {
+        std::vector<gang_share> shares = gang_shares(step, *domain);
+        if (!shares.empty() && (best.empty() || shares.size() < best.size()))
+        {
+            best = std::move(shares);
+        }
+    }
+    if (best.empty() && needs_only_free_capacity(step))
+    {
+        m_index.record_failure(request);
+    }
+    return best;
+}
+
+void planner::place_gang(waiting_step& step)
+{
+    if (!leaves_urgent_headroom(step, step.m_job->step(step.m_step).m_count))
+    {
+        return;
+    }
+    const bool across = may_span_racks(step);
+    const std::vector<gang_share> best = best_gang_shares(step, across);
+    if (!best.empty())
+    {
+        assign_gang(step, best);
+    }
+    else if (may_reclaim(step))
+    {
+        reclaim_for_gang(step, across);
+    }
+}
+
+} // namespace kingcuprudder::dispatch
--- /dev/null
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -0,0 +1,227 @@
+#include <kingcuprudder/dispatch/planner.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace kingcuprudder::dispatch
+{
+
+namespace
+{
+
+// Workers with a failure within this time are used after all others.
+constexpr span recent_failure_period = span(8000);
+
+bool has_label(const worker_description& worker, const std::string& label)
+{
+    return label.empty() ||
+           std::find(worker.m_labels.begin(), worker.m_labels.end(), label) !=
+               worker.m_labels.end();
+}
+
+} // namespace
+
+// Which workers suit a step, and the placement of single tasks.
+
+bool planner::is_eligible(const worker_entry& worker,
+                          const waiting_step& step) const
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    return has_label(worker.m_description, wanted.m_required_label) &&
+           is_apart_from_suspects(worker, step) &&
+           !has_interference(worker, wanted);
+}
+
+bool planner::is_apart_from_suspects(const worker_entry& worker,
+                                     const waiting_step& step) const
+{
+    if (worker.m_trial_until > m_now)
+    {
+        return false;
+    }
+    // Persistent tasks restart at once, even if a crash then shows less.
+    return !step.m_wants_quiet_worker || step.m_persistent ||
+           (worker.m_reserved == resources() &&
+            m_now - worker.m_last_start_at > crash_after_start);
+}
+
+bool planner::needs_only_free_capacity(const waiting_step& step)
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    return wanted.m_max_per_worker == 0 && !wanted.m_uses_idle_cpu &&
+           wanted.m_target_latency == span(0) && !step.m_suspected;
+}
+
+std::int64_t planner::packing_rank(const waiting_step& step,
+                                   std::int64_t free_gpus)
+{
+    return step.m_suspected ? -free_gpus : free_gpus;
+}
+
+bool planner::has_interference(const worker_entry& worker,
+                               const job_step& wanted) const
+{
+    const bool serves = wanted.m_target_latency > span(0);
+    return (wanted.m_uses_idle_cpu || serves) &&
+           std::any_of(
+               worker.m_tasks.begin(), worker.m_tasks.end(),
+               [&](const task_ref& ref)
+               {
+                   const job_entry* job = m_state.m_jobs.find(ref.m_job);
+                   return job != nullptr &&
+                          (serves ? job->step(ref).m_uses_idle_cpu
+                                  : job->step(ref).m_target_latency > span(0));
+               });
+}
+
+bool planner::recently_failed(const worker_entry& worker) const
+{
+    return worker.m_last_failure != instant() &&
+           m_now - worker.m_last_failure < recent_failure_period;
+}
+
+bool planner::is_last_choice(const worker_entry& worker,
+                             const waiting_step& step) const
+{
+    return recently_failed(worker) ||
+           (step.m_suspected &&
+            (m_state.is_unreliable(worker, m_now) ||
+             step.m_lost_addresses.contains(worker.m_description.m_address)));
+}
+
+capacity_request planner::capacity_request_of(const waiting_step& step,
+                                              int count, bool one_rack)
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    return {step.m_policy.m_pool, wanted.m_required_label, wanted.occupied(),
+            count, one_rack};
+}
+
+int planner::tasks_on_worker(const worker_entry& worker,
+                             const waiting_step& step) const
+{
+    const auto first = worker.m_tasks.lower_bound(step.m_step);
+    int count = 0;
+    for (auto each = first;
+         each != worker.m_tasks.end() && each->m_job == step.m_step.m_job &&
+         each->m_repeat == step.m_step.m_repeat &&
+         each->m_step == step.m_step.m_step;
+         ++each)
+    {
+        ++count;
+    }
+    return count;
+}
+
+int planner::fitting_tasks(const worker_entry& worker, const waiting_step& step,
+                           const resources& free) const
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    std::int64_t fitting = wanted.m_count;
+    const auto limit = [&fitting](std::int64_t available, std::int64_t demand)
+    {
+        if (demand > 0)
+        {
+            fitting = std::min(fitting,
+                               std::max<std::int64_t>(0, available) / demand);
+        }
+    };
+    const resources demand = wanted.occupied();
+    limit(free.m_cpu_millis, demand.m_cpu_millis);
+    limit(free.m_memory_mb, demand.m_memory_mb);
+    limit(free.m_gpus, demand.m_gpus);
+    if (wanted.m_max_per_worker > 0)
+    {
+        fitting = std::min<std::int64_t>(
+            fitting, wanted.m_max_per_worker - tasks_on_worker(worker, step));
+    }
+    return static_cast<int>(std::max<std::int64_t>(0, fitting));
+}
+
+worker_entry* planner::best_worker(const waiting_step& step)
+{
+    const capacity_request request = capacity_request_of(step, 1, false);
+    if (m_index.has_failed(request))
+    {
+        return nullptr;
+    }
+    const job_step& wanted = step.m_job->step(step.m_step);
+    const auto is_far = [&wanted](const worker_entry& worker)
+    {
+        return !wanted.m_data_rack.empty() &&
+               worker.m_description.m_rack != wanted.m_data_rack;
+    };
+    using rank = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+    worker_entry* best = nullptr;
+    rank best_rank;
+    const worker_index::workers_by_gpus& by_gpus =
+        m_index.by_gpus(step.m_policy.m_pool);
+    for (auto group = by_gpus.lower_bound(wanted.occupied().m_gpus);
+         group != by_gpus.end(); ++group)
+    {
+        // A worker with more free GPUs ranks after one that is neither far nor
+        // failing.
+        if (best != nullptr && !step.m_suspected && !std::get<0>(best_rank) &&
+            !std::get<1>(best_rank))
+        {
+            break;
+        }
+        for (worker_entry* worker : group->second)
+        {
+            if (fitting_tasks(*worker, step, worker->plannable_capacity()) ==
+                    0 ||
+                !is_eligible(*worker, step))
+            {
+                continue;
+            }
+            const resources left =
+                worker->plannable_capacity() - wanted.occupied();
+            const rank found(is_far(*worker), is_last_choice(*worker, step),
+                             packing_rank(step, left.m_gpus),
+                             packing_rank(step, left.m_cpu_millis));
+            if (best == nullptr || found < best_rank)
+            {
+                best = worker;
+                best_rank = found;
+            }
+        }
+    }
+    if (best == nullptr && needs_only_free_capacity(step))
+    {
+        m_index.record_failure(request);
+    }
+    // Outside the rack of its data a task takes several times as long, so it
+    // waits for capacity in that rack until it is late.
+    const bool waits = best != nullptr && is_far(*best) && !step.m_late;
+    return waits ? nullptr : best;
+}
+
+void planner::place_tasks(waiting_step& step)
+{
+    for (const int index : step.m_waiting)
+    {
+        task_ref ref = step.m_step;
+        ref.m_index = index;
+        if (!leaves_urgent_headroom(step, 1))
+        {
+            return;
+        }
+        worker_entry* worker = best_worker(step);
+        if (worker == nullptr)
+        {
+            if (!may_reclaim(step) || !reclaim_for_task(step))
+            {
+                return;
+            }
+            worker = best_worker(step);
+            if (worker == nullptr)
+            {
+                return;
+            }
+        }
+        const int run = step.m_job->task(ref).m_progress.m_last_run + 1;
+        assign(step, ref, *worker, run);
+    }
+}
+
+} // namespace kingcuprudder::dispatch
