Run one load test with crashing workers under the sanitizers

Cause: the load tests with crashing workers, which are new, run under the sanitizers too, unlike all other load tests; there the dispatch tests took over 4 minutes and had not ended (before: seconds). Change: the sanitized run keeps one of the five; all five run in the plain build.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,10 +17,10 @@
 GTEST_FILTER="-$known_red" ctest --test-dir "$build" --output-on-failure -j 2
 
 # The pairs of faults and the load sheets run above only: they are the longest
-# part of these tests.
+# part of these tests. One of the load tests with crashing workers runs here too.
 cmake -S . -B "$build-sanitize" -G Ninja -DKCR_CORE_ONLY=ON \
     -DKCR_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug \
     -DCMAKE_CXX_FLAGS=-O1 >/dev/null
 cmake --build "$build-sanitize"
-GTEST_FILTER="-$known_red:*fault_pair*:dispatch_load.*" \
+GTEST_FILTER="-$known_red:*fault_pair*:dispatch_load.*:dispatch_crash_load.*_fail_no_good_job" \
     ctest --test-dir "$build-sanitize" --output-on-failure
