Attribute the loss of each incarnation of a worker once

Cause: a worker that returned after its lease was over had its loss judged a second time, without runs, so its address counted as unreliable and the next crash there as possible in place of certain. A worker that answered after all stayed unreliable too. Found by reading. Change: a loss is attributed once for each incarnation; an answer of the same process clears it. Result: a_crashed_worker_that_returns_late_is_not_unreliable and a_worker_that_answers_again_is_not_unreliable failed before and pass.

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -60,6 +60,12 @@
         std::erase_if(m_silent_workers, [&worker](const silent_worker& each)
                       { return each.m_id == worker.id(); });
     }
+    if (worker.m_loss_attributed)
+    {
+        // The process lives after all.
+        worker.m_loss_attributed = false;
+        m_unexplained_losses.erase(worker.m_description.m_address);
+    }
     for (const auto& [ref, suspicion] : worker.m_attributed)
     {
         if (job_entry* job = m_jobs.find_task(ref))
@@ -169,6 +175,12 @@
 std::vector<task_ref> dispatcher::attribute_loss(worker_entry& worker,
                                                  instant now)
 {
+    std::vector<task_ref> given_up;
+    if (worker.m_loss_attributed)
+    {
+        return given_up;
+    }
+    worker.m_loss_attributed = true;
     std::vector<task_ref> refs;
     worker_loss loss = loss_of(worker, now, refs);
     loss.m_with_others = is_lost_with_others(worker, loss);
@@ -185,7 +197,6 @@
                                  ? number((now - *loss.m_silent_since).count())
                                  : "never answered"}});
     }
-    std::vector<task_ref> given_up;
     if (worker.m_description.m_draining)
     {
         return given_up;
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -106,6 +106,7 @@
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
     worker.m_process_ended = false;
+    worker.m_loss_attributed = false;
     worker.m_last_start_at = instant();
     worker.m_trial_until = instant();
     worker.m_synced = false;
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -33,6 +33,8 @@
     std::optional<instant> m_silent_since;
     /// The renewal failed as the worker's process had ended.
     bool m_process_ended = false;
+    /// The loss of this incarnation has been attributed.
+    bool m_loss_attributed = false;
     /// The tasks to which the loss of this incarnation was attributed. It is
     /// withdrawn if the worker answers after all.
     std::vector<std::pair<task_ref, crash_suspicion>> m_attributed;
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -286,6 +286,46 @@
     EXPECT_EQ(crashes_of("good"), (crash_evidence{0, 1}));
 }
 
+TEST_F(crash_fixture, a_crashed_worker_that_returns_late_is_not_unreliable)
+{
+    add_workers(1);
+    accept(job("deadly", 1, 8));
+    confirm(start_all());
+    pass(span(10));
+    lose("w1");
+    pass(after_the_lease);
+    step();
+    restart("w1");
+    m_dispatcher.cancel_job("deadly", m_now);
+    accept(job("next", 1, 8));
+    pass(span(2000));
+    confirm(start_all());
+    pass(span(10));
+    restart("w1");
+    EXPECT_EQ(crashes_of("next"), (crash_evidence{1, 0}));
+}
+
+TEST_F(crash_fixture, a_worker_that_answers_again_is_not_unreliable)
+{
+    add_workers(1);
+    accept(job("old", 1, 8));
+    const std::vector<start_order> starts = start_all();
+    confirm(starts);
+    pass(span(10'000));
+    lose("w1");
+    pass(after_the_lease);
+    step();
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {}, {ended(1, starts[0], run_outcome::lease_lapsed)});
+    m_dispatcher.cancel_job("old", m_now);
+    accept(job("next", 1, 8));
+    pass(span(2000));
+    confirm(start_all());
+    pass(span(10));
+    restart("w1");
+    EXPECT_EQ(crashes_of("next"), (crash_evidence{1, 0}));
+}
+
 TEST_F(crash_fixture, a_worker_that_is_lost_repeatedly_fails_no_good_job)
 {
     add_workers(1);
