Test: a task with slight evidence only gets a sixth start

Cause: the weights of crash_evidence reach 9 after five crashes only if at most one of them is slight; five slight ones weigh 5. Change: crash_fixture.a_task_with_slight_evidence_only_gets_no_sixth_start, no change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -1,6 +1,8 @@
 #include "dispatcher_fixture.hpp"
 #include <kingcuprudder/codec/dispatch_codec.hpp>
 
+#include <map>
+#include <optional>
 #include <set>
 
 namespace kingcuprudder::dispatch
@@ -406,4 +408,50 @@
     EXPECT_FALSE(progress->m_tasks[0][0][0].m_crashes.any());
 }
 
+TEST_F(crash_fixture, a_task_with_slight_evidence_only_gets_no_sixth_start)
+{
+    add_workers(2);
+    accept(job("old", 2, 8));
+    ASSERT_EQ(start_all().size(), 2u);
+    pass(span(10'000));
+    restart("w1");
+    restart("w2");
+    m_dispatcher.cancel_job("old", m_now);
+    lose("w1");
+    std::string usable = "w2";
+    int starts = 0;
+    for (int tick = 0; tick < 110; ++tick)
+    {
+        if (tick == 1)
+        {
+            accept(job("deadly", 1, 1));
+        }
+        const std::string beside = "beside" + std::to_string(tick);
+        accept(job(beside, 1, 0));
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        pass(span(10));
+        bool crashed = false;
+        for (const start_order& order : orders)
+        {
+            crashed = crashed || order.m_run.m_task.m_job == "deadly";
+        }
+        m_dispatcher.cancel_job(beside, m_now);
+        if (crashed)
+        {
+            ++starts;
+            lose(usable);
+            usable = usable == "w1" ? "w2" : "w1";
+            worker_description next = worker(usable);
+            next.m_incarnation = 100 + ++m_restarts;
+            m_dispatcher.worker_listed(next, m_now);
+        }
+        report(usable, {}, {}, 100 + m_restarts);
+        store();
+        pass(span(500));
+    }
+    EXPECT_LE(starts, starts_allowed);
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
 } // namespace kingcuprudder::dispatch
