Test: a conclusive crash between two leaders does not end the job

Cause: attribute_losses_of_earlier_term adds a crash and never asks whether the evidence is conclusive. Change: crash_fixture.a_crash_between_two_leaders_that_is_conclusive_is_the_last, no change of logic. Result: fails on: a sixth start is sent.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -454,4 +454,21 @@
     EXPECT_FALSE(m_dispatcher.has_job("deadly"));
 }
 
+TEST_F(crash_fixture,
+       a_crash_between_two_leaders_that_is_conclusive_is_the_last)
+{
+    job_progress progress;
+    progress.m_state = job_state::running;
+    progress.m_tasks = {{{task_progress()}}};
+    task_progress& task = progress.m_tasks[0][0][0];
+    task.m_last_run = starts_allowed;
+    task.m_worker = "w1";
+    task.m_worker_incarnation = 50;
+    task.m_crashes = {0, starts_allowed - 1};
+    add_workers(1);
+    m_dispatcher.add_job(job("deadly", 1, 8), progress, 1, m_now, m_now);
+    EXPECT_TRUE(start_all().empty());
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
 } // namespace kingcuprudder::dispatch
