Test: crashes more than 5 s after the start are not counted

Cause: a run older than new_run_age counts for nothing and there is no bound on the number of processes that end under one task. Change: crash_fixture.a_task_that_crashes_its_workers_late_is_given_up, no change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -471,4 +471,30 @@
     EXPECT_FALSE(m_dispatcher.has_job("deadly"));
 }
 
+TEST_F(crash_fixture, a_task_that_crashes_its_workers_late_is_given_up)
+{
+    add_workers(1);
+    accept(job("deadly", 1, 8));
+    int starts = 0;
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        pass(span(6000));
+        for (const start_order& order : orders)
+        {
+            ++starts;
+            report(order.m_worker, {running(order)});
+            pass(span(10));
+            lose(order.m_worker);
+            add_workers(1);
+        }
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    EXPECT_LE(starts, starts_allowed);
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
 } // namespace kingcuprudder::dispatch
