Test: crashes are forgotten if the leader ends before the leases

Cause: evidence is first stored when the lease has expired, 6.4 s after the crash; the next leader takes three workers that never answered for one loss. Change: crash_fixture.crashes_count_although_the_leader_ends_before_the_leases, no change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -497,4 +497,61 @@
     EXPECT_FALSE(m_dispatcher.has_job("deadly"));
 }
 
+TEST_F(crash_fixture, crashes_count_although_the_leader_ends_before_the_leases)
+{
+    constexpr int crashed = 3;
+    add_workers(crashed);
+    std::vector<std::string> ids;
+    for (int index = 0; index < crashed; ++index)
+    {
+        ids.push_back("deadly" + std::to_string(index));
+        accept(job(ids.back(), 1, 8));
+    }
+    const std::vector<start_order> orders = start_all();
+    ASSERT_EQ(orders.size(), static_cast<std::size_t>(crashed));
+    confirm(orders);
+    std::map<std::string, job_progress> stored;
+    const auto collect = [&]
+    {
+        for (const job_write& write : store())
+        {
+            stored[write.m_job] = write.m_progress;
+        }
+    };
+    for (const start_order& order : orders)
+    {
+        const auto& entry = m_dispatcher.jobs().at(order.m_run.m_task.m_job);
+        job_progress& kept = stored[order.m_run.m_task.m_job];
+        kept.m_state = entry.m_state;
+        kept.m_tasks = {{{entry.m_tasks[0][0][0].m_progress}}};
+    }
+    pass(span(10));
+    for (const start_order& order : orders)
+    {
+        lose(order.m_worker);
+    }
+    step();
+    collect();
+    pass(span(2000));
+    step();
+    collect();
+    dispatcher next(
+        dispatch_limits(),
+        [](const std::string&, const std::string&, const decision_fields&) {});
+    next.configure(m_configuration);
+    next.begin_term(m_now);
+    for (const std::string& id : ids)
+    {
+        next.add_job(job(id, 1, 8), stored.at(id), 1, m_now, m_now);
+    }
+    pass(after_the_lease);
+    next.plan(m_now, m_now);
+    for (const std::string& id : ids)
+    {
+        EXPECT_TRUE(
+            next.jobs().at(id).m_tasks[0][0][0].m_progress.m_crashes.any())
+            << id;
+    }
+}
+
 } // namespace kingcuprudder::dispatch
