Test: the loss of a rack between leaders is held against two tasks

Cause: is_lost_with_others counts only workers that still hold tasks, and expire_leases releases one after the other, so the last two are alone. Change: crash_fixture.the_loss_of_a_rack_between_leaders_is_not_held_against_it, no change of logic. Result: fails on: two of four tasks have a possible crash.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -554,4 +554,27 @@
     }
 }
 
+TEST_F(crash_fixture, the_loss_of_a_rack_between_leaders_is_not_held_against_it)
+{
+    constexpr int lost = 4;
+    for (int index = 0; index < lost; ++index)
+    {
+        job_progress progress;
+        progress.m_state = job_state::running;
+        progress.m_tasks = {{{task_progress()}}};
+        progress.m_tasks[0][0][0].m_last_run = 1;
+        progress.m_tasks[0][0][0].m_worker = "w" + std::to_string(index);
+        progress.m_tasks[0][0][0].m_worker_incarnation = 100;
+        m_dispatcher.add_job(job("good" + std::to_string(index), 1, 8),
+                             progress, 1, m_now, m_now);
+    }
+    m_dispatcher.begin_term(m_now);
+    pass(after_the_lease);
+    step();
+    for (int index = 0; index < lost; ++index)
+    {
+        EXPECT_FALSE(crashes_of("good" + std::to_string(index)).any());
+    }
+}
+
 } // namespace kingcuprudder::dispatch
