Test: crashes that only a timeout shows are never counted

Cause: follows_a_start compares the start with the moment of the timeout, up to 2.1 s after the crash, and allows 1 s; three such losses clear each other. Change: crash_fixture.crashes_that_only_a_timeout_shows_count_if_they_follow_starts, no change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -577,4 +577,33 @@
     }
 }
 
+TEST_F(crash_fixture,
+       crashes_that_only_a_timeout_shows_count_if_they_follow_starts)
+{
+    constexpr int jobs = 3;
+    constexpr int call_timeout_ms = 2100;
+    add_workers(jobs);
+    for (int index = 0; index < jobs; ++index)
+    {
+        accept(job("deadly" + std::to_string(index), 1, 8));
+    }
+    int starts = 0;
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        pass(span(call_timeout_ms));
+        for (const start_order& order : orders)
+        {
+            starts += order.m_run.m_task.m_job == "deadly0" ? 1 : 0;
+            lose(order.m_worker, call_failure::timed_out);
+            add_workers(1);
+        }
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    EXPECT_LE(starts, starts_allowed);
+}
+
 } // namespace kingcuprudder::dispatch
