Test: an old run of an earlier term is held responsible

Cause: a run without the time of its start counts as possible cause at any age, also 20 s after this leader has seen it. Change: crash_fixture.an_old_run_of_an_earlier_term_is_not_held_responsible, no change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -606,4 +606,25 @@
     EXPECT_LE(starts, starts_allowed);
 }
 
+TEST_F(crash_fixture, an_old_run_of_an_earlier_term_is_not_held_responsible)
+{
+    job_progress progress;
+    progress.m_state = job_state::running;
+    progress.m_tasks = {{{task_progress()}}};
+    progress.m_tasks[0][0][0].m_last_run = 1;
+    progress.m_tasks[0][0][0].m_worker = "w1";
+    progress.m_tasks[0][0][0].m_worker_incarnation = 100;
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    const job_submission submission = job("good", 1, 8);
+    m_dispatcher.add_job(submission, progress, 1, m_now, m_now);
+    const running_report listed{task_ref{"good", 0, 0, 0}.str(), 1, "", 10};
+    report("w1", {listed});
+    pass(span(20'000));
+    report("w1", {listed});
+    lose("w1");
+    pass(after_the_lease);
+    step();
+    EXPECT_FALSE(crashes_of("good").any());
+}
+
 } // namespace kingcuprudder::dispatch
