Test: workers that are cut off from the leader count as crashed

Cause: new heartbeats of the same incarnation in the worker list are not used; the loss is withdrawn only by an answer, which comes after the job has failed. Change: crash_fixture.a_worker_that_still_sends_heartbeats_has_not_crashed, no change of logic. Result: fails on: a job without a crashing task is failed after three workers.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -627,4 +627,37 @@
     EXPECT_FALSE(crashes_of("good").any());
 }
 
+TEST_F(crash_fixture, a_worker_that_still_sends_heartbeats_has_not_crashed)
+{
+    add_workers(1);
+    accept(job("good", 1, 8));
+    int cut_off = 0;
+    for (int round = 0; round < 3; ++round)
+    {
+        const std::vector<start_order> starts = start_all();
+        ASSERT_EQ(starts.size(), 1u) << "round " << round;
+        confirm(starts);
+        pass(span(10));
+        m_dispatcher.renewal_failed(
+            starts[0].m_worker,
+            {order_outcome::may_have_arrived, call_failure::connection_closed},
+            m_now);
+        ++cut_off;
+        add_workers(1);
+        for (int beat = 0; beat < 7; ++beat)
+        {
+            pass(span(1000));
+            for (int id = 1; id <= cut_off; ++id)
+            {
+                worker_description beating = worker("w" + std::to_string(id));
+                beating.m_clock = m_now.count();
+                m_dispatcher.worker_listed(beating, m_now);
+            }
+        }
+        step();
+        store();
+    }
+    EXPECT_TRUE(m_dispatcher.has_job("good"));
+}
+
 } // namespace kingcuprudder::dispatch
