Test: starts on machines that are already lost count as crashes

Cause: a start that was never accepted, on a machine that only timed out, counts as possible; workers without tasks are not polled, so this is how their loss shows. Change: crash_fixture.a_worker_that_was_lost_before_the_start_is_no_crash, no change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -660,4 +660,27 @@
     EXPECT_TRUE(m_dispatcher.has_job("good"));
 }
 
+TEST_F(crash_fixture, a_worker_that_was_lost_before_the_start_is_no_crash)
+{
+    add_workers(1);
+    accept(job("good", 1, 8));
+    for (int round = 0; round < starts_allowed; ++round)
+    {
+        pass(span(10'000));
+        const std::vector<start_order> starts = start_all();
+        ASSERT_EQ(starts.size(), 1u) << "round " << round;
+        pass(span(450));
+        m_dispatcher.start_finished(
+            starts[0],
+            {order_outcome::may_have_arrived, call_failure::timed_out}, m_now);
+        pass(span(150));
+        lose(starts[0].m_worker, call_failure::timed_out);
+        add_workers(1);
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    EXPECT_TRUE(m_dispatcher.has_job("good"));
+}
+
 } // namespace kingcuprudder::dispatch
