Test: suspected tasks keep a guaranteed gang waiting

Cause: a trial makes its worker ineligible for all, and the workers that become free in turn get the next suspected task, so a gang finds no two at once. Change: crash_fixture.a_guaranteed_gang_does_not_wait_for_suspected_tasks, no change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -683,4 +683,45 @@
     EXPECT_TRUE(m_dispatcher.has_job("good"));
 }
 
+TEST_F(crash_fixture, a_guaranteed_gang_does_not_wait_for_suspected_tasks)
+{
+    constexpr int suspects = 12;
+    add_workers(1);
+    for (int index = 0; index < suspects; ++index)
+    {
+        accept(job("suspected" + std::to_string(index), 1, 0));
+    }
+    confirm(start_all());
+    pass(span(10));
+    lose("w1");
+    pass(after_the_lease);
+    add_workers(1);
+    confirm(start_all());
+    pass(span(700));
+    add_workers(1);
+    confirm(start_all());
+    job_submission urgent = job("urgent", 2, 4, "urgent");
+    urgent.m_steps[0].m_gang = true;
+    urgent.m_steps[0].m_max_per_worker = 1;
+    accept(urgent);
+    const instant accepted = m_now;
+    std::optional<instant> started;
+    while (!started && m_now - accepted < span(20'000))
+    {
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        for (const start_order& order : orders)
+        {
+            if (order.m_run.m_task.m_job == "urgent")
+            {
+                started = m_now;
+            }
+        }
+        pass(span(100));
+    }
+    ASSERT_TRUE(started);
+    EXPECT_LE((*started - accepted).count(),
+              dispatch_limits().m_reclaim_bound.count());
+}
+
 } // namespace kingcuprudder::dispatch
