Test: a gang with one crashing member is given up

Cause: no test crashes a single member of a gang. Change: crash_fixture.a_gang_with_one_crashing_member_is_given_up, no change of logic. Result: passes on.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -724,4 +724,41 @@
               dispatch_limits().m_reclaim_bound.count());
 }
 
+TEST_F(crash_fixture, a_gang_with_one_crashing_member_is_given_up)
+{
+    add_workers(2);
+    job_submission gang = job("deadly", 2, 8);
+    gang.m_steps[0].m_gang = true;
+    accept(gang);
+    int starts = 0;
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        pass(span(10));
+        for (const start_order& order : orders)
+        {
+            if (order.m_run.m_task.m_index == 1)
+            {
+                ++starts;
+                lose(order.m_worker);
+                add_workers(1);
+            }
+        }
+        pass(after_the_lease);
+        step();
+        for (const auto& [id, each] : m_dispatcher.workers())
+        {
+            if (each.m_listed)
+            {
+                report(id, {});
+            }
+        }
+        store();
+        pass(span(2000));
+    }
+    EXPECT_LE(starts, starts_allowed);
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
 } // namespace kingcuprudder::dispatch
