Test: an unreadable configuration floods the store with commits

Cause: write_once prepares and commits again without a pause or a limit after a conflict with the configuration; a newest configuration that cannot be decoded is never adopted, so each commit conflicts until the caller's deadline. Change: job_service_test.an_unreadable_configuration_does_not_flood_the_store, no change of logic.

--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -437,6 +437,23 @@
 }
 
 // While no scheduler publishes the count, it is computed from the records.
+TEST_F(job_service_test, an_unreadable_configuration_does_not_flood_the_store)
+{
+    constexpr int most_commits = 5;
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    write_configuration("unreadable");
+    std::atomic<int> commits = 0;
+    m_store.set_fault_hook(
+        [&commits](const std::string& call)
+        {
+            commits += call == "commit" ? 1 : 0;
+            return memory_store::fault::none;
+        });
+    EXPECT_EQ(m_jobs.submit(patient_request(), job()), refusal::unavailable);
+    m_store.set_fault_hook(nullptr);
+    EXPECT_LE(commits, most_commits);
+}
+
 TEST_F(job_service_test, waiting_jobs_are_counted_without_a_scheduler)
 {
     ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
