--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -1,6 +1,8 @@
 #include "dispatcher_fixture.hpp"
 #include <kingcuprudder/codec/dispatch_codec.hpp>
 
+#include <map>
+#include <optional>
 #include <set>
 
 namespace kingcuprudder::dispatch
@@ -446,4 +448,357 @@
     EXPECT_FALSE(progress->m_tasks[0][0][0].m_crashes.any());
 }
 
+TEST_F(crash_fixture, a_task_with_slight_evidence_only_gets_no_sixth_start)
+{
+    add_workers(2);
+    accept(job("old", 2, 8));
+    ASSERT_EQ(start_all().size(), 2u);
+    pass(span(10'000));
+    restart("w1");
+    restart("w2");
+    m_dispatcher.cancel_job("old", m_now);
+    lose("w1");
+    std::string usable = "w2";
+    int starts = 0;
+    for (int tick = 0; tick < 110; ++tick)
+    {
+        if (tick == 1)
+        {
+            accept(job("deadly", 1, 1));
+        }
+        const std::string beside = "beside" + std::to_string(tick);
+        accept(job(beside, 1, 0));
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        pass(span(10));
+        bool crashed = false;
+        for (const start_order& order : orders)
+        {
+            crashed = crashed || order.m_run.m_task.m_job == "deadly";
+        }
+        m_dispatcher.cancel_job(beside, m_now);
+        if (crashed)
+        {
+            ++starts;
+            lose(usable);
+            usable = usable == "w1" ? "w2" : "w1";
+            worker_description next = worker(usable);
+            next.m_incarnation = 100 + ++m_restarts;
+            m_dispatcher.worker_listed(next, m_now);
+        }
+        report(usable, {}, {}, 100 + m_restarts);
+        store();
+        pass(span(500));
+    }
+    EXPECT_LE(starts, starts_allowed);
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
+TEST_F(crash_fixture,
+       a_crash_between_two_leaders_that_is_conclusive_is_the_last)
+{
+    job_progress progress;
+    progress.m_state = job_state::running;
+    progress.m_tasks = {{{task_progress()}}};
+    task_progress& task = progress.m_tasks[0][0][0];
+    task.m_last_run = starts_allowed;
+    task.m_worker = "w1";
+    task.m_worker_incarnation = 50;
+    task.m_crashes = {0, starts_allowed - 1};
+    add_workers(1);
+    m_dispatcher.add_job(job("deadly", 1, 8), progress, 1, m_now, m_now);
+    EXPECT_TRUE(start_all().empty());
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
+TEST_F(crash_fixture, a_task_that_crashes_its_workers_late_is_given_up)
+{
+    add_workers(1);
+    accept(job("deadly", 1, 8));
+    int starts = 0;
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        pass(span(6000));
+        for (const start_order& order : orders)
+        {
+            ++starts;
+            report(order.m_worker, {running(order)});
+            pass(span(10));
+            lose(order.m_worker);
+            add_workers(1);
+        }
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    EXPECT_LE(starts, starts_allowed);
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
+TEST_F(crash_fixture, crashes_count_although_the_leader_ends_before_the_leases)
+{
+    constexpr int crashed = 3;
+    add_workers(crashed);
+    std::vector<std::string> ids;
+    for (int index = 0; index < crashed; ++index)
+    {
+        ids.push_back("deadly" + std::to_string(index));
+        accept(job(ids.back(), 1, 8));
+    }
+    const std::vector<start_order> orders = start_all();
+    ASSERT_EQ(orders.size(), static_cast<std::size_t>(crashed));
+    confirm(orders);
+    std::map<std::string, job_progress> stored;
+    const auto collect = [&]
+    {
+        for (const job_write& write : store())
+        {
+            stored[write.m_job] = write.m_progress;
+        }
+    };
+    for (const start_order& order : orders)
+    {
+        const auto& entry = m_dispatcher.jobs().at(order.m_run.m_task.m_job);
+        job_progress& kept = stored[order.m_run.m_task.m_job];
+        kept.m_state = entry.m_state;
+        kept.m_tasks = {{{entry.m_tasks[0][0][0].m_progress}}};
+    }
+    pass(span(10));
+    for (const start_order& order : orders)
+    {
+        lose(order.m_worker);
+    }
+    step();
+    collect();
+    pass(span(2000));
+    step();
+    collect();
+    dispatcher next(
+        dispatch_limits(),
+        [](const std::string&, const std::string&, const decision_fields&) {});
+    next.configure(m_configuration);
+    next.begin_term(m_now);
+    for (const std::string& id : ids)
+    {
+        next.add_job(job(id, 1, 8), stored.at(id), 1, m_now, m_now);
+    }
+    pass(after_the_lease);
+    next.plan(m_now, m_now);
+    for (const std::string& id : ids)
+    {
+        EXPECT_TRUE(
+            next.jobs().at(id).m_tasks[0][0][0].m_progress.m_crashes.any())
+            << id;
+    }
+}
+
+TEST_F(crash_fixture, the_loss_of_a_rack_between_leaders_is_not_held_against_it)
+{
+    constexpr int lost = 4;
+    for (int index = 0; index < lost; ++index)
+    {
+        job_progress progress;
+        progress.m_state = job_state::running;
+        progress.m_tasks = {{{task_progress()}}};
+        progress.m_tasks[0][0][0].m_last_run = 1;
+        progress.m_tasks[0][0][0].m_worker = "w" + std::to_string(index);
+        progress.m_tasks[0][0][0].m_worker_incarnation = 100;
+        m_dispatcher.add_job(job("good" + std::to_string(index), 1, 8),
+                             progress, 1, m_now, m_now);
+    }
+    m_dispatcher.begin_term(m_now);
+    pass(after_the_lease);
+    step();
+    for (int index = 0; index < lost; ++index)
+    {
+        EXPECT_FALSE(crashes_of("good" + std::to_string(index)).any());
+    }
+}
+
+TEST_F(crash_fixture,
+       crashes_that_only_a_timeout_shows_count_if_they_follow_starts)
+{
+    constexpr int jobs = 3;
+    constexpr int call_timeout_ms = 2100;
+    add_workers(jobs);
+    for (int index = 0; index < jobs; ++index)
+    {
+        accept(job("deadly" + std::to_string(index), 1, 8));
+    }
+    int starts = 0;
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        pass(span(call_timeout_ms));
+        for (const start_order& order : orders)
+        {
+            starts += order.m_run.m_task.m_job == "deadly0" ? 1 : 0;
+            lose(order.m_worker, call_failure::timed_out);
+            add_workers(1);
+        }
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    EXPECT_LE(starts, starts_allowed);
+}
+
+TEST_F(crash_fixture, an_old_run_of_an_earlier_term_is_not_held_responsible)
+{
+    job_progress progress;
+    progress.m_state = job_state::running;
+    progress.m_tasks = {{{task_progress()}}};
+    progress.m_tasks[0][0][0].m_last_run = 1;
+    progress.m_tasks[0][0][0].m_worker = "w1";
+    progress.m_tasks[0][0][0].m_worker_incarnation = 100;
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    const job_submission submission = job("good", 1, 8);
+    m_dispatcher.add_job(submission, progress, 1, m_now, m_now);
+    const running_report listed{task_ref{"good", 0, 0, 0}.str(), 1, "", 10};
+    report("w1", {listed});
+    pass(span(20'000));
+    report("w1", {listed});
+    lose("w1");
+    pass(after_the_lease);
+    step();
+    EXPECT_FALSE(crashes_of("good").any());
+}
+
+TEST_F(crash_fixture, a_worker_that_still_sends_heartbeats_has_not_crashed)
+{
+    add_workers(1);
+    accept(job("good", 1, 8));
+    int cut_off = 0;
+    for (int round = 0; round < 3; ++round)
+    {
+        const std::vector<start_order> starts = start_all();
+        ASSERT_EQ(starts.size(), 1u) << "round " << round;
+        confirm(starts);
+        pass(span(10));
+        m_dispatcher.renewal_failed(
+            starts[0].m_worker,
+            {order_outcome::may_have_arrived, call_failure::connection_closed},
+            m_now);
+        ++cut_off;
+        add_workers(1);
+        for (int beat = 0; beat < 7; ++beat)
+        {
+            pass(span(1000));
+            for (int id = 1; id <= cut_off; ++id)
+            {
+                worker_description beating = worker("w" + std::to_string(id));
+                beating.m_clock = m_now.count();
+                m_dispatcher.worker_listed(beating, m_now);
+            }
+        }
+        step();
+        store();
+    }
+    EXPECT_TRUE(m_dispatcher.has_job("good"));
+}
+
+TEST_F(crash_fixture, a_worker_that_was_lost_before_the_start_is_no_crash)
+{
+    add_workers(1);
+    accept(job("good", 1, 8));
+    for (int round = 0; round < starts_allowed; ++round)
+    {
+        pass(span(10'000));
+        const std::vector<start_order> starts = start_all();
+        ASSERT_EQ(starts.size(), 1u) << "round " << round;
+        pass(span(450));
+        m_dispatcher.start_finished(
+            starts[0],
+            {order_outcome::may_have_arrived, call_failure::timed_out}, m_now);
+        pass(span(150));
+        lose(starts[0].m_worker, call_failure::timed_out);
+        add_workers(1);
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    EXPECT_TRUE(m_dispatcher.has_job("good"));
+}
+
+TEST_F(crash_fixture, a_guaranteed_gang_does_not_wait_for_suspected_tasks)
+{
+    constexpr int suspects = 12;
+    add_workers(1);
+    for (int index = 0; index < suspects; ++index)
+    {
+        accept(job("suspected" + std::to_string(index), 1, 0));
+    }
+    confirm(start_all());
+    pass(span(10));
+    lose("w1");
+    pass(after_the_lease);
+    add_workers(1);
+    confirm(start_all());
+    pass(span(700));
+    add_workers(1);
+    confirm(start_all());
+    job_submission urgent = job("urgent", 2, 4, "urgent");
+    urgent.m_steps[0].m_gang = true;
+    urgent.m_steps[0].m_max_per_worker = 1;
+    accept(urgent);
+    const instant accepted = m_now;
+    std::optional<instant> started;
+    while (!started && m_now - accepted < span(20'000))
+    {
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        for (const start_order& order : orders)
+        {
+            if (order.m_run.m_task.m_job == "urgent")
+            {
+                started = m_now;
+            }
+        }
+        pass(span(100));
+    }
+    ASSERT_TRUE(started);
+    EXPECT_LE((*started - accepted).count(),
+              dispatch_limits().m_reclaim_bound.count());
+}
+
+TEST_F(crash_fixture, a_gang_with_one_crashing_member_is_given_up)
+{
+    add_workers(2);
+    job_submission gang = job("deadly", 2, 8);
+    gang.m_steps[0].m_gang = true;
+    accept(gang);
+    int starts = 0;
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        const std::vector<start_order> orders = start_all();
+        confirm(orders);
+        pass(span(10));
+        for (const start_order& order : orders)
+        {
+            if (order.m_run.m_task.m_index == 1)
+            {
+                ++starts;
+                lose(order.m_worker);
+                add_workers(1);
+            }
+        }
+        pass(after_the_lease);
+        step();
+        for (const auto& [id, each] : m_dispatcher.workers())
+        {
+            if (each.m_listed)
+            {
+                report(id, {});
+            }
+        }
+        store();
+        pass(span(2000));
+    }
+    EXPECT_LE(starts, starts_allowed);
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
 } // namespace kingcuprudder::dispatch
