Give a task up after five workers have ended under it

Cause: only the weighed evidence ended a job, so whatever it does not weigh is without a bound, and it was checked only where a leader sees the loss. Class: a bound that holds on one path only. Change: the record counts the workers whose process ended under the task, in a row, without a run of 30 s between; losses with a common cause, draining workers and lost machines do not count. Five, or conclusive evidence, end the job, and the planner checks this wherever the task waits, so it holds for each path and for each leader. A run is counted once.

--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -85,6 +85,7 @@
 constexpr int done_task = 1;
 // The position of the lost workers of a task, which only suspected tasks have.
 constexpr std::size_t crash_fields_at = 5;
+constexpr std::size_t crash_field_count = 5;
 
 json encode_task(const task_progress& task)
 {
@@ -99,11 +100,13 @@
     json entry =
         json::array({task.m_last_run, task.m_worker, task.m_worker_incarnation,
                      task.m_failed_runs, task.m_checkpoint});
-    if (task.m_crashes.any())
+    if (task.m_crashes.any() || task.m_workers_ended > 0)
     {
         entry.push_back(task.m_crashes.m_certain);
         entry.push_back(task.m_crashes.m_possible);
         entry.push_back(task.m_crashes.m_slight);
+        entry.push_back(task.m_workers_ended);
+        entry.push_back(task.m_lost_run);
     }
     return entry;
 }
@@ -121,11 +124,13 @@
     task.m_worker_incarnation = value.at(2);
     task.m_failed_runs = value.at(3).get<std::vector<int>>();
     task.m_checkpoint = value.at(4);
-    if (value.size() > crash_fields_at + 2)
+    if (value.size() >= crash_fields_at + crash_field_count)
     {
         task.m_crashes.m_certain = value.at(crash_fields_at);
         task.m_crashes.m_possible = value.at(crash_fields_at + 1);
         task.m_crashes.m_slight = value.at(crash_fields_at + 2);
+        task.m_workers_ended = value.at(crash_fields_at + 3);
+        task.m_lost_run = value.at(crash_fields_at + 4);
     }
     return task;
 }
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -155,14 +155,16 @@
     void release_worker_runs(worker_entry& worker, const std::string& reason,
                              instant now);
     /// Releases the runs of a worker that was lost, and attributes the loss to
-    /// the tasks that may have caused it. A task that crashes its workers is
-    /// given up, and its job fails.
+    /// the tasks that may have caused it.
     void lose_worker_runs(worker_entry& worker, const std::string& reason,
                           instant now);
-    /// Returns the tasks of the lost worker that must not be started again.
-    std::vector<task_ref> attribute_loss(worker_entry& worker, instant now);
-    void attribute_crash(const std::string& worker, const task_ref& ref,
-                         crash_suspicion suspicion);
+    void attribute_loss(worker_entry& worker, instant now);
+    /// Counts the loss unless the task's newest run was counted before. Returns
+    /// whether it counted.
+    bool attribute_crash(const worker_entry& worker,
+                         const attributed_loss& loss);
+    /// Fails the job of a task that crashes its workers.
+    void give_up(job_entry& job, const task_ref& ref, instant now);
     /// Returns whether several workers were lost together with this one for a
     /// reason other than their tasks.
     bool is_lost_with_others(const worker_entry& worker,
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -18,6 +18,14 @@
 // A run that lasts this long has not crashed its worker.
 constexpr span lasting_run = span(30'000);
 
+decision_fields crash_fields(const task_progress& task)
+{
+    return {{"certain", number(task.m_crashes.m_certain)},
+            {"possible", number(task.m_crashes.m_possible)},
+            {"slight", number(task.m_crashes.m_slight)},
+            {"workers_ended", number(task.m_workers_ended)}};
+}
+
 } // namespace
 
 // Attributes lost workers to the tasks that may have crashed them.
@@ -66,15 +74,17 @@
         worker.m_loss_attributed = false;
         m_unexplained_losses.erase(worker.m_description.m_address);
     }
-    for (const auto& [ref, suspicion] : worker.m_attributed)
+    for (const attributed_loss& each : worker.m_attributed)
     {
-        if (job_entry* job = m_jobs.find_task(ref))
+        if (job_entry* job = m_jobs.find_task(each.m_task))
         {
-            job->task(ref).m_progress.m_crashes.add(suspicion, -1);
-            job->task(ref).m_lost_addresses.erase(
-                worker.m_description.m_address);
+            task_entry& task = job->task(each.m_task);
+            task.m_progress.m_crashes.add(each.m_suspicion, -1);
+            task.m_progress.m_workers_ended -= each.m_counts_as_ended ? 1 : 0;
+            task.m_lost_addresses.erase(worker.m_description.m_address);
             m_jobs.mark_changed(*job);
-            m_log("crash_withdrawn", ref.str(), {{"worker", worker.id()}});
+            m_log("crash_withdrawn", each.m_task.str(),
+                  {{"worker", worker.id()}});
         }
     }
     worker.m_attributed.clear();
@@ -157,28 +167,37 @@
     }
 }
 
-void dispatcher::attribute_crash(const std::string& worker, const task_ref& ref,
-                                 crash_suspicion suspicion)
+bool dispatcher::attribute_crash(const worker_entry& worker,
+                                 const attributed_loss& loss)
 {
-    job_entry& job = *m_jobs.find_task(ref);
-    crash_evidence& crashes = job.task(ref).m_progress.m_crashes;
-    crashes.add(suspicion);
+    job_entry& job = *m_jobs.find_task(loss.m_task);
+    task_entry& task = job.task(loss.m_task);
+    task_progress& progress = task.m_progress;
+    if (progress.m_lost_run == progress.m_last_run ||
+        (loss.m_suspicion == crash_suspicion::none && !loss.m_counts_as_ended))
+    {
+        return false;
+    }
+    progress.m_crashes.add(loss.m_suspicion);
+    progress.m_workers_ended += loss.m_counts_as_ended ? 1 : 0;
+    progress.m_lost_run = progress.m_last_run;
+    if (loss.m_suspicion != crash_suspicion::none)
+    {
+        task.m_lost_addresses.insert(worker.m_description.m_address);
+    }
     m_jobs.mark_changed(job);
-    m_log("crash_attributed", ref.str(),
-          {{"worker", worker},
-           {"suspicion", std::string(to_string(suspicion))},
-           {"certain", number(crashes.m_certain)},
-           {"possible", number(crashes.m_possible)},
-           {"slight", number(crashes.m_slight)}});
+    decision_fields fields = crash_fields(progress);
+    fields.emplace_back("worker", worker.id());
+    fields.emplace_back("suspicion", std::string(to_string(loss.m_suspicion)));
+    m_log("crash_attributed", loss.m_task.str(), fields);
+    return true;
 }
 
-std::vector<task_ref> dispatcher::attribute_loss(worker_entry& worker,
-                                                 instant now)
+void dispatcher::attribute_loss(worker_entry& worker, instant now)
 {
-    std::vector<task_ref> given_up;
     if (worker.m_loss_attributed)
     {
-        return given_up;
+        return;
     }
     worker.m_loss_attributed = true;
     std::vector<task_ref> refs;
@@ -199,47 +218,33 @@
     }
     if (worker.m_description.m_draining)
     {
-        return given_up;
+        return;
     }
     note_unexplained_loss(worker, loss, now);
+    const bool ended = loss.m_process_ended && !loss.m_with_others;
     for (std::size_t at = 0; at < refs.size(); ++at)
     {
-        const crash_suspicion suspicion = loss.suspicion_of(at);
-        if (suspicion == crash_suspicion::none)
-        {
-            continue;
-        }
-        attribute_crash(worker.id(), refs[at], suspicion);
-        m_jobs.find_task(refs[at])->task(refs[at]).m_lost_addresses.insert(
-            worker.m_description.m_address);
-        worker.m_attributed.emplace_back(refs[at], suspicion);
-        if (m_jobs.find_task(refs[at])
-                ->task(refs[at])
-                .m_progress.m_crashes.is_conclusive())
+        const attributed_loss counted{refs[at], loss.suspicion_of(at), ended};
+        if (attribute_crash(worker, counted))
         {
-            given_up.push_back(refs[at]);
+            worker.m_attributed.push_back(counted);
         }
     }
-    return given_up;
 }
 
 void dispatcher::lose_worker_runs(worker_entry& worker,
                                   const std::string& reason, instant now)
 {
-    const std::vector<task_ref> given_up = attribute_loss(worker, now);
+    attribute_loss(worker, now);
     release_worker_runs(worker, reason, now);
-    for (const task_ref& ref : given_up)
-    {
-        job_entry& job = *m_jobs.find_task(ref);
-        const crash_evidence& crashes = job.task(ref).m_progress.m_crashes;
-        fail_job(job,
-                 {{"task", ref.str()},
-                  {"reason", "crashes its workers"},
-                  {"certain", number(crashes.m_certain)},
-                  {"possible", number(crashes.m_possible)},
-                  {"slight", number(crashes.m_slight)}},
-                 now);
-    }
+}
+
+void dispatcher::give_up(job_entry& job, const task_ref& ref, instant now)
+{
+    decision_fields fields = crash_fields(job.task(ref).m_progress);
+    fields.emplace_back("task", ref.str());
+    fields.emplace_back("reason", "crashes its workers");
+    fail_job(job, fields, now);
 }
 
 void dispatcher::attribute_losses_of_earlier_term()
@@ -256,7 +261,8 @@
         {
             if (!with_others && m_jobs.find_task(ref) != nullptr)
             {
-                attribute_crash(id, ref, crash_suspicion::possible);
+                attribute_crash(find_or_add_worker(id),
+                                {ref, crash_suspicion::possible, true});
             }
         }
     }
@@ -267,10 +273,12 @@
                                               const task_ref& ref, instant now)
 {
     task_entry& task = job.task(ref);
-    if (task.m_progress.m_crashes.any() &&
+    if ((task.m_progress.m_crashes.any() ||
+         task.m_progress.m_workers_ended > 0) &&
         now - *task.m_active->m_started_at >= lasting_run)
     {
         task.m_progress.m_crashes = crash_evidence();
+        task.m_progress.m_workers_ended = 0;
         m_jobs.mark_changed(job);
         m_log("crashes_cleared", ref.str(),
               {{"run", number(task.m_active->m_number)}});
--- a/kingcuprudder/dispatch/job_progress.hpp
+++ b/kingcuprudder/dispatch/job_progress.hpp
@@ -17,7 +17,7 @@
     queued,    ///< Accepted, no task has started.
     running,   ///< A task has started.
     completed, ///< All tasks are done.
-    failed,    ///< A task failed in the maximum number of runs.
+    failed,    ///< A task failed in all its attempts or crashes its workers.
     cancelled, ///< The caller cancelled it.
 };
 
@@ -44,6 +44,14 @@
     std::string m_checkpoint;
     /// The lost workers that are attributed to the task.
     crash_evidence m_crashes = {};
+    /// The workers whose process ended under the task, whatever the reason.
+    int m_workers_ended = 0;
+    /// The last run that ended with its worker and was counted.
+    int m_lost_run = 0;
+
+    /// Returns whether the task must not be started again, as it crashes its
+    /// workers. It may crash five of them at most.
+    bool crashes_workers() const;
 
     friend bool operator==(const task_progress&,
                            const task_progress&) = default;
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -216,6 +216,17 @@
             const auto& tasks = job.m_tasks[repeat][index];
             for (std::size_t task = 0; task < tasks.size(); ++task)
             {
+                if (tasks[task].is_waiting() &&
+                    tasks[task].m_progress.crashes_workers())
+                {
+                    m_state.give_up(job,
+                                    {job.m_submission.m_id, repeat, index,
+                                     static_cast<int>(task)},
+                                    m_now);
+                    std::erase_if(steps, [&job](const waiting_step& each)
+                                  { return each.m_job == &job; });
+                    return;
+                }
                 if (tasks[task].is_waiting())
                 {
                     step.m_waiting.push_back(static_cast<int>(task));
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -17,6 +17,15 @@
 namespace kingcuprudder::dispatch
 {
 
+/// What the loss of a worker was counted as for one of its tasks.
+struct attributed_loss
+{
+    task_ref m_task;
+    crash_suspicion m_suspicion = crash_suspicion::none;
+    /// It is one of task_progress::m_workers_ended.
+    bool m_counts_as_ended = false;
+};
+
 /// The last reported state of a worker and its allocated runs.
 struct worker_entry
 {
@@ -37,7 +46,7 @@
     bool m_loss_attributed = false;
     /// The tasks to which the loss of this incarnation was attributed. It is
     /// withdrawn if the worker answers after all.
-    std::vector<std::pair<task_ref, crash_suspicion>> m_attributed;
+    std::vector<attributed_loss> m_attributed;
     /// When a run was last assigned to the worker or started on it.
     instant m_last_start_at;
     /// No other run is started before this time, so that a crash of the worker
