Keep what a leader knows of a crash across a change of the leader

Callers saw (in tests): three tasks that crashed their workers 2 s before the leader ended were taken for one common loss by the next one (BUDGET), of four runs on a lost rack two were held responsible, and a run that an earlier leader had started 20 s ago counted as new (LOST). Cause: a loss was attributed only when the lease was over, 6.4 s after the crash, so a leader that ended before left its successor without the evidence. The successor released one worker after the other and counted only those that still held runs; and it took every run of an earlier term for a new one. Change: the end of a process is attributed, and stored, 0.5 s after it was noticed and withdrawn if the worker answers; workers whose loss was attributed stay in the count; a run that was known 5 s before the loss is not new.

--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -159,6 +159,9 @@
     void lose_worker_runs(worker_entry& worker, const std::string& reason,
                           instant now);
     void attribute_loss(worker_entry& worker, instant now);
+    /// Attributes the workers whose process has ended, before their lease is
+    /// over, so that a later leader knows of it.
+    void attribute_noted_losses(instant now);
     /// Counts the loss unless the task's newest run was counted before. Returns
     /// whether it counted.
     bool attribute_crash(const worker_entry& worker,
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -81,6 +81,7 @@
             task_entry& task = job->task(each.m_task);
             task.m_progress.m_crashes.add(each.m_suspicion, -1);
             task.m_progress.m_workers_ended -= each.m_counts_as_ended ? 1 : 0;
+            task.m_progress.m_lost_run = 0;
             task.m_lost_addresses.erase(worker.m_description.m_address);
             m_jobs.mark_changed(*job);
             m_log("crash_withdrawn", each.m_task.str(),
@@ -111,6 +112,7 @@
         {
             refs.push_back(ref);
             loss.m_runs.push_back({ref.m_job, task.m_active->m_first_sent_at,
+                                   task.m_active->m_assigned_at,
                                    task.m_lost_addresses.contains(
                                        worker.m_description.m_address)});
         }
@@ -128,7 +130,8 @@
         for (const auto& [id, other] : m_workers)
         {
             const bool never_answered =
-                !other.m_synced && !other.m_tasks.empty();
+                !other.m_synced &&
+                (!other.m_tasks.empty() || other.m_loss_attributed);
             lost += never_answered && id != worker.id() ? 1 : 0;
         }
         return has_common_cause(lost, with_new_run);
@@ -232,6 +235,22 @@
     }
 }
 
+void dispatcher::attribute_noted_losses(instant now)
+{
+    // Attributing may change the list.
+    const std::vector<silent_worker> silent = m_silent_workers;
+    for (const silent_worker& each : silent)
+    {
+        const auto worker = m_workers.find(each.m_id);
+        if (each.m_process_ended && worker != m_workers.end() &&
+            worker->second.m_silent_since == each.m_silent_since &&
+            now - each.m_silent_since > common_loss_period(true))
+        {
+            attribute_loss(worker->second, now);
+        }
+    }
+}
+
 void dispatcher::lose_worker_runs(worker_entry& worker,
                                   const std::string& reason, instant now)
 {
--- a/kingcuprudder/dispatch/worker_loss.cpp
+++ b/kingcuprudder/dispatch/worker_loss.cpp
@@ -58,10 +58,15 @@
 crash_suspicion worker_loss::suspicion_by_start(std::size_t position) const
 {
     const lost_run& run = m_runs[position];
-    if (!m_silent_since || !run.m_first_sent_at)
+    if (!run.m_first_sent_at)
     {
-        return run.m_first_sent_at ? crash_suspicion::none
-                                   : crash_suspicion::possible;
+        const bool old = m_silent_since &&
+                         *m_silent_since - run.m_started_before > new_run_age;
+        return old ? crash_suspicion::none : crash_suspicion::possible;
+    }
+    if (!m_silent_since)
+    {
+        return crash_suspicion::none;
     }
     if (!is_within(run, *m_silent_since, new_run_age))
     {
--- a/kingcuprudder/dispatch/worker_loss.hpp
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -17,6 +17,9 @@
     std::string m_job;
     /// When its start was sent first; empty if an earlier leader sent it.
     std::optional<instant> m_first_sent_at;
+    /// When the run is known to have been started already; if an earlier
+    /// leader sent the start.
+    instant m_started_before;
     /// A loss at the same address was attributed to the task before.
     bool m_repeated = false;
 
