A worker that writes its heartbeats has not crashed

Callers saw (in a test): a good job was failed after three workers with its task had lost their connection to the leader for longer than their lease, although they went on writing their descriptions (LOST). Cause: a closed connection was taken for the end of the process, and only an answer withdrew it, which comes after the cut. Change: a description of the same incarnation whose clock is over 0.5 s past the failed call shows that the process lives; what was attributed is withdrawn (event silent_worker_lives).

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -180,6 +180,7 @@
                {"zone", description.m_zone},
                {"gpus", number(description.m_capacity.m_gpus)}});
     }
+    note_heartbeat(worker, description);
     worker_description changed = description;
     changed.m_incarnation = incarnation;
     // Every entry has another clock reading, which alone changes nothing.
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -184,6 +184,10 @@
                                const worker_loss& loss, instant now);
     /// Withdraws what was attributed to the loss of a worker that answers.
     void note_answer(worker_entry& worker);
+    /// Withdraws it too if the worker has written its description since.
+    void note_heartbeat(worker_entry& worker,
+                        const worker_description& description);
+    void withdraw_loss(worker_entry& worker);
     /// Notes that a run was assigned to the worker or started on it.
     static void note_start(worker_entry& worker, const task_entry& task,
                            instant now);
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -15,6 +15,9 @@
 // is sent, its worker is kept for it at most for the second time.
 constexpr span trial_after_start = crash_after_start + span(500);
 constexpr span trial_before_start = span(2000);
+// A heartbeat was written after a failed call if the worker's clock shows this
+// much more time; an answer may have waited that long for this process.
+constexpr span heartbeat_margin = span(500);
 // A run that lasts this long has not crashed its worker.
 constexpr span lasting_run = span(30'000);
 
@@ -65,12 +68,38 @@
     {
         worker.m_silent_since.reset();
         worker.m_process_ended = false;
+        worker.m_cut_off = false;
         std::erase_if(m_silent_workers, [&worker](const silent_worker& each)
                       { return each.m_id == worker.id(); });
     }
+    withdraw_loss(worker);
+}
+
+void dispatcher::note_heartbeat(worker_entry& worker,
+                                const worker_description& description)
+{
+    if (!worker.m_silent_since || !worker.m_process_ended ||
+        description.m_incarnation != worker.m_description.m_incarnation ||
+        description.m_clock == 0 || worker.m_answer_clock == 0)
+    {
+        return;
+    }
+    const span answer_age = *worker.m_silent_since - worker.m_last_answer;
+    const span written = span(description.m_clock - worker.m_answer_clock);
+    if (written > answer_age + heartbeat_margin)
+    {
+        m_log("silent_worker_lives", worker.id(),
+              {{"written_after_ms", number((written - answer_age).count())}});
+        worker.m_process_ended = false;
+        worker.m_cut_off = true;
+        withdraw_loss(worker);
+    }
+}
+
+void dispatcher::withdraw_loss(worker_entry& worker)
+{
     if (worker.m_loss_attributed)
     {
-        // The process lives after all.
         worker.m_loss_attributed = false;
         m_unexplained_losses.erase(worker.m_description.m_address);
     }
@@ -214,12 +243,13 @@
                {"with_others", loss.m_with_others ? "true" : "false"},
                {"follows_a_start", loss.follows_a_start() ? "true" : "false"},
                {"process_ended", loss.m_process_ended ? "true" : "false"},
+               {"cut_off", worker.m_cut_off ? "true" : "false"},
                {"unreliable", loss.m_unreliable ? "true" : "false"},
                {"silent_ms", loss.m_silent_since
                                  ? number((now - *loss.m_silent_since).count())
                                  : "never answered"}});
     }
-    if (worker.m_description.m_draining)
+    if (worker.m_description.m_draining || worker.m_cut_off)
     {
         return;
     }
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -51,6 +51,7 @@
     mark_renewal(id);
     worker.m_reachable = true;
     worker.m_last_answer = now;
+    worker.m_answer_clock = report.m_clock;
     note_answer(worker);
     for (const completion_report& end : report.m_ended)
     {
@@ -106,6 +107,7 @@
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
     worker.m_process_ended = false;
+    worker.m_cut_off = false;
     worker.m_loss_attributed = false;
     worker.m_last_start_at = instant();
     worker.m_trial_until = instant();
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -42,6 +42,10 @@
     std::optional<instant> m_silent_since;
     /// The renewal failed as the worker's process had ended.
     bool m_process_ended = false;
+    /// The worker does not answer, but has written its description since.
+    bool m_cut_off = false;
+    /// The worker's clock in its last answer, in milliseconds.
+    std::int64_t m_answer_clock = 0;
     /// The loss of this incarnation has been attributed.
     bool m_loss_attributed = false;
     /// The tasks to which the loss of this incarnation was attributed. It is
