Judge the loss of a machine by its last answer and by accepted runs

Callers saw (in tests): three tasks that crash whole machines were started ten times, as each loss cleared the others (BUDGET); and a good job was failed after five starts on machines that were already lost and had accepted nothing (LOST). Cause: the loss of a machine is noticed only when a call is not answered, up to 2.1 s late, but was judged as if it had happened then. Change: a run is new if the machine accepted it and its start was sent later than 1 s before the machine's last answer. The load tests of lost racks and of workers that are cut off pass.

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -126,6 +126,7 @@
     worker_loss loss;
     loss.m_silent_since = worker.m_silent_since;
     loss.m_process_ended = worker.m_process_ended;
+    loss.m_last_answer = worker.m_last_answer;
     loss.m_unreliable = is_unreliable(worker, now);
     if (!loss.m_silent_since && worker.m_synced)
     {
@@ -142,6 +143,7 @@
             refs.push_back(ref);
             loss.m_runs.push_back({ref.m_job, task.m_active->m_first_sent_at,
                                    task.m_active->m_assigned_at,
+                                   task.m_active->m_started_at.has_value(),
                                    task.m_lost_addresses.contains(
                                        worker.m_description.m_address)});
         }
--- a/kingcuprudder/dispatch/worker_loss.cpp
+++ b/kingcuprudder/dispatch/worker_loss.cpp
@@ -15,21 +15,35 @@
 // More than the timeout of a call and the wait of the poll before it.
 constexpr span unanswered_together = span(2500);
 
-bool is_within(const lost_run& run, instant silent_since, span age)
+bool is_between(const std::optional<instant>& time, instant from, instant to)
 {
-    return run.m_first_sent_at && *run.m_first_sent_at <= silent_since &&
-           silent_since - *run.m_first_sent_at <= age;
+    return time && *time >= from && *time <= to;
 }
 
 } // namespace
 
+bool worker_loss::is_new(const lost_run& run) const
+{
+    if (!m_silent_since)
+    {
+        return false;
+    }
+    if (m_process_ended)
+    {
+        return is_between(run.m_first_sent_at,
+                          *m_silent_since - crash_after_start, *m_silent_since);
+    }
+    // The machine was lost at some time since its last answer. It may have been
+    // lost already when a start was sent that it did not accept.
+    return run.m_accepted &&
+           is_between(run.m_first_sent_at, m_last_answer - crash_after_start,
+                      *m_silent_since);
+}
+
 bool worker_loss::follows_a_start() const
 {
-    return m_silent_since &&
-           std::any_of(
-               m_runs.begin(), m_runs.end(),
-               [this](const lost_run& run)
-               { return is_within(run, *m_silent_since, crash_after_start); });
+    return std::any_of(m_runs.begin(), m_runs.end(),
+                       [this](const lost_run& run) { return is_new(run); });
 }
 
 crash_suspicion worker_loss::suspicion_of(std::size_t position) const
@@ -48,9 +62,7 @@
     }
     if (m_unreliable || m_with_others)
     {
-        const bool new_run = m_silent_since &&
-                             is_within(run, *m_silent_since, crash_after_start);
-        return new_run ? crash_suspicion::slight : crash_suspicion::none;
+        return is_new(run) ? crash_suspicion::slight : crash_suspicion::none;
     }
     return found;
 }
@@ -64,27 +76,22 @@
                          *m_silent_since - run.m_started_before > new_run_age;
         return old ? crash_suspicion::none : crash_suspicion::possible;
     }
-    if (!m_silent_since)
+    if (!m_process_ended)
     {
-        return crash_suspicion::none;
+        return is_new(run) ? crash_suspicion::possible : crash_suspicion::none;
     }
-    if (!is_within(run, *m_silent_since, new_run_age))
+    const bool only_new_job =
+        std::all_of(m_runs.begin(), m_runs.end(),
+                    [&](const lost_run& other)
+                    { return other.m_job == run.m_job || !is_new(other); });
+    if (is_new(run) && only_new_job)
     {
-        return crash_suspicion::none;
+        return crash_suspicion::certain;
     }
-    const bool only_new_job = std::all_of(
-        m_runs.begin(), m_runs.end(),
-        [&](const lost_run& other)
-        {
-            return other.m_job == run.m_job ||
-                   !is_within(other, *m_silent_since, crash_after_start);
-        });
-    // A worker that is cut off is noticed late, so starts may have been sent
-    // to it since.
-    return only_new_job && m_process_ended &&
-                   is_within(run, *m_silent_since, crash_after_start)
-               ? crash_suspicion::certain
-               : crash_suspicion::possible;
+    return is_between(run.m_first_sent_at, *m_silent_since - new_run_age,
+                      *m_silent_since)
+               ? crash_suspicion::possible
+               : crash_suspicion::none;
 }
 
 bool has_common_cause(int lost, int with_new_run)
--- a/kingcuprudder/dispatch/worker_loss.hpp
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -20,6 +20,8 @@
     /// When the run is known to have been started already; if an earlier
     /// leader sent the start.
     instant m_started_before;
+    /// The worker has accepted or reported the run.
+    bool m_accepted = false;
     /// A loss at the same address was attributed to the task before.
     bool m_repeated = false;
 
@@ -34,6 +36,7 @@
     std::optional<instant> m_silent_since;
     /// The process ended; else the machine or its network may be lost.
     bool m_process_ended = false;
+    instant m_last_answer;
     /// The address was lost before without a start to explain it.
     bool m_unreliable = false;
     /// Several workers were lost together for a reason other than their tasks.
@@ -47,6 +50,8 @@
     crash_suspicion suspicion_of(std::size_t position) const;
 
 private:
+    /// Returns whether the worker was lost right after the run's start.
+    bool is_new(const lost_run& run) const;
     /// The same without regard to the worker's other losses.
     crash_suspicion suspicion_by_start(std::size_t position) const;
 };
