A guaranteed job does not wait for suspected tasks

Callers saw (in a test): a guaranteed gang waited 9 s, over the 2.9 s of its guarantee (RECLAIM), while 12 suspected tasks took each worker in turn for themselves. Cause: no other run starts on a worker for 1.5 s beside a suspected task, and the rule had no exception. Change: the first start of a guaranteed step is not kept apart.

--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -82,7 +82,8 @@
     bool is_last_choice(const worker_entry& worker,
                         const waiting_step& step) const;
     /// Returns whether the step may be started on the worker now, so that a
-    /// crash of the worker can be attributed to one job.
+    /// crash of the worker can be attributed to one job. A guaranteed step that
+    /// is started first must start in time and is not kept apart.
     bool is_apart_from_suspects(const worker_entry& worker,
                                 const waiting_step& step) const;
     /// Returns whether free capacity and the label alone determine which
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -35,6 +35,10 @@
 bool planner::is_apart_from_suspects(const worker_entry& worker,
                                      const waiting_step& step) const
 {
+    if (step.m_guaranteed && !step.m_suspected)
+    {
+        return true;
+    }
     if (worker.m_trial_until > m_now)
     {
         return false;
