Release the runs of a worker that another one has replaced

Class: waiting for a timeout although the outcome is known. Change: an answer of another incarnation (421) at the worker's address ends its runs: a process holds its address as long as it lives. Result: a_gang_does_not_wait_for_the_lease_of_a_replaced_worker failed before and passes.

--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -92,6 +92,9 @@
               {{"address", worker.m_description.m_address},
                {"last_answer_age_ms",
                 number((now - worker.m_last_answer).count())}});
+        // Its process is gone, and so are its runs, whatever is left of the
+        // lease.
+        lose_worker_runs(worker, "worker replaced", now);
     }
 }
 
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -448,6 +448,27 @@
     EXPECT_FALSE(progress->m_tasks[0][0][0].m_crashes.any());
 }
 
+TEST_F(crash_fixture, a_gang_does_not_wait_for_the_lease_of_a_replaced_worker)
+{
+    add_workers(2);
+    job_submission gang = job("gang", 2, 8);
+    gang.m_steps[0].m_gang = true;
+    accept(gang);
+    const std::vector<start_order> starts = start_all();
+    confirm(starts);
+    ASSERT_EQ(starts.size(), 2u);
+    pass(span(2000));
+    lose(starts[0].m_worker);
+    report(starts[1].m_worker, {},
+           {ended(1, starts[1], run_outcome::gang_broken)});
+    add_workers(1);
+    pass(span(1000));
+    EXPECT_TRUE(start_all().empty());
+    m_dispatcher.renewal_failed(starts[0].m_worker,
+                                {order_outcome::wrong_incarnation}, m_now);
+    EXPECT_EQ(start_all().size(), 2u);
+}
+
 TEST_F(crash_fixture, a_task_with_slight_evidence_only_gets_no_sixth_start)
 {
     add_workers(2);
