A failing test for crashes that no leader counts

Cause: a crash is attributed only when the worker's lease ends, 6.4 s after it. If the leader is killed meanwhile, the next one knows neither when the worker became silent nor why: note_silence returns early for a worker that has not answered this leader, although its first call is refused. is_lost_with_others then counts all workers that never answered as lost together, with no new run among them, and from three workers on all their tasks are cleared. The last two of such a group are judged alone, as the runs of the others are released by then, so the order of the workers decides. No change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher_fixture.hpp"
 #include <kingcuprudder/codec/dispatch_codec.hpp>
 
+#include <map>
 #include <set>
 
 namespace kingcuprudder::dispatch
@@ -80,6 +81,27 @@
         return starts;
     }
 
+    /// The leader fails, and the next one loads these records.
+    void change_leader(const std::map<std::string, job_write>& records)
+    {
+        m_dispatcher = dispatcher(dispatch_limits(),
+                                  [](const std::string&, const std::string&,
+                                     const decision_fields&) {});
+        m_dispatcher.configure(m_configuration);
+        m_dispatcher.begin_term(m_now);
+        for (const auto& [id, record] : records)
+        {
+            if (record.m_progress.m_state == job_state::failed)
+            {
+                continue;
+            }
+            m_dispatcher.add_job(
+                job(id, 1, 8),
+                decode_progress(encode_progress(record.m_progress)),
+                ++m_revision, m_now, m_now);
+        }
+    }
+
     /// Returns the stored progress of the task, as the next leader reads it.
     static task_progress stored_task(const std::vector<job_write>& writes)
     {
@@ -354,6 +376,62 @@
     EXPECT_EQ(loaded.m_tasks[0][0][0].m_progress.m_crashes.m_certain, 1);
 }
 
+// Guards against crashes that are not counted as no leader outlives a lease.
+TEST_F(crash_fixture, changes_of_the_leader_do_not_hide_crashing_tasks)
+{
+    const std::set<std::string> jobs = {"a", "b", "c", "d"};
+    std::map<std::string, int> starts;
+    std::map<std::string, job_write> records;
+    const auto keep_records = [&]
+    {
+        for (const job_write& write : store())
+        {
+            records.insert_or_assign(write.m_job, write);
+        }
+    };
+    for (const std::string& id : jobs)
+    {
+        accept(job(id, 1, 8));
+    }
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        add_workers(static_cast<int>(jobs.size()));
+        pass(span(2000));
+        step();
+        keep_records();
+        const std::vector<start_order> orders = step().m_starts;
+        confirm(orders);
+        pass(span(10));
+        for (const start_order& order : orders)
+        {
+            ++starts[order.m_run.m_task.m_job];
+            lose(order.m_worker);
+        }
+        pass(span(1000));
+        step();
+        keep_records();
+        if (round < 4)
+        {
+            change_leader(records);
+            for (const start_order& order : orders)
+            {
+                m_dispatcher.renewal_failed(
+                    order.m_worker,
+                    {order_outcome::not_sent, call_failure::connection_refused},
+                    m_now);
+            }
+        }
+        pass(after_the_lease);
+        step();
+        keep_records();
+    }
+    for (const std::string& id : jobs)
+    {
+        EXPECT_LE(starts[id], starts_allowed) << id;
+        EXPECT_FALSE(m_dispatcher.has_job(id)) << id;
+    }
+}
+
 // Nobody saw when the worker was lost, so this counts less than a crash that
 // the leader saw.
 TEST_F(crash_fixture, a_crash_between_two_leaders_is_a_possible_one)
