A failing test for tasks that wait for the lease of a worker that is gone

Cause: a worker that crashed is replaced by another process at its address, which refuses calls for the old one (421) 3.5 s after the crash (worker_replaced). Nothing runs there any more, but its runs are released only when the lease ends (dispatcher::expire_leases), 10.5 s after the crash on this site, as no decision uses the answer (dispatcher::renewal_failed). No change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -339,6 +339,28 @@
     EXPECT_EQ(starts[0].m_worker, "w2");
 }
 
+// Guards against tasks that wait for the lease of a process that is gone.
+TEST_F(crash_fixture, tasks_of_a_replaced_worker_do_not_wait_for_its_lease)
+{
+    add_workers(2);
+    accept(job("good", 1, 8));
+    const std::vector<start_order> starts = start_all();
+    ASSERT_EQ(starts.size(), 1u);
+    confirm(starts);
+    pass(span(3000));
+    const std::string lost = starts[0].m_worker;
+    m_dispatcher.renewal_failed(
+        lost,
+        {order_outcome::may_have_arrived, call_failure::connection_closed},
+        m_now);
+    pass(span(1000));
+    m_dispatcher.renewal_failed(lost, order_outcome::wrong_incarnation, m_now);
+    pass(span(100));
+    const std::vector<start_order> again = start_all();
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_NE(again[0].m_worker, lost);
+}
+
 TEST_F(crash_fixture, a_worker_that_left_as_announced_is_no_crash)
 {
     add_workers(1);
