A failing test for starts that are sent after their task was cancelled

Cause: a worker's session sends its orders in turn and waits up to 0.45 s for each. A start that waits there is sent although its run is being stopped meanwhile (worker_session::execute_next). The queue grows, as a stop is repeated every 0.5 s while the earlier ones still wait (dispatcher::send_stops): from 15.7 to 19.3 s the session of i-5d6e546e11 only sent unanswered stops of four runs. No change of logic.

--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <mutex>
@@ -266,6 +267,30 @@
     EXPECT_EQ(m_outcomes[0], reasons[0]);
 }
 
+// Guards against a cancelled task that starts when its turn comes late.
+TEST_F(worker_session_test, a_start_that_waits_is_not_sent_once_it_is_stopped)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    m_loop.post(
+        [&]
+        {
+            tested->send(start(0));
+            tested->send(start(1));
+            tested->send(dispatch::stop_order{"w", start(1).m_run});
+        });
+    const auto has = [&](const std::string& order)
+    {
+        const std::vector<std::string> orders = m_record.orders();
+        return std::find(orders.begin(), orders.end(), order) != orders.end();
+    };
+    ASSERT_TRUE(eventually([&] { return has("stop 5c0e7a21d94b36f8.0.0.1"); }));
+    m_loop.stop();
+    EXPECT_FALSE(has("start 5c0e7a21d94b36f8.0.0.1"));
+}
+
 TEST_F(worker_session_test, a_refused_fencing_token_ends_the_term)
 {
     m_record.m_renewal_answers = {dispatch::order_outcome::refused_fence};
