A failing test for many workers that are lost at one moment

Cause: has_common_cause asks for fewer than half of the lost workers to have a new run. After a loss of many workers their tasks restart at once, so when the next many are lost, half of them have new runs: at 4.0, 15.0 and 21.0 s the log has 65, 103 and 175 workers silent within 0.1 s and with_others=false for all, so each of these losses is a crash of its own (certain, possible, certain). No change of logic.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -325,6 +325,61 @@
     EXPECT_EQ(crashes_of("good"), (crash_evidence{1, 2}));
 }
 
+// Guards against good jobs that fail as many workers are lost at one moment.
+TEST_F(crash_fixture, workers_lost_at_one_moment_fail_no_good_job)
+{
+    constexpr int count = 4;
+    const auto add_labelled =
+        [this](const std::string& id, const std::string& label)
+    {
+        worker_description made = worker(id);
+        made.m_labels = {label, "rack-1"};
+        m_dispatcher.worker_listed(made, m_now);
+        report(id, {});
+    };
+    const auto accept_for =
+        [this](const std::string& id, const std::string& label)
+    {
+        job_submission made = job(id, 1, 8);
+        made.m_steps[0].m_required_label = label;
+        accept(made);
+    };
+    for (int index = 0; index < count; ++index)
+    {
+        accept_for("older-" + std::to_string(index), "a");
+        accept_for("new-" + std::to_string(index), "b");
+    }
+    for (int round = 0; round < 3; ++round)
+    {
+        std::vector<std::string> workers;
+        for (const std::string label : {"a", "b"})
+        {
+            for (int index = 0; index < count; ++index)
+            {
+                workers.push_back(label + std::to_string(round) + "-" +
+                                  std::to_string(index));
+                add_labelled(workers.back(), label);
+            }
+            const std::vector<start_order> starts = start_all();
+            ASSERT_EQ(starts.size(), static_cast<std::size_t>(count));
+            confirm(starts);
+            pass(label == "a" ? span(8000) : span(500));
+        }
+        for (const std::string& each : workers)
+        {
+            lose(each);
+        }
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    for (int index = 0; index < count; ++index)
+    {
+        EXPECT_TRUE(m_dispatcher.has_job("new-" + std::to_string(index)));
+        EXPECT_TRUE(m_dispatcher.has_job("older-" + std::to_string(index)));
+    }
+}
+
 TEST_F(crash_fixture, a_suspected_task_is_started_on_another_worker)
 {
     add_workers(1);
