--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -82,6 +82,27 @@
         return starts;
     }
 
+    /// The leader fails, and the next one loads these records.
+    void change_leader(const std::map<std::string, job_write>& records)
+    {
+        m_dispatcher = dispatcher(dispatch_limits(),
+                                  [](const std::string&, const std::string&,
+                                     const decision_fields&) {});
+        m_dispatcher.configure(m_configuration);
+        m_dispatcher.begin_term(m_now);
+        for (const auto& [id, record] : records)
+        {
+            if (record.m_progress.m_state == job_state::failed)
+            {
+                continue;
+            }
+            m_dispatcher.add_job(
+                job(id, 1, 8),
+                decode_progress(encode_progress(record.m_progress)),
+                ++m_revision, m_now, m_now);
+        }
+    }
+
     /// Returns the stored progress of the task, as the next leader reads it.
     static task_progress stored_task(const std::vector<job_write>& writes)
     {
@@ -345,6 +366,61 @@
     EXPECT_EQ(crashes_of("good"), (crash_evidence{1, 2}));
 }
 
+// Guards against good jobs that fail as many workers are lost at one moment.
+TEST_F(crash_fixture, workers_lost_at_one_moment_fail_no_good_job)
+{
+    constexpr int count = 4;
+    const auto add_labelled =
+        [this](const std::string& id, const std::string& label)
+    {
+        worker_description made = worker(id);
+        made.m_labels = {label, "rack-1"};
+        m_dispatcher.worker_listed(made, m_now);
+        report(id, {});
+    };
+    const auto accept_for =
+        [this](const std::string& id, const std::string& label)
+    {
+        job_submission made = job(id, 1, 8);
+        made.m_steps[0].m_required_label = label;
+        accept(made);
+    };
+    for (int index = 0; index < count; ++index)
+    {
+        accept_for("older-" + std::to_string(index), "a");
+        accept_for("new-" + std::to_string(index), "b");
+    }
+    for (int round = 0; round < 3; ++round)
+    {
+        std::vector<std::string> workers;
+        for (const std::string label : {"a", "b"})
+        {
+            for (int index = 0; index < count; ++index)
+            {
+                workers.push_back(label + std::to_string(round) + "-" +
+                                  std::to_string(index));
+                add_labelled(workers.back(), label);
+            }
+            const std::vector<start_order> starts = start_all();
+            ASSERT_EQ(starts.size(), static_cast<std::size_t>(count));
+            confirm(starts);
+            pass(label == "a" ? span(8000) : span(500));
+        }
+        for (const std::string& each : workers)
+        {
+            lose(each);
+        }
+        pass(after_the_lease);
+        step();
+        store();
+    }
+    for (int index = 0; index < count; ++index)
+    {
+        EXPECT_TRUE(m_dispatcher.has_job("new-" + std::to_string(index)));
+        EXPECT_TRUE(m_dispatcher.has_job("older-" + std::to_string(index)));
+    }
+}
+
 TEST_F(crash_fixture, a_suspected_task_is_started_on_another_worker)
 {
     add_workers(1);
@@ -359,6 +435,28 @@
     EXPECT_EQ(starts[0].m_worker, "w2");
 }
 
+// Guards against tasks that wait for the lease of a process that is gone.
+TEST_F(crash_fixture, tasks_of_a_replaced_worker_do_not_wait_for_its_lease)
+{
+    add_workers(2);
+    accept(job("good", 1, 8));
+    const std::vector<start_order> starts = start_all();
+    ASSERT_EQ(starts.size(), 1u);
+    confirm(starts);
+    pass(span(3000));
+    const std::string lost = starts[0].m_worker;
+    m_dispatcher.renewal_failed(
+        lost,
+        {order_outcome::may_have_arrived, call_failure::connection_closed},
+        m_now);
+    pass(span(1000));
+    m_dispatcher.renewal_failed(lost, order_outcome::wrong_incarnation, m_now);
+    pass(span(100));
+    const std::vector<start_order> again = start_all();
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_NE(again[0].m_worker, lost);
+}
+
 TEST_F(crash_fixture, a_worker_that_left_as_announced_is_no_crash)
 {
     add_workers(1);
@@ -396,6 +494,62 @@
     EXPECT_EQ(loaded.m_tasks[0][0][0].m_progress.m_crashes.m_certain, 1);
 }
 
+// Guards against crashes that are not counted as no leader outlives a lease.
+TEST_F(crash_fixture, changes_of_the_leader_do_not_hide_crashing_tasks)
+{
+    const std::set<std::string> jobs = {"a", "b", "c", "d"};
+    std::map<std::string, int> starts;
+    std::map<std::string, job_write> records;
+    const auto keep_records = [&]
+    {
+        for (const job_write& write : store())
+        {
+            records.insert_or_assign(write.m_job, write);
+        }
+    };
+    for (const std::string& id : jobs)
+    {
+        accept(job(id, 1, 8));
+    }
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        add_workers(static_cast<int>(jobs.size()));
+        pass(span(2000));
+        step();
+        keep_records();
+        const std::vector<start_order> orders = step().m_starts;
+        confirm(orders);
+        pass(span(10));
+        for (const start_order& order : orders)
+        {
+            ++starts[order.m_run.m_task.m_job];
+            lose(order.m_worker);
+        }
+        pass(span(1000));
+        step();
+        keep_records();
+        if (round < 4)
+        {
+            change_leader(records);
+            for (const start_order& order : orders)
+            {
+                m_dispatcher.renewal_failed(
+                    order.m_worker,
+                    {order_outcome::not_sent, call_failure::connection_refused},
+                    m_now);
+            }
+        }
+        pass(after_the_lease);
+        step();
+        keep_records();
+    }
+    for (const std::string& id : jobs)
+    {
+        EXPECT_LE(starts[id], starts_allowed) << id;
+        EXPECT_FALSE(m_dispatcher.has_job(id)) << id;
+    }
+}
+
 // Nobody saw when the worker was lost, so this counts less than a crash that
 // the leader saw.
 TEST_F(crash_fixture, a_crash_between_two_leaders_is_a_possible_one)
