Three lost workers without a new run are one event

Cause: a common cause was assumed only if most of the workers that were lost together had no new run; after a mass restart half of them have one. Change: three without a new run suffice. Result: workers_lost_at_one_moment_fail_no_good_job failed before and passes.

--- a/kingcuprudder/dispatch/worker_loss.cpp
+++ b/kingcuprudder/dispatch/worker_loss.cpp
@@ -96,7 +96,9 @@
 
 bool has_common_cause(int lost, int with_new_run)
 {
-    return lost >= workers_lost_together && 2 * with_new_run < lost;
+    const int without_new_run = lost - with_new_run;
+    return without_new_run >= workers_lost_together ||
+           (lost >= workers_lost_together && with_new_run < without_new_run);
 }
 
 span common_loss_period(bool process_ended)
--- a/kingcuprudder/dispatch/worker_loss.hpp
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -70,7 +70,7 @@
 };
 
 /// Returns whether several workers were lost together for a reason other than
-/// their tasks, such as a power loss: most of them had no new run.
+/// their tasks, such as a power loss: several or most of them had no new run.
 /// `with_new_run` of `lost` workers had one.
 bool has_common_cause(int lost, int with_new_run);
 
