Do not send a start that waits once its run is stopped

Cause: orders of a worker are sent one after the other, 450 ms each if they are not answered. A start that waited there was sent after its run was stopped, and stops that are repeated every 0.5 s made the wait longer. Class: an order is checked when it is queued, not when it is sent. Change: a stop replaces the waiting start of its run; an order that waits is not added again. Result: worker_session_test.a_start_that_waits_is_not_sent_once_it_is_stopped failed before and passes, with all tests of worker sessions.

--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -49,11 +49,31 @@
     m_loop.post(
         [self = shared_from_this(), next = std::move(next)]
         {
-            self->m_orders.push_back(next);
+            self->enqueue(next);
             self->execute_next();
         });
 }
 
+void worker_session::enqueue(const order& next)
+{
+    if (std::find(m_orders.begin(), m_orders.end(), next) != m_orders.end())
+    {
+        return; // It waits already.
+    }
+    if (const auto* stop = std::get_if<dispatch::stop_order>(&next))
+    {
+        std::erase_if(m_orders,
+                      [stop](const order& waiting)
+                      {
+                          const auto* start =
+                              std::get_if<dispatch::start_order>(&waiting);
+                          return start != nullptr &&
+                                 start->m_run == stop->m_run;
+                      });
+    }
+    m_orders.push_back(next);
+}
+
 void worker_session::close()
 {
     m_loop.post(
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -78,6 +78,9 @@
     };
 
     // The functions below run on the event loop's thread.
+    /// Adds an order to those that wait, unless it waits already. A stop
+    /// replaces the start of its run.
+    void enqueue(const order& next);
     void apply_update(const dispatch::renewal_request& request);
     bool is_renewal_due() const;
     void consider_renewal();
