Hold jobs whose stored progress cannot be used

Callers saw an accepted job whose finished or running work was run again from its beginning (TWICE), without a log line that says why. Cause: the load of a term skipped a submission whose progress record could not be decoded, was absent, or had entries for other tasks than the submission. The first list of the watcher then found a job that the dispatcher does not have and added it without progress, as if it had just been accepted. Its first write replaced the record; if the record had another revision, the write conflicted first and took that revision over. A record without "tasks", or with values of another type in their place, was even decoded as the progress of a new job. Change: the load decides about each submission that it has listed. It adds the job with the progress that was read; it adds it as new only if the submission is newer than the list of the progress, so that the record written together with it is the only one. Any other job is held: its id and revision are logged, its records stay, and state_loaded counts it. The watcher adds only submissions that are newer than the load's list and not held; until this leader adds them, nobody has written their progress. decode_progress requires arrays and known states of tasks. A worker record that cannot be decoded was already logged and unlists the worker; that stays. Why it works: a job can only be added as new if its submission was written after the lists of this term, and no other term can write progress after them.

--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -108,12 +108,23 @@
     return entry;
 }
 
-task_progress decode_task(const json& value)
+/// Returns the entries of an array; any other value is an error.
+const json::array_t& items(const json& value)
+{
+    return value.get_ref<const json::array_t&>();
+}
+
+std::optional<task_progress> decode_task(const json& value)
 {
     task_progress task;
-    if (value.is_number())
+    if (value.is_number_integer())
     {
-        task.m_done = value.get<int>() == done_task;
+        const int state = value.get<int>();
+        if (state != unstarted_task && state != done_task)
+        {
+            return std::nullopt;
+        }
+        task.m_done = state == done_task;
         return task;
     }
     task.m_last_run = value.at(0);
@@ -223,15 +234,25 @@
         }
         progress.m_state = *state;
         progress.m_account = value.at("account");
-        for (const json& repeat : value.value("tasks", json::array()))
+        if (is_final(progress.m_state))
+        {
+            return progress;
+        }
+        for (const json& repeat : items(value.at("tasks")))
         {
             auto& steps = progress.m_tasks.emplace_back();
-            for (const json& step : repeat)
+            for (const json& step : items(repeat))
             {
                 auto& tasks = steps.emplace_back();
-                for (const json& task : step)
+                for (const json& task : items(step))
                 {
-                    tasks.push_back(decode_task(task));
+                    const std::optional<task_progress> decoded =
+                        decode_task(task);
+                    if (!decoded)
+                    {
+                        return std::nullopt;
+                    }
+                    tasks.push_back(*decoded);
                 }
             }
         }
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -60,16 +60,29 @@
 private:
     using event = std::function<void()>;
 
+    /// A job's progress and the revision of the record that holds it.
+    struct stored_progress
+    {
+        dispatch::job_progress m_progress;
+        std::int64_t m_revision = 0;
+    };
+
     void post(event next);
     void run();
     /// Handles the waiting events, then plans and sends orders if it is time.
     void handle_events();
     bool load();
     void load_jobs(const record_list& live, const record_list& progress);
+    /// Adds the job of a listed submission, or holds it as unusable.
+    void load_job(const record& found,
+                  const std::map<std::string, stored_progress>& progress_of,
+                  std::int64_t progress_read_at);
+    /// Logs a job whose records cannot be used and keeps it from being added.
+    /// Without its progress, work that has been done would be repeated.
+    void hold_job(const std::string& id, const std::string& reason,
+                  std::int64_t revision);
     void watch_records();
-    void add_submission(const record& found,
-                        const std::optional<dispatch::job_progress>& progress,
-                        std::int64_t progress_revision);
+    void add_submission(const record& found, const stored_progress& progress);
     void apply_live_record(const record& found);
     void apply_worker_record(const record& found, bool removed);
     void apply_worker_list(const record_list& list);
@@ -113,6 +126,10 @@
     /// Ended jobs, so that a list that was read before their end does not add
     /// them again.
     std::set<std::string> m_ended_jobs;
+    /// Jobs whose records cannot be used. They stay as they are in the store.
+    std::set<std::string> m_unusable_jobs;
+    /// The load has decided about all submissions up to this revision.
+    std::int64_t m_loaded_revision = 0;
     /// Ended jobs by the time when their records are removed.
     std::multimap<instant, std::string> m_removals;
     bool m_write_in_flight = false;
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -3,6 +3,7 @@
 #include <kingcuprudder/node/record_keys.hpp>
 #include <kingcuprudder/node/scheduler.hpp>
 
+#include <algorithm>
 #include <exception>
 
 namespace kingcuprudder::node
@@ -22,6 +23,28 @@
     return key.substr(prefix.size());
 }
 
+/// Returns whether the progress is that of a new job, or has an entry for each
+/// task of the submission.
+bool belongs_to(const dispatch::job_progress& progress,
+                const dispatch::job_submission& submission)
+{
+    if (progress.m_tasks.empty())
+    {
+        return progress.m_state == dispatch::job_state::queued;
+    }
+    const auto has_all_tasks = [&submission](const auto& repeat)
+    {
+        return std::equal(
+            repeat.begin(), repeat.end(), submission.m_steps.begin(),
+            submission.m_steps.end(),
+            [](const auto& tasks, const dispatch::job_step& step)
+            { return static_cast<int>(tasks.size()) == step.m_count; });
+    };
+    return static_cast<int>(progress.m_tasks.size()) == submission.m_repeats &&
+           std::all_of(progress.m_tasks.begin(), progress.m_tasks.end(),
+                       has_all_tasks);
+}
+
 } // namespace
 
 // Loading and watching the stored jobs, cancellations and workers.
@@ -45,6 +68,7 @@
         "scheduler", "state_loaded", "",
         {{"workers", std::to_string(std::get<0>(workers).m_records.size())},
          {"jobs", std::to_string(m_dispatcher.jobs().size())},
+         {"unusable_jobs", std::to_string(m_unusable_jobs.size())},
          {"revision", std::to_string(std::get<0>(live).m_revision)},
          {"fence", std::to_string(m_term->fence())}});
     watch_records();
@@ -53,50 +77,78 @@
 
 void scheduler::load_jobs(const record_list& live, const record_list& progress)
 {
-    std::map<std::string, const record*> progress_of;
+    m_loaded_revision = live.m_revision;
+    const instant now = boottime_now();
+    std::map<std::string, stored_progress> progress_of;
     for (const record& each : progress.m_records)
     {
-        progress_of[after_prefix(each.m_key, record_keys::progress_prefix)] =
-            &each;
-    }
-    for (const record& each : live.m_records)
-    {
-        if (!each.m_key.starts_with(record_keys::submission_prefix))
+        const std::string id =
+            after_prefix(each.m_key, record_keys::progress_prefix);
+        const auto decoded = dispatch::decode_progress(each.m_value);
+        if (!decoded)
         {
-            continue;
+            hold_job(id, "progress_record_not_read", each.m_revision);
         }
-        const std::string id =
-            after_prefix(each.m_key, record_keys::submission_prefix);
-        const auto found = progress_of.find(id);
-        if (found == progress_of.end())
+        else if (dispatch::is_final(decoded->m_state))
         {
-            // The watcher's first list adds the job if it still exists.
-            continue;
+            schedule_removal(id, now);
         }
-        const auto decoded = dispatch::decode_progress(found->second->m_value);
-        if (decoded && !dispatch::is_final(decoded->m_state))
+        else
         {
-            add_submission(each, decoded, found->second->m_revision);
+            progress_of[id] = {*decoded, each.m_revision};
         }
     }
     for (const record& each : live.m_records)
     {
-        if (each.m_key.starts_with(record_keys::cancellation_prefix))
+        if (each.m_key.starts_with(record_keys::submission_prefix))
         {
-            apply_live_record(each);
+            load_job(each, progress_of, progress.m_revision);
         }
     }
-    const instant now = boottime_now();
-    for (const auto& [id, each] : progress_of)
+    for (const record& each : live.m_records)
     {
-        const auto decoded = dispatch::decode_progress(each->m_value);
-        if (decoded && dispatch::is_final(decoded->m_state))
+        if (each.m_key.starts_with(record_keys::cancellation_prefix))
         {
-            schedule_removal(id, now);
+            apply_live_record(each);
         }
     }
 }
 
+void scheduler::load_job(
+    const record& found,
+    const std::map<std::string, stored_progress>& progress_of,
+    std::int64_t progress_read_at)
+{
+    const std::string id =
+        after_prefix(found.m_key, record_keys::submission_prefix);
+    if (m_ended_jobs.contains(id) || m_unusable_jobs.contains(id))
+    {
+        return;
+    }
+    const auto progress = progress_of.find(id);
+    if (progress != progress_of.end())
+    {
+        add_submission(found, progress->second);
+    }
+    else if (found.m_revision > progress_read_at)
+    {
+        // Accepted after the progress was listed.
+        add_submission(found, {{}, found.m_revision});
+    }
+    else
+    {
+        hold_job(id, "progress_record_missing", found.m_revision);
+    }
+}
+
+void scheduler::hold_job(const std::string& id, const std::string& reason,
+                         std::int64_t revision)
+{
+    m_unusable_jobs.insert(id);
+    m_environment.m_log.write("scheduler", reason, id,
+                              {{"revision", std::to_string(revision)}});
+}
+
 void scheduler::watch_records()
 {
     m_job_watcher = std::make_unique<record_watcher>(
@@ -151,28 +203,33 @@
             nullptr});
 }
 
-void scheduler::add_submission(
-    const record& found, const std::optional<dispatch::job_progress>& progress,
-    std::int64_t progress_revision)
+void scheduler::add_submission(const record& found,
+                               const stored_progress& progress)
 {
+    const std::string id =
+        after_prefix(found.m_key, record_keys::submission_prefix);
     const auto decoded = dispatch::decode_submission(found.m_value);
     if (!decoded)
     {
-        m_environment.m_log.write(
-            "scheduler", "job_record_not_read", found.m_key,
-            {{"revision", std::to_string(found.m_revision)}});
+        hold_job(id, "job_record_not_read", found.m_revision);
+        return;
+    }
+    if (!belongs_to(progress.m_progress, *decoded))
+    {
+        hold_job(id, "progress_record_not_used", progress.m_revision);
         return;
     }
     try
     {
-        m_dispatcher.add_job(*decoded, progress, progress_revision,
+        m_dispatcher.add_job(*decoded, progress.m_progress, progress.m_revision,
                              boottime_now(), wall_now());
     }
     catch (const std::exception& error)
     {
         // One unusable record must not stop the scheduling of all other jobs.
+        m_unusable_jobs.insert(id);
         m_environment.m_log.write(
-            "scheduler", "job_record_not_used", found.m_key,
+            "scheduler", "job_record_not_used", id,
             {{"revision", std::to_string(found.m_revision)},
              {"error", error.what()}});
     }
@@ -184,11 +241,13 @@
     {
         const std::string id =
             after_prefix(found.m_key, record_keys::submission_prefix);
-        if (!m_dispatcher.has_job(id) && !m_ended_jobs.contains(id))
+        // The load has decided about all older submissions.
+        if (found.m_revision > m_loaded_revision && !m_dispatcher.has_job(id) &&
+            !m_ended_jobs.contains(id) && !m_unusable_jobs.contains(id))
         {
             // One transaction writes the submission and the first progress
             // record, so both have the same revision.
-            add_submission(found, std::nullopt, found.m_revision);
+            add_submission(found, {{}, found.m_revision});
         }
     }
     else if (found.m_key.starts_with(record_keys::cancellation_prefix))
--- a/unit_tests/dispatch/values_test.cpp
+++ b/unit_tests/dispatch/values_test.cpp
@@ -81,6 +81,21 @@
     }
 }
 
+// Guards against a job that is taken for new, and run again, because a part of
+// its progress is missing or has another type.
+TEST(dispatch_codec, progress_without_readable_tasks_is_refused)
+{
+    const std::string begin = R"({"account":"a","state":"running")";
+    for (const char* tasks :
+         {"", R"(,"tasks":null)", R"(,"tasks":7)", R"(,"tasks":{})",
+          R"(,"tasks":[7])", R"(,"tasks":[[7]])", R"(,"tasks":[[[7]]])",
+          R"(,"tasks":[[[-1]]])", R"(,"tasks":[[["1"]]])"})
+    {
+        EXPECT_FALSE(decode_progress(begin + tasks + "}")) << tasks;
+    }
+    EXPECT_TRUE(decode_progress(begin + R"(,"tasks":[[[1,0]]]})"));
+}
+
 // The store rejects a transaction that exceeds its maximum number of entries.
 TEST(job_table, the_writes_stay_within_the_entries_of_a_transaction)
 {
--- a/unit_tests/node/scheduler_load_test.cpp
+++ b/unit_tests/node/scheduler_load_test.cpp
@@ -5,7 +5,9 @@
 #include <kingcuprudder/node/record_keys.hpp>
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <vector>
 
 namespace kingcuprudder::node
 {
@@ -74,6 +76,28 @@
         return made;
     }
 
+    /// Stores a worker, a job and the job's progress in one transaction, like
+    /// an accepted job. Without progress, that record is missing.
+    void write_job(const std::string& id,
+                   const std::optional<std::string>& progress)
+    {
+        store_transaction transaction;
+        transaction.m_writes = {{"workers/w1", "", 0},
+                                {record_keys::submission(id),
+                                 dispatch::encode_submission(job(id)), 0}};
+        if (progress)
+        {
+            transaction.m_writes.push_back(
+                {record_keys::progress(id), *progress, 0});
+        }
+        m_store.commit(transaction, span(100));
+    }
+
+    std::optional<record> stored_progress(const std::string& id)
+    {
+        return std::get<0>(m_store.read(record_keys::progress(id), span(100)));
+    }
+
     std::unique_ptr<node> make_node()
     {
         node_settings settings;
@@ -111,4 +135,78 @@
     tested->begin_shutdown();
 }
 
+// Guards against a scheduler that starts nothing, for which the other tests
+// would pass; so does the next test.
+TEST_F(scheduler_load_test, a_new_job_is_started)
+{
+    const std::string id = "5c0e7a21d94b36f8";
+    write_job(id, dispatch::encode_progress({}));
+    const std::unique_ptr<node> tested = make_node();
+    EXPECT_TRUE(eventually([&] { return m_starts > 0; }));
+    tested->begin_shutdown();
+}
+
+TEST_F(scheduler_load_test, a_job_that_is_accepted_after_the_load_is_started)
+{
+    const std::string first = "5c0e7a21d94b36f8";
+    const std::string second = "0000000000000002";
+    write_job(first, dispatch::encode_progress({}));
+    const std::unique_ptr<node> tested = make_node();
+    ASSERT_TRUE(eventually([&] { return m_starts > 0; }));
+    write_job(second, dispatch::encode_progress({}));
+    EXPECT_TRUE(eventually([&] { return m_starts > 1; }));
+    tested->begin_shutdown();
+}
+
+// Guards against a job that is added as new by the watch after the load could
+// not use its progress.
+TEST_F(scheduler_load_test, a_job_whose_progress_does_not_fit_is_not_started)
+{
+    const dispatch::task_progress task{false, 3, "w9", 100, {}, "mark"};
+    std::map<std::string, std::string> written;
+    for (const auto& tasks :
+         {std::vector<std::vector<std::vector<dispatch::task_progress>>>{
+              {{task, task}}},
+          {{{task}, {task}}},
+          {{{task}}, {{task}}},
+          {{{}}},
+          {}})
+    {
+        const std::string id =
+            "000000000000000" + std::to_string(written.size());
+        written[id] = dispatch::encode_progress(
+            {dispatch::job_state::running, "account", tasks});
+        write_job(id, written[id]);
+    }
+    const std::unique_ptr<node> tested = make_node();
+    EXPECT_FALSE(eventually([&] { return m_starts > 0; }));
+    for (const auto& [id, progress] : written)
+    {
+        EXPECT_EQ(stored_progress(id)->m_value, progress);
+    }
+    tested->begin_shutdown();
+}
+
+TEST_F(scheduler_load_test, a_job_without_a_progress_record_is_not_started)
+{
+    const std::string id = "5c0e7a21d94b36f8";
+    write_job(id, std::nullopt);
+    const std::unique_ptr<node> tested = make_node();
+    EXPECT_FALSE(eventually([&] { return m_starts > 0; }));
+    EXPECT_FALSE(stored_progress(id));
+    tested->begin_shutdown();
+}
+
+// A record that cannot be used must not stop the scheduling of other jobs.
+TEST_F(scheduler_load_test, a_job_beside_an_unusable_one_is_started)
+{
+    const std::string unusable = "5c0e7a21d94b36f8";
+    write_job(unusable, "not readable");
+    write_job("0000000000000002", dispatch::encode_progress({}));
+    const std::unique_ptr<node> tested = make_node();
+    EXPECT_TRUE(eventually([&] { return m_starts > 0; }));
+    EXPECT_EQ(stored_progress(unusable)->m_value, "not readable");
+    tested->begin_shutdown();
+}
+
 } // namespace kingcuprudder::node
