Refuse writes at once while the newest configuration is unusable

Callers saw no answer until their deadline, and the store was flooded, while the newest configuration could not be decoded or was missing. Cause: write_once repeated a commit that conflicted with the configuration without a pause and without a limit. A record that cannot be decoded is never adopted and a missing one has nothing to adopt, so each repetition expected the same old revision and conflicted again. A configuration that changed all the while had the same effect. Change: after a conflict the configuration in use must be newer than the one that the transaction expected. If it is not, the caller is refused as unavailable at once (configuration_not_usable is logged). If it is, the commit is repeated once without a pause, then through the pause and the limits of call_retry. Why it works: a commit is only repeated with another expected revision, and at most twice per attempt, of which there are at most five unless an earlier outcome is unknown. The refusal is truthful: a conflict writes nothing. A request with an earlier commit of unknown outcome still gets "unknown". The comment of waiting_jobs_are_counted_without_a_scheduler stands at its test again.

--- a/kingcuprudder/node/call_retry.cpp
+++ b/kingcuprudder/node/call_retry.cpp
@@ -93,7 +93,7 @@
 bool call_retry::next(persistence wanted)
 {
     const span pause = pause_length();
-    if (time_left(m_deadline) - pause < min_call_timeout ||
+    if (m_given_up || time_left(m_deadline) - pause < min_call_timeout ||
         (wanted == persistence::while_useful && !is_useful_after(pause)))
     {
         return false;
--- a/kingcuprudder/node/call_retry.hpp
+++ b/kingcuprudder/node/call_retry.hpp
@@ -51,6 +51,8 @@
     /// Waits before the next attempt. Returns false, without waiting, if there
     /// is to be none.
     bool next(persistence wanted);
+    /// No further attempt follows: it would fail like this one.
+    void give_up() { m_given_up = true; }
 
 private:
     bool is_useful_after(span pause);
@@ -61,6 +63,7 @@
     instant m_last_start; ///< No attempt begins later, unless it must.
     int m_attempts = 1;
     bool m_holds_place = false;
+    bool m_given_up = false;
 };
 
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -3,6 +3,7 @@
 #include <kingcuprudder/node/job_service.hpp>
 #include <kingcuprudder/node/record_keys.hpp>
 
+#include <algorithm>
 #include <functional>
 
 namespace kingcuprudder::node
@@ -16,6 +17,8 @@
 constexpr span configuration_max_age = span(2000);
 constexpr span summary_max_age = span(1800);
 constexpr span max_waiting_cache_age = span(400);
+// A newer configuration seldom interferes with two commits in a row.
+constexpr int max_commits_without_pause = 2;
 
 bool is_temporary(refusal reason)
 {
@@ -66,6 +69,16 @@
     return result;
 }
 
+/// Returns the revision that the transaction expects of the record.
+std::int64_t expected_revision(const store_transaction& transaction,
+                               const std::string& key)
+{
+    const auto found = std::find_if(
+        transaction.m_expected.begin(), transaction.m_expected.end(),
+        [&key](const auto& each) { return each.first == key; });
+    return found == transaction.m_expected.end() ? 0 : found->second;
+}
+
 /// Returns the part of a path after the last '/', which is the id in the path
 /// of a job.
 std::string last_segment(const std::string& path)
@@ -258,14 +271,18 @@
             m_configuration.adopt(found, sent);
         }
     }
-    return write_outcome::outdated;
+    const configuration_view::snapshot newest = m_configuration.current();
+    const bool is_newer =
+        newest && newest->m_revision >
+                      expected_revision(transaction, m_configuration.key());
+    return is_newer ? write_outcome::outdated : write_outcome::unusable;
 }
 
 std::optional<refusal> job_service::write_once(const std::string& new_key,
                                                const transaction_builder& build,
-                                               const call_retry& retry)
+                                               call_retry& retry)
 {
-    while (true)
+    for (int commits = 0; commits < max_commits_without_pause; ++commits)
     {
         const prepared_write prepared = build();
         if (const refusal* refused = std::get_if<refusal>(&prepared))
@@ -285,6 +302,11 @@
             return refusal::unavailable;
         case write_outcome::unknown:
             return refusal::unknown;
+        case write_outcome::unusable:
+            m_log.write("jobs", "configuration_not_usable",
+                        last_segment(new_key), {});
+            retry.give_up();
+            return refusal::unavailable;
         case write_outcome::outdated:
             if (!retry.has_time())
             {
@@ -292,6 +314,7 @@
             }
         }
     }
+    return refusal::unavailable; // Nothing was written.
 }
 
 std::optional<refusal> job_service::write(const std::string& new_key,
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -93,6 +93,7 @@
     {
         done,
         outdated, ///< An older configuration prepared the transaction.
+        unusable, ///< The newest configuration cannot be used.
         not_done,
         unknown,
     };
@@ -113,10 +114,11 @@
     write_outcome commit_once(const store_transaction& transaction,
                               const std::string& new_key,
                               const call_retry& retry);
-    /// Prepares and commits until no newer configuration interferes.
+    /// Prepares and commits, and repeats that once without a pause if a newer
+    /// configuration interferes.
     std::optional<refusal> write_once(const std::string& new_key,
                                       const transaction_builder& build,
-                                      const call_retry& retry);
+                                      call_retry& retry);
 
     /// Writes until the outcome is certain or further attempts are useless.
     std::optional<refusal> write(const std::string& new_key,
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -3,7 +3,9 @@
 #include <kingcuprudder/node/job_service.hpp>
 #include <kingcuprudder/node/record_keys.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <functional>
 #include <thread>
 #include <vector>
 
@@ -101,6 +103,11 @@
     store_result<commit_answer> commit(const store_transaction& transaction,
                                        span timeout) override
     {
+        ++m_commits;
+        if (m_before_commit)
+        {
+            m_before_commit();
+        }
         return m_inner.commit(transaction, timeout);
     }
     store_result<std::int64_t> grant_lease(span time_to_live,
@@ -122,6 +129,9 @@
     /// The next so many reads get no answer within their timeout.
     std::atomic<int> m_silent_reads = 0;
     std::atomic<bool> m_refuses_reads = false;
+    std::atomic<int> m_commits = 0;
+    /// Called before each commit, for example to change a record.
+    std::function<void()> m_before_commit;
 
 private:
     record_store& m_inner;
@@ -436,7 +446,8 @@
     EXPECT_LE(store.m_reads, 4 * callers);
 }
 
-// While no scheduler publishes the count, it is computed from the records.
+// Guards against a caller whose commits all conflict with the configuration and
+// are repeated without a pause; so do the tests up to the next comment.
 TEST_F(job_service_test, an_unreadable_configuration_does_not_flood_the_store)
 {
     constexpr int most_commits = 5;
@@ -454,6 +465,89 @@
     EXPECT_LE(commits, most_commits);
 }
 
+TEST_F(job_service_test, a_missing_configuration_does_not_flood_the_store)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    store_transaction removal;
+    removal.m_removals = {m_configuration.key()};
+    m_writer.commit(removal, span(100));
+    EXPECT_EQ(jobs.submit(patient_request(), job()), refusal::unavailable);
+    EXPECT_EQ(store.m_commits, 1);
+    EXPECT_EQ(stored_jobs(), 0u);
+}
+
+TEST_F(job_service_test, a_configuration_that_keeps_changing_does_not_flood)
+{
+    constexpr int most_commits = 10;
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    store.m_before_commit = [this, version = 1]() mutable
+    { write_configuration(std::to_string(++version) + " host /queue/ key"); };
+    EXPECT_EQ(jobs.submit(patient_request(), job()), refusal::unavailable);
+    EXPECT_LE(store.m_commits, most_commits);
+    EXPECT_GT(store.m_commits, 2);
+    EXPECT_EQ(stored_jobs(), 0u);
+}
+
+// A change of the configuration costs a caller no pause. The quickest of some
+// submissions counts, as a busy machine delays single ones.
+TEST_F(job_service_test, a_configuration_that_changes_once_delays_nobody)
+{
+    constexpr span shortest_pause = span(30);
+    constexpr int submissions = 5;
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    store.m_before_commit = [this, commits = 0]() mutable
+    {
+        if (++commits % 2 == 1)
+        {
+            write_configuration(std::to_string(commits + 1) +
+                                " host /queue/ key");
+        }
+    };
+    span quickest = patience;
+    for (int index = 0; index < submissions; ++index)
+    {
+        dispatch::job_submission next = job();
+        next.m_id = "000000000000000" + std::to_string(index);
+        const instant began = boottime_now();
+        EXPECT_EQ(jobs.submit(patient_request(), next), std::nullopt);
+        quickest = std::min(quickest, boottime_now() - began);
+    }
+    EXPECT_LT(quickest, shortest_pause);
+    EXPECT_EQ(store.m_commits, 2 * submissions);
+}
+
+// The outcome of an earlier commit of the same request stays unknown.
+TEST_F(job_service_test, an_unreadable_configuration_hides_no_unknown_outcome)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    m_store.set_fault_hook(
+        [first = true](const std::string& call) mutable
+        {
+            const bool lose = call == "commit" && first;
+            first = first && !lose;
+            return lose ? memory_store::fault::lose_call
+                        : memory_store::fault::none;
+        });
+    store.m_before_commit = [this, commits = 0]() mutable
+    {
+        if (++commits == 2)
+        {
+            write_configuration("unreadable");
+        }
+    };
+    EXPECT_EQ(jobs.submit(patient_request(), job()), refusal::unknown);
+    EXPECT_EQ(store.m_commits, 2);
+}
+
+// While no scheduler publishes the count, it is computed from the records.
 TEST_F(job_service_test, waiting_jobs_are_counted_without_a_scheduler)
 {
     ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
