Decide in one place whether a task fits on a worker

Callers saw a best-effort job that did not start while a worker's capacity was smaller than what ran on it, although an empty worker stood beside it. Cause: planning ignored amounts that a task does not demand, sending did not. A task that uses idle CPU occupies no cores, so it was assigned to a worker with a negative number of free cores, not sent, released after 1.5 s and assigned to the same worker again. Preemption compared in the same way as sending: it also stopped runs for cores that the task does not demand. Conversely, the search by free GPUs skipped workers with a negative number for tasks without GPUs. Evidence: in 10 s neither a task nor a gang was started on two workers, one of them empty; two runs were stopped where one has the GPUs that are missing. Change: resources::fitting counts how many tasks fit and ignores amounts that are not demanded. covers, the planning of tasks and gangs, and the sending of starts use it; preemption uses missing_for, and the search by free GPUs begins at the first worker if the task demands none. A worker on which an amount is exceeded is used after all others. capacity_request::demands_at_least compares demands, which are never negative, and stays correct. Why it works: a task that is assigned now passes the same comparison when it is sent, unless the capacity changes in between. Every amount that a task demands is still compared, so no start brings a worker over its room.

--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -355,7 +355,8 @@
     const auto fits = [this, &demand](const std::string& id, std::int64_t tasks)
     {
         return !has_unrecorded_runs(id) &&
-               find_or_add_worker(id).free_capacity().covers(demand * tasks);
+               find_or_add_worker(id).free_capacity().fitting(demand, tasks) ==
+                   tasks;
     };
     if (!job.step(ref).m_gang)
     {
--- a/kingcuprudder/dispatch/job_submission.hpp
+++ b/kingcuprudder/dispatch/job_submission.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/base/time.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -17,11 +18,47 @@
     std::int64_t m_memory_mb = 0;
     std::int64_t m_gpus = 0;
 
+    /// Returns how many tasks with this demand fit into these resources, up to
+    /// `most`. An amount that is not demanded does not matter, even if more of
+    /// it is in use than there is.
+    std::int64_t fitting(const resources& demand, std::int64_t most) const
+    {
+        std::int64_t count = most;
+        const auto limit = [&count](std::int64_t available, std::int64_t each)
+        {
+            if (each > 0)
+            {
+                count = std::min(count,
+                                 std::max<std::int64_t>(0, available) / each);
+            }
+        };
+        limit(m_cpu_millis, demand.m_cpu_millis);
+        limit(m_memory_mb, demand.m_memory_mb);
+        limit(m_gpus, demand.m_gpus);
+        return count;
+    }
+
     /// Returns whether the demand fits into these resources.
     bool covers(const resources& demand) const
     {
-        return demand.m_cpu_millis <= m_cpu_millis &&
-               demand.m_memory_mb <= m_memory_mb && demand.m_gpus <= m_gpus;
+        return fitting(demand, 1) == 1;
+    }
+
+    /// Returns whether more of an amount is in use than there is.
+    bool is_exceeded() const
+    {
+        return m_cpu_millis < 0 || m_memory_mb < 0 || m_gpus < 0;
+    }
+
+    /// Returns what must be added to these resources to cover the demand.
+    /// Negative amounts are left over.
+    resources missing_for(const resources& demand) const
+    {
+        const auto missing = [](std::int64_t available, std::int64_t wanted)
+        { return wanted > 0 ? wanted - available : 0; };
+        return {missing(m_cpu_millis, demand.m_cpu_millis),
+                missing(m_memory_mb, demand.m_memory_mb),
+                missing(m_gpus, demand.m_gpus)};
     }
 
     resources& operator+=(const resources& other)
--- a/kingcuprudder/dispatch/planner_reclaim.cpp
+++ b/kingcuprudder/dispatch/planner_reclaim.cpp
@@ -193,7 +193,8 @@
             continue;
         }
         auto found = cheapest_victims(
-            *worker, wanted.occupied() - worker->plannable_capacity());
+            *worker,
+            worker->plannable_capacity().missing_for(wanted.occupied()));
         if (found && (!best || found->second < best->second))
         {
             best = std::move(found);
@@ -231,7 +232,7 @@
             for (int more = 1; more <= wanted.m_count; ++more)
             {
                 auto found = cheapest_victims(
-                    *worker, needed - worker->plannable_capacity());
+                    *worker, worker->plannable_capacity().missing_for(needed));
                 if (!found || fitting_tasks(*worker, step,
                                             worker->m_description.m_capacity) <
                                   free + more)
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -84,6 +84,7 @@
                              const waiting_step& step) const
 {
     return recently_failed(worker) ||
+           worker.plannable_capacity().is_exceeded() ||
            (step.m_suspected &&
             (m_state.is_unreliable(worker, m_now) ||
              step.m_lost_addresses.contains(worker.m_description.m_address)));
@@ -117,19 +118,7 @@
                            const resources& free) const
 {
     const job_step& wanted = step.m_job->step(step.m_step);
-    std::int64_t fitting = wanted.m_count;
-    const auto limit = [&fitting](std::int64_t available, std::int64_t demand)
-    {
-        if (demand > 0)
-        {
-            fitting = std::min(fitting,
-                               std::max<std::int64_t>(0, available) / demand);
-        }
-    };
-    const resources demand = wanted.occupied();
-    limit(free.m_cpu_millis, demand.m_cpu_millis);
-    limit(free.m_memory_mb, demand.m_memory_mb);
-    limit(free.m_gpus, demand.m_gpus);
+    std::int64_t fitting = free.fitting(wanted.occupied(), wanted.m_count);
     if (wanted.m_max_per_worker > 0)
     {
         fitting = std::min<std::int64_t>(
@@ -156,7 +145,8 @@
     rank best_rank;
     const worker_index::workers_by_gpus& by_gpus =
         m_index.by_gpus(step.m_policy.m_pool);
-    for (auto group = by_gpus.lower_bound(wanted.occupied().m_gpus);
+    const std::int64_t gpus = wanted.occupied().m_gpus;
+    for (auto group = gpus > 0 ? by_gpus.lower_bound(gpus) : by_gpus.begin();
          group != by_gpus.end(); ++group)
     {
         // A worker with more free GPUs ranks after one that is neither far nor
