Trial: a read of a slow store is given up by the time that reads take

Cause: fixed read timeouts of 450 and 900 ms. A slow store is asked twice for each call, and one that needs a second is never heard out. Change: call_retry gets the time that recent reads took (read_latency). The first read waits twice that, between 450 and 1,300 ms, the second 1,300 ms.

--- a/kingcuprudder/node/call_retry.cpp
+++ b/kingcuprudder/node/call_retry.cpp
@@ -14,6 +14,12 @@
 
 constexpr span call_timeout = span(900);
 constexpr span first_read_timeout = span(450);
+// A silent store is reported while the caller has time to ask elsewhere.
+constexpr span max_read_timeout = span(1300);
+// A read is given up after this multiple of the time that reads take.
+constexpr int patience_factor = 2;
+// An expected time that no answer confirms falls by one part in so many.
+constexpr std::int64_t latency_decay = 8;
 constexpr span min_call_timeout = span(50);
 // Reserved for sending the answer to the caller.
 constexpr span answer_margin = span(60);
@@ -56,8 +62,16 @@
     m_in_use.fetch_sub(1);
 }
 
-call_retry::call_retry(instant deadline, retry_capacity& capacity)
-    : m_capacity(capacity), m_deadline(deadline)
+void read_latency::observe(span took, bool answered)
+{
+    const std::int64_t before = m_expected_ms;
+    const std::int64_t faded = before - before / latency_decay;
+    m_expected_ms = std::max(took.count(), answered ? faded : before);
+}
+
+call_retry::call_retry(instant deadline, retry_capacity& capacity,
+                       const read_latency& latency)
+    : m_capacity(capacity), m_latency(latency), m_deadline(deadline)
 {
     const instant now = boottime_now();
     m_last_start = now + (deadline - now) / retry_share;
@@ -74,9 +88,16 @@
 span call_retry::read_timeout() const
 {
     const span left = time_left(m_deadline);
-    const span wanted = m_attempts == 1 ? std::min(first_read_timeout, left / 2)
-                                        : std::min(call_timeout, left);
-    return std::max(min_call_timeout, wanted);
+    const span patient =
+        std::min(max_read_timeout, m_latency.expected() * patience_factor);
+    span wanted = max_read_timeout;
+    if (m_attempts == 1)
+    {
+        wanted = patient > first_read_timeout
+                     ? patient
+                     : std::min(first_read_timeout, left / 2);
+    }
+    return std::max(min_call_timeout, std::min(wanted, left));
 }
 
 span call_retry::write_timeout() const
--- a/kingcuprudder/node/call_retry.hpp
+++ b/kingcuprudder/node/call_retry.hpp
@@ -4,6 +4,7 @@
 #include <kingcuprudder/base/time.hpp>
 
 #include <atomic>
+#include <cstdint>
 
 namespace kingcuprudder::node
 {
@@ -21,6 +22,19 @@
     std::atomic<int> m_in_use = 0;
 };
 
+/// Estimates how long the store takes to answer a read, so that a slow store is
+/// not asked again before it answers. Safe to use from several threads.
+class read_latency
+{
+public:
+    /// Notes a read that was answered, or given up, after this time.
+    void observe(span took, bool answered);
+    span expected() const { return span(m_expected_ms.load()); }
+
+private:
+    std::atomic<std::int64_t> m_expected_ms = 0;
+};
+
 /// The attempts of one caller's request at the store: their timeouts, and
 /// whether and when the next one follows. An instance that does not reach the
 /// store gives up while its caller still has time to ask another one. Not safe
@@ -35,7 +49,8 @@
         until_deadline,
     };
 
-    call_retry(instant deadline, retry_capacity& capacity);
+    call_retry(instant deadline, retry_capacity& capacity,
+               const read_latency& latency);
     ~call_retry();
     call_retry(const call_retry&) = delete;
     call_retry& operator=(const call_retry&) = delete;
@@ -43,7 +58,7 @@
     /// Number of attempts that have begun.
     int attempts() const { return m_attempts; }
     /// Timeout of a read. The first attempt leaves time for one on a new
-    /// connection.
+    /// connection, unless the store is known to be slow.
     span read_timeout() const;
     span write_timeout() const;
     /// Whether the time left suffices for another call.
@@ -57,6 +72,7 @@
     span pause_length() const;
 
     retry_capacity& m_capacity;
+    const read_latency& m_latency;
     instant m_deadline;
     instant m_last_start; ///< No attempt begins later, unless it must.
     int m_attempts = 1;
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -142,7 +142,7 @@
 job_service::authorize(const caller_request& request)
 {
     const instant began = boottime_now();
-    call_retry retry(request.m_deadline, m_retries);
+    call_retry retry(request.m_deadline, m_retries, m_read_latency);
     service_result<caller_access> access = repeat_read<caller_access>(
         retry, [&] { return authorize_once(request, retry); });
     if (const refusal* refused = std::get_if<refusal>(&access))
@@ -195,7 +195,7 @@
 {
     const instant began = boottime_now();
     submission.m_accepted_at = wall_now();
-    call_retry retry(request.m_deadline, m_retries);
+    call_retry retry(request.m_deadline, m_retries, m_read_latency);
     const std::optional<refusal> refused =
         store_job(request, submission, retry);
     m_log.write(
@@ -334,11 +334,26 @@
     return write(progress_key, build, retry);
 }
 
+store_result<std::optional<record>>
+job_service::read_record(const std::string& key, const call_retry& retry)
+{
+    const instant sent = boottime_now();
+    store_result<std::optional<record>> found =
+        m_store.read(key, retry.read_timeout());
+    const bool refused =
+        !is_ok(found) && std::get<1>(found) == store_failure::not_done;
+    if (!refused)
+    {
+        m_read_latency.observe(boottime_now() - sent, is_ok(found));
+    }
+    return found;
+}
+
 service_result<dispatch::job_progress>
 job_service::read_progress(const std::string& id, const call_retry& retry)
 {
     const store_result<std::optional<record>> found =
-        m_store.read(record_keys::progress(id), retry.read_timeout());
+        read_record(record_keys::progress(id), retry);
     if (!is_ok(found))
     {
         return refusal::unavailable;
@@ -363,7 +378,7 @@
 job_service::state(const caller_request& request, const std::string& id)
 {
     const instant began = boottime_now();
-    call_retry retry(request.m_deadline, m_retries);
+    call_retry retry(request.m_deadline, m_retries, m_read_latency);
     const auto found = repeat_read<dispatch::job_state>(
         retry, [&] { return find_state(request, id, retry); });
     if (const refusal* refused = std::get_if<refusal>(&found))
@@ -398,7 +413,7 @@
                                            const std::string& id)
 {
     const instant began = boottime_now();
-    call_retry retry(request.m_deadline, m_retries);
+    call_retry retry(request.m_deadline, m_retries, m_read_latency);
     const std::string key = record_keys::cancellation(id);
     const auto build = [&]() -> prepared_write
     {
@@ -436,7 +451,7 @@
 job_service::waiting_job_count(const caller_request& request)
 {
     const instant began = boottime_now();
-    call_retry retry(request.m_deadline, m_retries);
+    call_retry retry(request.m_deadline, m_retries, m_read_latency);
     const auto found = repeat_read<int>(
         retry, [&] { return find_waiting_count(request, retry); });
     if (const refusal* refused = std::get_if<refusal>(&found))
@@ -479,7 +494,7 @@
     const instant sent = boottime_now();
     std::map<std::string, int> waiting;
     const store_result<std::optional<record>> found =
-        m_store.read(record_keys::summary, retry.read_timeout());
+        read_record(record_keys::summary, retry);
     if (!is_ok(found))
     {
         return std::nullopt;
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -105,6 +105,9 @@
                const call_retry& retry);
     service_result<dispatch::job_progress>
     read_progress(const std::string& id, const call_retry& retry);
+    /// Reads a record and notes how long that took.
+    store_result<std::optional<record>> read_record(const std::string& key,
+                                                    const call_retry& retry);
     service_result<int> find_waiting_count(const caller_request& request,
                                            const call_retry& retry);
     std::optional<std::map<std::string, int>>
@@ -134,6 +137,7 @@
     configuration_view& m_configuration;
     event_log& m_log;
     retry_capacity m_retries;
+    read_latency m_read_latency;
     std::mutex m_waiting_mutex;
     std::map<std::string, int> m_waiting;
     instant m_waiting_read_at;
