--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -336,13 +336,17 @@
         {
             continue; // Released with its gang, or sent before.
         }
-        const active_run& active = *job.task(ref).m_active;
+        active_run& active = *job.task(ref).m_active;
         const worker_entry& worker = find_or_add_worker(active.m_worker);
+        if (!active.m_ready_at &&
+            job.m_stored_version >= active.m_required_version)
+        {
+            active.m_ready_at = now;
+        }
         const bool unusable = !worker.m_reachable || !worker.m_synced ||
                               worker.m_description.m_draining;
-        const bool stored = job.m_stored_version >= active.m_required_version;
-        if (unusable ||
-            (stored && now - active.m_assigned_at > capacity_wait_limit))
+        if (unusable || (active.m_ready_at &&
+                         now - *active.m_ready_at > capacity_wait_limit))
         {
             release_run(job, ref, "no room on the worker", now);
         }
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -34,6 +34,8 @@
     instant m_assigned_at;
     /// The record version that must be stored before the start is sent.
     std::int64_t m_required_version = 0;
+    /// When the start first waited for capacity only, as its record was stored.
+    std::optional<instant> m_ready_at;
     /// When the start was sent first; empty if an earlier leader sent it.
     std::optional<instant> m_first_sent_at;
     int m_send_count = 0;
