Log the evidence against a task and why a suspected one waits

No decision changes: apart from log lines only the condition for a quiet worker moved into a function.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -178,6 +178,7 @@
         m_log("worker_listed", description.m_id,
               {{"draining", description.m_draining ? "true" : "false"},
                {"zone", description.m_zone},
+               {"address", description.m_address},
                {"gpus", number(description.m_capacity.m_gpus)}});
     }
     note_heartbeat(worker, description);
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -163,9 +163,10 @@
     /// over, so that a later leader knows of it.
     void attribute_noted_losses(instant now);
     /// Counts the loss unless the task's newest run was counted before. Returns
-    /// whether it counted.
+    /// whether it counted. The evidence is logged.
     bool attribute_crash(const worker_entry& worker,
-                         const attributed_loss& loss);
+                         const attributed_loss& loss,
+                         const decision_fields& evidence);
     /// Fails the job of a task that crashes its workers.
     void give_up(job_entry& job, const task_ref& ref, instant now);
     /// Returns whether several workers were lost together with this one for a
@@ -189,8 +190,8 @@
                         const worker_description& description);
     void withdraw_loss(worker_entry& worker);
     /// Notes that a run was assigned to the worker or started on it.
-    static void note_start(worker_entry& worker, const task_entry& task,
-                           instant now);
+    void note_start(worker_entry& worker, const task_entry& task,
+                    const std::string& task_name, instant now);
     /// Attributes the workers that an earlier leader lost while it ended.
     void attribute_losses_of_earlier_term();
     /// Discards the crashes of a task whose run lasts.
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -1,3 +1,4 @@
+#include <kingcuprudder/dispatch/crash_log.hpp>
 #include <kingcuprudder/dispatch/dispatcher.hpp>
 
 #include <algorithm>
@@ -21,27 +22,23 @@
 // A run that lasts this long has not crashed its worker.
 constexpr span lasting_run = span(30'000);
 
-decision_fields crash_fields(const task_progress& task)
-{
-    return {{"certain", number(task.m_crashes.m_certain)},
-            {"possible", number(task.m_crashes.m_possible)},
-            {"slight", number(task.m_crashes.m_slight)},
-            {"workers_ended", number(task.m_workers_ended)}};
-}
-
 } // namespace
 
 // Attributes lost workers to the tasks that may have crashed them.
 
 void dispatcher::note_start(worker_entry& worker, const task_entry& task,
-                            instant now)
+                            const std::string& task_name, instant now)
 {
     worker.m_last_start_at = now;
     if (task.m_progress.m_crashes.any())
     {
         const bool sent = task.m_active && task.m_active->m_first_sent_at;
-        worker.m_trial_until =
-            now + (sent ? trial_after_start : trial_before_start);
+        const span trial = sent ? trial_after_start : trial_before_start;
+        worker.m_trial_until = now + trial;
+        m_log("worker_on_trial", worker.id(),
+              {{"task", task_name},
+               {"start_sent", sent ? "true" : "false"},
+               {"for_ms", number(trial.count())}});
     }
 }
 
@@ -113,8 +110,11 @@
             task.m_progress.m_lost_run = 0;
             task.m_lost_addresses.erase(worker.m_description.m_address);
             m_jobs.mark_changed(*job);
-            m_log("crash_withdrawn", each.m_task.str(),
-                  {{"worker", worker.id()}});
+            decision_fields fields{
+                {"worker", worker.id()},
+                {"suspicion", std::string(to_string(each.m_suspicion))}};
+            append(fields, crash_fields(task.m_progress));
+            m_log("crash_withdrawn", each.m_task.str(), std::move(fields));
         }
     }
     worker.m_attributed.clear();
@@ -198,11 +198,15 @@
         !loss.follows_a_start())
     {
         m_unexplained_losses[worker.m_description.m_address] = now;
+        m_log("worker_unreliable", worker.id(),
+              {{"address", worker.m_description.m_address},
+               {"for_ms", number(unreliable_period.count())}});
     }
 }
 
 bool dispatcher::attribute_crash(const worker_entry& worker,
-                                 const attributed_loss& loss)
+                                 const attributed_loss& loss,
+                                 const decision_fields& evidence)
 {
     job_entry& job = *m_jobs.find_task(loss.m_task);
     task_entry& task = job.task(loss.m_task);
@@ -220,10 +224,12 @@
         task.m_lost_addresses.insert(worker.m_description.m_address);
     }
     m_jobs.mark_changed(job);
-    decision_fields fields = crash_fields(progress);
-    fields.emplace_back("worker", worker.id());
-    fields.emplace_back("suspicion", std::string(to_string(loss.m_suspicion)));
-    m_log("crash_attributed", loss.m_task.str(), fields);
+    decision_fields fields{
+        {"worker", worker.id()},
+        {"suspicion", std::string(to_string(loss.m_suspicion))}};
+    append(fields, evidence);
+    append(fields, crash_fields(progress));
+    m_log("crash_attributed", loss.m_task.str(), std::move(fields));
     return true;
 }
 
@@ -239,17 +245,7 @@
     loss.m_with_others = is_lost_with_others(worker, loss);
     if (!refs.empty())
     {
-        m_log("worker_lost", worker.id(),
-              {{"tasks", number(static_cast<std::int64_t>(refs.size()))},
-               {"draining", worker.m_description.m_draining ? "true" : "false"},
-               {"with_others", loss.m_with_others ? "true" : "false"},
-               {"follows_a_start", loss.follows_a_start() ? "true" : "false"},
-               {"process_ended", loss.m_process_ended ? "true" : "false"},
-               {"cut_off", worker.m_cut_off ? "true" : "false"},
-               {"unreliable", loss.m_unreliable ? "true" : "false"},
-               {"silent_ms", loss.m_silent_since
-                                 ? number((now - *loss.m_silent_since).count())
-                                 : "never answered"}});
+        m_log("worker_lost", worker.id(), loss_fields(loss, worker, now));
     }
     if (worker.m_description.m_draining || worker.m_cut_off)
     {
@@ -260,10 +256,19 @@
     for (std::size_t at = 0; at < refs.size(); ++at)
     {
         const attributed_loss counted{refs[at], loss.suspicion_of(at), ended};
-        if (attribute_crash(worker, counted))
+        const task_entry& lost = m_jobs.find_task(refs[at])->task(refs[at]);
+        const decision_fields evidence =
+            run_fields(loss, at, lost.m_active->m_number);
+        if (attribute_crash(worker, counted, evidence))
         {
             worker.m_attributed.push_back(counted);
         }
+        else if (is_worth_a_line(loss.m_runs[at], loss, lost.m_progress))
+        {
+            decision_fields fields{{"worker", worker.id()}};
+            append(fields, evidence);
+            m_log("crash_not_attributed", refs[at].str(), std::move(fields));
+        }
     }
 }
 
@@ -292,10 +297,13 @@
 
 void dispatcher::give_up(job_entry& job, const task_ref& ref, instant now)
 {
-    decision_fields fields = crash_fields(job.task(ref).m_progress);
-    fields.emplace_back("task", ref.str());
-    fields.emplace_back("reason", "crashes its workers");
-    fail_job(job, fields, now);
+    const task_progress& progress = job.task(ref).m_progress;
+    decision_fields cause{{"task", ref.str()},
+                          {"reason", "crashes its workers"},
+                          {"runs", number(progress.m_last_run)}};
+    append(cause, crash_fields(progress));
+    m_log("task_given_up", ref.str(), cause);
+    fail_job(job, cause, now);
 }
 
 void dispatcher::attribute_losses_of_earlier_term()
@@ -313,7 +321,8 @@
             if (!with_others && m_jobs.find_task(ref) != nullptr)
             {
                 attribute_crash(find_or_add_worker(id),
-                                {ref, crash_suspicion::possible, true});
+                                {ref, crash_suspicion::possible, true},
+                                {{"lost", "before this term"}});
             }
         }
     }
@@ -328,11 +337,16 @@
          task.m_progress.m_workers_ended > 0) &&
         now - *task.m_active->m_started_at >= lasting_run)
     {
+        decision_fields fields{
+            {"run", number(task.m_active->m_number)},
+            {"worker", task.m_active->m_worker},
+            {"lasted_ms",
+             number((now - *task.m_active->m_started_at).count())}};
+        append(fields, crash_fields(task.m_progress));
         task.m_progress.m_crashes = crash_evidence();
         task.m_progress.m_workers_ended = 0;
         m_jobs.mark_changed(job);
-        m_log("crashes_cleared", ref.str(),
-              {{"run", number(task.m_active->m_number)}});
+        m_log("crashes_cleared", ref.str(), std::move(fields));
     }
 }
 
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -40,9 +40,10 @@
     m_jobs.mark_changed(job);
     active.m_required_version = job.m_version;
     task.m_active = active;
+    const span task_waited = now - task.m_waiting_since;
     worker.m_reserved += job.step(ref).occupied();
     worker.m_tasks.insert(ref);
-    note_start(worker, task, now);
+    note_start(worker, task, ref.str(), now);
     // A start needs a recent reading of the worker's clock.
     mark_renewal(worker.id());
     m_unsent_starts.insert(ref);
@@ -55,7 +56,9 @@
          {"rack", worker.m_description.m_rack},
          {"gpus_left", number(left.m_gpus)},
          {"worker_answer_age_ms", number((now - worker.m_last_answer).count())},
-         {"waited_ms", number((now - job.m_accepted_at).count())}});
+         {"waited_ms", number((now - job.m_accepted_at).count())},
+         {"task_waited_ms", number(task_waited.count())},
+         {"suspected", task.m_progress.m_crashes.any() ? "true" : "false"}});
 }
 
 void dispatcher::begin_stopping(job_entry& job, const task_ref& ref,
@@ -413,7 +416,7 @@
     if (active.m_send_count == 0)
     {
         active.m_first_sent_at = now;
-        note_start(worker, job.task(ref), now);
+        note_start(worker, job.task(ref), ref.str(), now);
     }
     ++active.m_send_count;
     worker.m_lease_end = std::max(worker.m_lease_end, lease_end(now));
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -387,7 +387,9 @@
         static_cast<int>(failed.size()) >= max_attempts)
     {
         fail_job(job,
-                 {{"task", counted.str()}, {"attempts", number(max_attempts)}},
+                 {{"task", counted.str()},
+                  {"reason", "attempts used"},
+                  {"attempts", number(max_attempts)}},
                  now);
     }
 }
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -57,6 +57,8 @@
     std::set<std::string> m_lost_addresses;
     /// When the task's last run ended, or when this leader read the task.
     instant m_waiting_since;
+    /// When it was last logged that the suspected task waits.
+    instant m_wait_logged_at;
 
     bool is_waiting() const { return !m_progress.m_done && !m_active; }
 };
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -86,6 +86,11 @@
     /// is started first must start in time and is not kept apart.
     bool is_apart_from_suspects(const worker_entry& worker,
                                 const waiting_step& step) const;
+    /// Returns whether nothing was started or assigned on the worker recently.
+    bool is_quiet(const worker_entry& worker) const;
+    /// Logs why no worker is used for a step with a suspected task, once in a
+    /// while.
+    void log_suspected_wait(const waiting_step& step);
     /// Returns whether free capacity and the label alone determine which
     /// workers are suitable for the step's tasks.
     static bool needs_only_free_capacity(const waiting_step& step);
--- a/kingcuprudder/dispatch/planner_gangs.cpp
+++ b/kingcuprudder/dispatch/planner_gangs.cpp
@@ -182,6 +182,7 @@
 {
     if (!leaves_urgent_headroom(step, step.m_job->step(step.m_step).m_count))
     {
+        log_suspected_wait(step);
         return;
     }
     const bool across = may_span_racks(step);
@@ -189,8 +190,10 @@
     if (!best.empty())
     {
         assign_gang(step, best);
+        return;
     }
-    else if (may_reclaim(step))
+    log_suspected_wait(step);
+    if (may_reclaim(step))
     {
         reclaim_for_gang(step, across);
     }
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -44,9 +44,13 @@
         return false;
     }
     // Persistent tasks restart at once, even if a crash then shows less.
-    return !step.m_wants_quiet_worker || step.m_persistent ||
-           (worker.m_reserved == resources() &&
-            m_now - worker.m_last_start_at > crash_after_start);
+    return !step.m_wants_quiet_worker || step.m_persistent || is_quiet(worker);
+}
+
+bool planner::is_quiet(const worker_entry& worker) const
+{
+    return worker.m_reserved == resources() &&
+           m_now - worker.m_last_start_at > crash_after_start;
 }
 
 bool planner::needs_only_free_capacity(const waiting_step& step)
@@ -208,6 +212,7 @@
         ref.m_index = index;
         if (!leaves_urgent_headroom(step, 1))
         {
+            log_suspected_wait(step);
             return;
         }
         worker_entry* worker = best_worker(step);
@@ -215,11 +220,13 @@
         {
             if (!may_reclaim(step) || !reclaim_for_task(step))
             {
+                log_suspected_wait(step);
                 return;
             }
             worker = best_worker(step);
             if (worker == nullptr)
             {
+                log_suspected_wait(step);
                 return;
             }
         }
--- a/unit_tests/dispatch/dispatcher_fixture.hpp
+++ b/unit_tests/dispatch/dispatcher_fixture.hpp
@@ -1,6 +1,7 @@
 #ifndef UNIT_TESTS_DISPATCH_DISPATCHER_FIXTURE_HPP
 #define UNIT_TESTS_DISPATCH_DISPATCHER_FIXTURE_HPP
 
+#include "recorded_log.hpp"
 #include <kingcuprudder/dispatch/dispatcher.hpp>
 
 #include <gtest/gtest.h>
@@ -16,10 +17,7 @@
 class dispatcher_fixture : public ::testing::Test
 {
 protected:
-    dispatcher_fixture()
-        : m_dispatcher(dispatch_limits(),
-                       [](const std::string&, const std::string&,
-                          const decision_fields&) {})
+    dispatcher_fixture() : m_dispatcher(dispatch_limits(), m_log.recorder())
     {
         m_configuration.m_version = 1;
         m_configuration.m_pools.push_back({"pool", false, false});
@@ -170,6 +168,7 @@
     instant m_now = instant(1'000'000);
     std::int64_t m_revision = 10;
     service_configuration m_configuration;
+    recorded_log m_log;
     dispatcher m_dispatcher;
 };
 
--- a/unit_tests/dispatch/worker_silence_test.cpp
+++ b/unit_tests/dispatch/worker_silence_test.cpp
@@ -1,8 +1,8 @@
+#include "recorded_log.hpp"
 #include <kingcuprudder/dispatch/dispatcher.hpp>
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <iterator>
 #include <set>
 #include <string>
@@ -15,22 +15,6 @@
 namespace
 {
 
-/// A line of the decision log.
-struct log_line
-{
-    std::string m_event;
-    std::string m_id;
-    decision_fields m_fields;
-
-    std::string field(const std::string& name) const
-    {
-        const auto found =
-            std::find_if(m_fields.begin(), m_fields.end(),
-                         [&](const auto& each) { return each.first == name; });
-        return found == m_fields.end() ? "" : found->second;
-    }
-};
-
 /// A dispatcher with one worker that answers, and its log.
 class worker_silence_test : public ::testing::Test
 {
@@ -53,24 +37,14 @@
         m_dispatcher.renewal_answered("w1", report, m_now, m_now);
     }
 
-    /// Returns the lines of this event.
     std::vector<log_line> lines(const std::string& event) const
     {
-        std::vector<log_line> found;
-        std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(found),
-                     [&](const log_line& each)
-                     { return each.m_event == event; });
-        return found;
+        return m_log.lines(event);
     }
 
     instant m_now = instant(1'000'000);
-    std::vector<log_line> m_lines;
-    dispatcher m_dispatcher{dispatch_limits(),
-                            [this](const std::string& event,
-                                   const std::string& id,
-                                   const decision_fields& fields) {
-                                m_lines.push_back({event, id, fields});
-                            }};
+    recorded_log m_log;
+    dispatcher m_dispatcher{dispatch_limits(), m_log.recorder()};
 };
 
 } // namespace
