Count tasks that are given up, unreliable workers and waits of suspected tasks

Cause: the counters had no given-up task of their own (job_failed also counts jobs that used their attempts), and none for cleared crashes, unreliable workers and suspected tasks that wait. Result: the test of the counted events names all eight and passes with the other leader_metrics tests.

--- a/kingcuprudder/node/leader_metrics.cpp
+++ b/kingcuprudder/node/leader_metrics.cpp
@@ -7,8 +7,10 @@
 {
 
 /// The events of the decision log that are counted.
-constexpr const char* counted_events[] = {"worker_lost", "crash_attributed",
-                                          "crash_withdrawn", "job_failed"};
+constexpr const char* counted_events[] = {
+    "worker_lost",     "worker_unreliable", "crash_attributed",
+    "crash_withdrawn", "crashes_cleared",   "suspected_task_waits",
+    "task_given_up",   "job_failed"};
 
 } // namespace
 
--- a/unit_tests/node/leader_metrics_test.cpp
+++ b/unit_tests/node/leader_metrics_test.cpp
@@ -181,7 +181,9 @@
     EXPECT_EQ(metrics.text(), before);
     const std::string name = "kcr_leader_decisions_total{event=\"";
     for (const std::string event :
-         {"worker_lost", "crash_attributed", "crash_withdrawn", "job_failed"})
+         {"worker_lost", "worker_unreliable", "crash_attributed",
+          "crash_withdrawn", "crashes_cleared", "suspected_task_waits",
+          "task_given_up", "job_failed"})
     {
         EXPECT_NE(metrics.text().find(name + event + "\"} 0"),
                   std::string::npos);
