Log that a new leader cannot decode a job's progress

Cause: a leader that loads a progress record that it cannot decode skips it without a line; the first list of its watch then adds the job as a new one. Change: progress_record_not_read, also from the scheduler, with the revision. What the leader does with such a job is as before.

--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -74,7 +74,14 @@
             continue;
         }
         const auto decoded = dispatch::decode_progress(found->second->m_value);
-        if (decoded && !dispatch::is_final(decoded->m_state))
+        if (!decoded)
+        {
+            m_environment.m_log.write(
+                "scheduler", "progress_record_not_read", id,
+                {{"revision", std::to_string(found->second->m_revision)}});
+            continue;
+        }
+        if (!dispatch::is_final(decoded->m_state))
         {
             add_submission(each, decoded, found->second->m_revision);
         }
