Log the method of a refused request and its wait for a thread

Change: status_not_given, access_not_given and cancellation_refused have method and waited_ms, job_accepted, job_refused and request_refused waited_ms.

--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -207,6 +207,7 @@
          {"configuration_age_ms",
           std::to_string(
               (boottime_now() - m_configuration.confirmed_at()).count())},
+         {"waited_ms", std::to_string(request.m_waited.count())},
          {"took_ms", std::to_string((boottime_now() - began).count())}});
     return refused;
 }
@@ -219,11 +220,13 @@
     m_log.write(
         "jobs", event, id,
         {{"reason", std::string(to_string(reason))},
+         {"method", request.m_method},
          {"host", request.m_host},
          {"path", request.m_path},
          {"attempts", std::to_string(attempts)},
          {"configuration_age_ms",
           std::to_string((now - m_configuration.confirmed_at()).count())},
+         {"waited_ms", std::to_string(request.m_waited.count())},
          {"took_ms", std::to_string((now - began).count())},
          {"left_ms", std::to_string((request.m_deadline - now).count())}});
 }
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -51,7 +51,9 @@
     std::string m_host;
     std::string m_path;
     std::string m_key;
-    instant m_deadline; ///< On the clock of boottime_now().
+    instant m_deadline;        ///< On the clock of boottime_now().
+    std::string m_method = {}; ///< Logged only.
+    span m_waited = {}; ///< For a thread, before it was begun. Logged only.
 };
 
 template <class T>
--- a/unit_tests/platform/caller_interface_test.cpp
+++ b/unit_tests/platform/caller_interface_test.cpp
@@ -1,6 +1,7 @@
 #include <kingcuprudder/node/record_keys.hpp>
 
 #include <platform/caller_interface.hpp>
+#include <unit_tests/node/captured_output.hpp>
 #include <unit_tests/node/node_fixture.hpp>
 
 namespace kingcuprudder::node
@@ -67,6 +68,32 @@
     EXPECT_EQ(stored_jobs(), 0u);
 }
 
+// Guards against failed status calls that the log does not tell from failed
+// submissions, or whose time went by before they were begun.
+TEST_F(caller_interface_test, a_refusal_is_logged_with_its_method_and_its_wait)
+{
+    captured_output output;
+    http_request query = submission();
+    query.m_method = "GET";
+    query.m_headers["authorization"] = "Bearer other";
+    query.m_received_at -= std::chrono::milliseconds(100);
+    EXPECT_EQ(m_callers.handle(query).m_status, 401);
+    query.m_received_at -= std::chrono::milliseconds(600);
+    EXPECT_EQ(m_callers.handle(query).m_status, 503);
+    m_log.flush();
+    const std::string text = output.read_all();
+    output.restore();
+    const std::size_t refused = text.find("\"event\":\"request_refused\"");
+    ASSERT_NE(refused, std::string::npos);
+    for (const std::string& line :
+         {text.substr(0, refused), text.substr(refused)})
+    {
+        EXPECT_NE(line.find("\"method\":\"GET\""), std::string::npos);
+        EXPECT_NE(line.find("\"waited_ms\":\""), std::string::npos);
+        EXPECT_EQ(line.find("\"waited_ms\":\"0\""), std::string::npos);
+    }
+}
+
 // Guards against a caller that is told that its accepted job does not exist.
 TEST_F(caller_interface_test, an_unreadable_job_is_answered_as_unavailable)
 {
