--- a/unit_tests/dispatch/crash_load_test.cpp
+++ b/unit_tests/dispatch/crash_load_test.cpp
@@ -36,17 +36,17 @@
     }
 }
 
+void check_good_jobs(const load_outcome& outcome)
+{
+    EXPECT_EQ(outcome.m_crashes.m_failed_good_jobs, std::vector<std::string>());
+    EXPECT_EQ(outcome.m_violations, 0);
+}
+
 void expect_no_good_job_failed(const fault_plan& faults)
 {
     for (const double share : {0.0, crashing_share})
     {
-        simulate_faults(faults, share,
-                        [](const load_outcome& outcome)
-                        {
-                            EXPECT_EQ(outcome.m_crashes.m_failed_good_jobs,
-                                      std::vector<std::string>());
-                            EXPECT_EQ(outcome.m_violations, 0);
-                        });
+        simulate_faults(faults, share, check_good_jobs);
     }
 }
 
@@ -63,9 +63,7 @@
                         {
                             EXPECT_GT(outcome.m_crashes.m_crashed_by_tasks, 0);
                             EXPECT_EQ(outcome.m_crashes.m_exceeded_budgets, 0);
-                            EXPECT_EQ(outcome.m_violations, 0);
-                            EXPECT_EQ(outcome.m_crashes.m_failed_good_jobs,
-                                      std::vector<std::string>());
+                            check_good_jobs(outcome);
                         });
     }
 }
