Forward the calls of the job service's test stores in one place

Cause: two stores of job_service_test repeated the calls that they pass on. Change: forwarding_store passes all calls on; the two override one call each.

--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -1,3 +1,4 @@
+#include "forwarding_store.hpp"
 #include "node_fixture.hpp"
 #include <kingcuprudder/codec/dispatch_codec.hpp>
 #include <kingcuprudder/node/job_service.hpp>
@@ -17,59 +18,27 @@
 
 /// A store whose lists are answered after a delay, like those of a process that
 /// is paused before it reads the answer.
-class slow_store final : public record_store
+class slow_store final : public forwarding_store
 {
 public:
-    static constexpr span delay = span(600);
+    using forwarding_store::forwarding_store;
 
-    explicit slow_store(record_store& inner) : m_inner(inner) {}
+    static constexpr span delay = span(600);
 
-    store_result<std::optional<record>> read(const std::string& key,
-                                             span timeout) override
-    {
-        return m_inner.read(key, timeout);
-    }
     store_result<record_list> list(const std::string& prefix,
                                    span timeout) override
     {
-        auto listed = m_inner.list(prefix, timeout);
+        auto listed = forwarding_store::list(prefix, timeout);
         std::this_thread::sleep_for(std::chrono::milliseconds(delay.count()));
         return listed;
     }
-    store_result<record_changes> watch(const std::string& prefix,
-                                       std::int64_t after, span wait) override
-    {
-        return m_inner.watch(prefix, after, wait);
-    }
-    store_result<commit_answer> commit(const store_transaction& transaction,
-                                       span timeout) override
-    {
-        return m_inner.commit(transaction, timeout);
-    }
-    store_result<std::int64_t> grant_lease(span time_to_live,
-                                           span timeout) override
-    {
-        return m_inner.grant_lease(time_to_live, timeout);
-    }
-    store_result<std::monostate> renew_lease(std::int64_t lease,
-                                             span timeout) override
-    {
-        return m_inner.renew_lease(lease, timeout);
-    }
-    void revoke_lease(std::int64_t lease, span timeout) override
-    {
-        m_inner.revoke_lease(lease, timeout);
-    }
-
-private:
-    record_store& m_inner;
 };
 
 /// A store whose calls for callers fail. Watches and lists go on.
-class failing_store final : public record_store
+class failing_store final : public forwarding_store
 {
 public:
-    explicit failing_store(record_store& inner) : m_inner(inner) {}
+    using forwarding_store::forwarding_store;
 
     store_result<std::optional<record>> read(const std::string& key,
                                              span timeout) override
@@ -86,45 +55,13 @@
         {
             return store_failure::not_done;
         }
-        return m_inner.read(key, timeout);
-    }
-    store_result<record_list> list(const std::string& prefix,
-                                   span timeout) override
-    {
-        return m_inner.list(prefix, timeout);
-    }
-    store_result<record_changes> watch(const std::string& prefix,
-                                       std::int64_t after, span wait) override
-    {
-        return m_inner.watch(prefix, after, wait);
-    }
-    store_result<commit_answer> commit(const store_transaction& transaction,
-                                       span timeout) override
-    {
-        return m_inner.commit(transaction, timeout);
-    }
-    store_result<std::int64_t> grant_lease(span time_to_live,
-                                           span timeout) override
-    {
-        return m_inner.grant_lease(time_to_live, timeout);
-    }
-    store_result<std::monostate> renew_lease(std::int64_t lease,
-                                             span timeout) override
-    {
-        return m_inner.renew_lease(lease, timeout);
-    }
-    void revoke_lease(std::int64_t lease, span timeout) override
-    {
-        m_inner.revoke_lease(lease, timeout);
+        return forwarding_store::read(key, timeout);
     }
 
     std::atomic<int> m_reads = 0;
     /// The next so many reads get no answer within their timeout.
     std::atomic<int> m_silent_reads = 0;
     std::atomic<bool> m_refuses_reads = false;
-
-private:
-    record_store& m_inner;
 };
 
 class job_service_test : public node_fixture
