--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -14,8 +14,6 @@
 // A deleted key must stop working within seconds, so a configuration whose last
 // confirmation is older than this is confirmed before it is used.
 constexpr span configuration_max_age = span(2000);
-constexpr span summary_max_age = span(1800);
-constexpr span max_waiting_cache_age = span(400);
 
 bool is_temporary(refusal reason)
 {
@@ -73,37 +71,6 @@
     return path.substr(path.rfind('/') + 1);
 }
 
-/// Counts the jobs without a started task by queue.
-std::map<std::string, int> count_waiting_jobs(const record_list& jobs,
-                                              const record_list& progress)
-{
-    std::map<std::string, std::string> queue_of;
-    for (const record& each : jobs.m_records)
-    {
-        if (!each.m_key.starts_with(record_keys::submission_prefix))
-        {
-            continue;
-        }
-        if (const auto job = dispatch::decode_submission(each.m_value))
-        {
-            queue_of[job->m_id] = job->m_queue;
-        }
-    }
-    std::map<std::string, int> waiting;
-    for (const record& each : progress.m_records)
-    {
-        const auto state = dispatch::decode_progress(each.m_value);
-        const auto queue = queue_of.find(
-            each.m_key.substr(record_keys::progress_prefix.size()));
-        if (state && state->m_state == dispatch::job_state::queued &&
-            queue != queue_of.end())
-        {
-            ++waiting[queue->second];
-        }
-    }
-    return waiting;
-}
-
 } // namespace
 
 std::string_view to_string(refusal reason)
@@ -134,7 +101,8 @@
 
 job_service::job_service(record_store& store, configuration_view& configuration,
                          event_log& log)
-    : m_store(store), m_configuration(configuration), m_log(log)
+    : m_store(store), m_configuration(configuration), m_log(log),
+      m_waiting_jobs(store)
 {
 }
 
@@ -460,7 +428,7 @@
         return *refused;
     }
     const std::optional<std::map<std::string, int>> counts =
-        count_waiting(retry);
+        m_waiting_jobs.count(retry);
     if (!counts)
     {
         return refusal::unavailable;
@@ -469,51 +437,4 @@
     return found == counts->end() ? 0 : found->second;
 }
 
-std::optional<std::map<std::string, int>>
-job_service::count_waiting(const call_retry& retry)
-{
-    {
-        std::lock_guard lock(m_waiting_mutex);
-        if (boottime_now() - m_waiting_read_at < max_waiting_cache_age)
-        {
-            return m_waiting;
-        }
-    }
-    const instant sent = boottime_now();
-    std::map<std::string, int> waiting;
-    const store_result<std::optional<record>> found =
-        m_store.read(record_keys::summary, retry.read_timeout());
-    if (!is_ok(found))
-    {
-        return std::nullopt;
-    }
-    std::optional<dispatch::queue_summary> summary;
-    if (std::get<0>(found))
-    {
-        summary = dispatch::decode_summary(std::get<0>(found)->m_value);
-    }
-    if (summary && wall_now() - summary->m_written_at < summary_max_age &&
-        summary->m_written_at - wall_now() < summary_max_age)
-    {
-        waiting = summary->m_waiting;
-    }
-    else
-    {
-        // No scheduler updates the summary at present.
-        const store_result<record_list> jobs =
-            m_store.list(record_keys::live_prefix, retry.read_timeout());
-        const store_result<record_list> progress =
-            m_store.list(record_keys::progress_prefix, retry.read_timeout());
-        if (!is_ok(jobs) || !is_ok(progress))
-        {
-            return std::nullopt;
-        }
-        waiting = count_waiting_jobs(std::get<0>(jobs), std::get<0>(progress));
-    }
-    std::lock_guard lock(m_waiting_mutex);
-    m_waiting = waiting;
-    m_waiting_read_at = sent;
-    return waiting;
-}
-
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -7,10 +7,9 @@
 #include <kingcuprudder/node/configuration_view.hpp>
 #include <kingcuprudder/node/event_log.hpp>
 #include <kingcuprudder/node/record_store.hpp>
+#include <kingcuprudder/node/waiting_job_counter.hpp>
 
 #include <functional>
-#include <map>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -109,8 +108,6 @@
     read_progress(const std::string& id, const call_retry& retry);
     service_result<int> find_waiting_count(const caller_request& request,
                                            const call_retry& retry);
-    std::optional<std::map<std::string, int>>
-    count_waiting(const call_retry& retry);
     /// A conflict on `new_key` means that an earlier call has written it.
     write_outcome commit_once(const store_transaction& transaction,
                               const std::string& new_key,
@@ -136,9 +133,7 @@
     configuration_view& m_configuration;
     event_log& m_log;
     retry_capacity m_retries;
-    std::mutex m_waiting_mutex;
-    std::map<std::string, int> m_waiting;
-    instant m_waiting_read_at;
+    waiting_job_counter m_waiting_jobs;
 };
 
 } // namespace kingcuprudder::node
