--- a/unit_tests/dispatch/crash_log_test.cpp
+++ b/unit_tests/dispatch/crash_log_test.cpp
@@ -195,6 +195,44 @@
     EXPECT_EQ(waits.field("on_trial"), "0");
 }
 
+// Guards against a gang that waits for room while single workers have some.
+TEST_F(crash_log_test, a_suspected_gang_that_waits_says_how_many_tasks_fit)
+{
+    add_worker("w1");
+    add_worker("w2");
+    job_submission gang = job("gang", 2, 8);
+    gang.m_steps[0].m_gang = true;
+    accept(gang);
+    confirm(start_all());
+    pass(span(10));
+    lose("w1");
+    report("w2", {});
+    pass(after_the_lease);
+    report("w2", {});
+    step();
+    const log_line waits = line("suspected_task_waits");
+    EXPECT_EQ(waits.m_id, "gang.0.0.0");
+    EXPECT_EQ(waits.field("gang"), "true");
+    EXPECT_EQ(waits.field("tasks"), "2");
+    EXPECT_EQ(waits.field("fitting_tasks"), "1");
+    EXPECT_EQ(waits.field("workers_with_room"), "1");
+}
+
+TEST_F(crash_log_test, the_line_on_a_wait_names_a_task_that_waits)
+{
+    add_worker("w1");
+    accept(job("suspected", 2, 4));
+    crash_after_start("w1");
+    pass(span(10));
+    add_worker("w2", 4);
+    step();
+    const std::vector<log_line> waits = m_log.lines("suspected_task_waits");
+    ASSERT_EQ(waits.size(), 2u);
+    EXPECT_EQ(waits[0].m_id, "suspected.0.0.0");
+    EXPECT_EQ(waits[1].m_id, "suspected.0.0.1");
+    EXPECT_EQ(waits[1].field("tasks"), "1");
+}
+
 TEST_F(crash_log_test, a_withdrawn_crash_says_what_is_left)
 {
     add_worker("w1");
