--- a/kingcuprudder/dispatch/crash_log.cpp
+++ b/kingcuprudder/dispatch/crash_log.cpp
@@ -69,6 +69,7 @@
             {"process_ended", text(loss.m_process_ended)},
             {"cut_off", text(worker.m_cut_off)},
             {"unreliable", text(loss.m_unreliable)},
+            {"last_answer_age_ms", number((now - loss.m_last_answer).count())},
             {"silent_ms", loss.m_silent_since
                               ? number((now - *loss.m_silent_since).count())
                               : "never answered"}};
@@ -82,6 +83,7 @@
     return {
         {"run", number(run)},
         {"run_age_ms", age ? number(age->count()) : "unknown"},
+        {"accepted", text(lost.m_accepted)},
         {"other_new_jobs", number(other_jobs_with_new_run(loss, lost.m_job))},
         {"address_lost_before", text(lost.m_repeated)}};
 }
--- a/kingcuprudder/dispatch/crash_log.hpp
+++ b/kingcuprudder/dispatch/crash_log.hpp
@@ -24,7 +24,8 @@
                             instant now);
 
 /// Returns what is known about one run on a lost worker: its number, its age
-/// when the worker became silent, and how many other jobs had a new run there.
+/// when the worker became silent, whether the worker had accepted it, and how
+/// many other jobs had a new run there.
 decision_fields run_fields(const worker_loss& loss, std::size_t position,
                            int run);
 
--- a/unit_tests/dispatch/crash_log_test.cpp
+++ b/unit_tests/dispatch/crash_log_test.cpp
@@ -62,10 +62,13 @@
         EXPECT_EQ(attributed.back().field("worker"), worker);
         EXPECT_EQ(attributed.back().field("run"), std::to_string(crash));
         EXPECT_EQ(attributed.back().field("run_age_ms"), "10");
+        EXPECT_EQ(attributed.back().field("accepted"), "true");
         EXPECT_EQ(attributed.back().field("other_new_jobs"), "0");
         EXPECT_EQ(attributed.back().field("address_lost_before"), "false");
         EXPECT_EQ(m_log.lines("worker_lost").back().field("address"),
                   "address-of-" + worker);
+        EXPECT_NE(m_log.lines("worker_lost").back().field("last_answer_age_ms"),
+                  "");
     }
     const log_line given_up = line("task_given_up");
     EXPECT_EQ(given_up.m_id, "deadly.0.0.0");
