--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -7,10 +7,9 @@
 #include <kingcuprudder/node/configuration_view.hpp>
 #include <kingcuprudder/node/event_log.hpp>
 #include <kingcuprudder/node/record_store.hpp>
+#include <kingcuprudder/node/waiting_job_counter.hpp>
 
 #include <functional>
-#include <map>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -51,7 +50,9 @@
     std::string m_host;
     std::string m_path;
     std::string m_key;
-    instant m_deadline; ///< On the clock of boottime_now().
+    instant m_deadline;        ///< On the clock of boottime_now().
+    std::string m_method = {}; ///< Logged only.
+    span m_waited = {}; ///< For a thread, before it was begun. Logged only.
 };
 
 template <class T>
@@ -111,8 +112,6 @@
                                                     const call_retry& retry);
     service_result<int> find_waiting_count(const caller_request& request,
                                            const call_retry& retry);
-    std::optional<std::map<std::string, int>>
-    count_waiting(const call_retry& retry);
     /// A conflict on `new_key` means that an earlier call has written it.
     write_outcome commit_once(const store_transaction& transaction,
                               const std::string& new_key,
@@ -140,9 +139,7 @@
     event_log& m_log;
     retry_capacity m_retries;
     read_latency m_read_latency;
-    std::mutex m_waiting_mutex;
-    std::map<std::string, int> m_waiting;
-    instant m_waiting_read_at;
+    waiting_job_counter m_waiting_jobs;
 };
 
 } // namespace kingcuprudder::node
