Simulated minions that crash

Change: a minion of the stand-in has an address of its own behind a relay. When it crashes, its connections close at once, its address refuses, and its runs, its ends and its fencing token are gone; its entry expires after three heartbeats. It returns after 0.5 to 4 s as a new incarnation, under its id at the same or another address, or under a new id. A task may crash each minion that starts it, some milliseconds after the start.

--- a/stand_ins/counting_relay.cpp
+++ b/stand_ins/counting_relay.cpp
@@ -60,16 +60,17 @@
         m_thread.join();
     }
 
-    std::string add(const std::string& target, const std::string& name)
+    std::string add(const std::string& target, const std::string& name,
+                    const std::string& address)
     {
-        relay_listener added{listen_on("127.0.0.1:0"), target, name};
-        std::string address = local_address(added.m_socket);
+        relay_listener added{listen_on(address), target, name};
+        std::string actual_address = local_address(added.m_socket);
         {
             std::lock_guard lock(m_mutex);
             m_listeners.push_back(std::move(added));
         }
         m_wake.raise();
-        return address;
+        return actual_address;
     }
 
     std::uint64_t bytes(const std::string& name) const
@@ -223,9 +224,10 @@
 counting_relay::~counting_relay() = default;
 
 std::string counting_relay::add(const std::string& target,
-                                const std::string& name)
+                                const std::string& name,
+                                const std::string& address)
 {
-    return m_implementation->add(target, name);
+    return m_implementation->add(target, name, address);
 }
 
 std::uint64_t counting_relay::bytes(const std::string& name) const
--- a/stand_ins/counting_relay.hpp
+++ b/stand_ins/counting_relay.hpp
@@ -18,9 +18,11 @@
     counting_relay(const counting_relay&) = delete;
     counting_relay& operator=(const counting_relay&) = delete;
 
-    /// Returns a new loopback address. Its connections are forwarded to the
+    /// Returns a new loopback address, or listens on the given one; throws
+    /// std::runtime_error if it is in use. Its connections are forwarded to the
     /// target "ip:port" and counted under the name.
-    std::string add(const std::string& target, const std::string& name);
+    std::string add(const std::string& target, const std::string& name,
+                    const std::string& address = "127.0.0.1:0");
 
     /// Returns the sum of the bytes of both directions, without TCP and IP
     /// headers.
--- a/stand_ins/simulated_minions.cpp
+++ b/stand_ins/simulated_minions.cpp
@@ -23,31 +23,44 @@
 constexpr std::chrono::milliseconds unanswered_delay(700);
 constexpr span late_start_delay = span(2000);
 constexpr span gang_timeout = span(3000);
-constexpr std::int64_t incarnation_start = 1'700'000'000'000;
+constexpr std::int64_t first_incarnation = 1'700'000'000'000;
+constexpr const char* any_address = "127.0.0.1:0";
+constexpr int minions_per_rack = 4;
+// The entry of a silent minion is removed after three heartbeats.
+constexpr span entry_lifetime = heartbeat_interval * 3;
+constexpr span min_down_time = span(500);
+constexpr span max_down_time = span(4000);
 
 constexpr int status_ok = 200;
 constexpr int status_refused = 409;
 constexpr int status_other_instance = 421;
 
-json with_clock(json body)
+json with_clock(json body, std::int64_t born)
 {
     body["clockMs"] = node::boottime_now().count();
-    body["born"] = incarnation_start;
+    body["born"] = born;
     return body;
 }
 
+/// Returns the index of a task in its step, the last part of its name.
+int index_of(const std::string& task)
+{
+    return std::stoi(task.substr(task.rfind('.') + 1));
+}
+
 } // namespace
 
 simulated_minions::simulated_minions(memory_store& store, int count)
-    : m_store(store)
+    : m_store(store), m_last_born(first_incarnation)
 {
-    for (int index = 0; index < count; ++index)
-    {
-        m_minions["i-" + std::to_string(index)];
-    }
     m_listener = std::make_unique<http_listener>("127.0.0.1:0", server_threads,
                                                  [this](httplib::Server& server)
                                                  { install(server); });
+    for (int index = 0; index < count; ++index)
+    {
+        start_minion("i-" + std::to_string(index), index / minions_per_rack,
+                     any_address);
+    }
     publish();
     m_update_thread = std::thread([this] { run_update_loop(); });
 }
@@ -70,6 +83,42 @@
     m_random.seed(seed);
 }
 
+void simulated_minions::crash_one(unsigned choice)
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::string> running;
+    for (const auto& [id, each] : m_minions)
+    {
+        if (each.m_relay)
+        {
+            running.push_back(id);
+        }
+    }
+    if (!running.empty())
+    {
+        const std::string& id = running[choice % running.size()];
+        crash(id, m_minions.at(id));
+    }
+}
+
+int simulated_minions::crash_count()
+{
+    std::lock_guard lock(m_mutex);
+    return m_crashes;
+}
+
+int simulated_minions::start_count(const std::string& task)
+{
+    std::lock_guard lock(m_mutex);
+    return m_crash_record.starts(task);
+}
+
+int simulated_minions::crash_count(const std::string& task)
+{
+    std::lock_guard lock(m_mutex);
+    return m_crash_record.crashes(task);
+}
+
 std::map<std::string, int> simulated_minions::completion_counts()
 {
     std::lock_guard lock(m_mutex);
@@ -79,7 +128,10 @@
 std::vector<std::string> simulated_minions::violations()
 {
     std::lock_guard lock(m_mutex);
-    return m_violations;
+    std::vector<std::string> all = m_violations;
+    all.insert(all.end(), m_crash_record.violations().begin(),
+               m_crash_record.violations().end());
+    return all;
 }
 
 void simulated_minions::install(httplib::Server& server)
@@ -91,7 +143,7 @@
             std::unique_lock lock(m_mutex);
             const auto found =
                 m_minions.find(request.get_header_value("X-Target-Instance"));
-            if (found == m_minions.end())
+            if (found == m_minions.end() || !found->second.m_relay)
             {
                 response.status = status_other_instance;
                 return;
@@ -131,7 +183,8 @@
                            : renew_lease(lock, found->second, order, status);
             }
             response.status = status;
-            response.set_content(with_clock(body).dump(), "application/json");
+            response.set_content(with_clock(body, found->second.m_born).dump(),
+                                 "application/json");
         });
 }
 
@@ -164,15 +217,19 @@
             }
         }
     }
+    if (m_lost_ends.erase(task) > 0)
+    {
+        m_completed.erase(task);
+    }
     if (m_completed.contains(task))
     {
         m_violations.push_back("run after completion of " + task);
     }
-    // The spec is "DURATION_MS" or "DURATION_MS GANG_SIZE"; each task uses one
-    // GPU.
+    // The spec is "DURATION_MS [GANG_SIZE [CRASHING_INDEX CRASH_DELAY_MS]]";
+    // each task uses one GPU.
     std::istringstream spec(order.at("spec").get<std::string>());
     std::int64_t length = 0;
-    run started{task, number, now, span(0), 1, std::nullopt};
+    run started{task, number, now, span(0), 1, std::nullopt, std::nullopt};
     spec >> length;
     if (!(spec >> started.m_gang_size))
     {
@@ -183,6 +240,14 @@
     {
         started.m_ends_at = now + started.m_duration;
     }
+    int crashing_index = 0;
+    std::int64_t crash_delay = 0;
+    if (spec >> crashing_index >> crash_delay &&
+        crashing_index == index_of(task))
+    {
+        started.m_crashes_at = now + span(crash_delay);
+    }
+    m_crash_record.note_start(task, started.m_crashes_at.has_value());
     target.m_running.push_back(started);
     if (target.m_running.size() > gpus_per_minion)
     {
@@ -220,7 +285,8 @@
                  instant(order.value("deadlineMs", std::int64_t(0))));
     m_changed.wait_for(
         lock, std::chrono::milliseconds(order.value("waitMs", std::int64_t(0))),
-        [&] { return m_stopping || !target.m_ended.empty(); });
+        [&]
+        { return m_stopping || !target.m_relay || !target.m_ended.empty(); });
     json body{{"running", json::array()}, {"ended", json::array()}};
     const instant now = node::boottime_now();
     for (const run& each : target.m_running)
@@ -241,6 +307,108 @@
     return body;
 }
 
+void simulated_minions::start_minion(const std::string& id, int rack,
+                                     const std::string& address)
+{
+    minion& started = m_minions[id];
+    started.m_born = ++m_last_born;
+    started.m_rack = rack;
+    started.m_restarts_at.reset();
+    started.m_relay = std::make_unique<counting_relay>();
+    try
+    {
+        started.m_address =
+            started.m_relay->add(m_listener->address(), id, address);
+    }
+    catch (const std::runtime_error&)
+    {
+        // Another socket has got the port in the meantime.
+        started.m_address =
+            started.m_relay->add(m_listener->address(), id, any_address);
+    }
+    m_silent_entries.erase(id);
+}
+
+void simulated_minions::crash(const std::string& id, minion& target)
+{
+    const instant now = node::boottime_now();
+    for (const run& each : target.m_running)
+    {
+        m_crash_record.note_crash(each.m_task);
+        if (each.m_gang_size > 1)
+        {
+            m_broken_gangs.insert(gang_of(each));
+        }
+    }
+    for (const ended_run& each : target.m_ended)
+    {
+        if (each.m_reason == "done")
+        {
+            m_lost_ends.insert(each.m_task);
+        }
+    }
+    std::erase_if(m_late_starts,
+                  [&id](const auto& each) { return each.second.first == id; });
+    minion crashed;
+    crashed.m_rack = target.m_rack;
+    crashed.m_address = target.m_address;
+    std::uniform_int_distribution<std::int64_t> down_time(
+        min_down_time.count(), max_down_time.count());
+    crashed.m_restarts_at = now + span(down_time(m_random));
+    target = std::move(crashed);
+    m_silent_entries[id] = now + entry_lifetime;
+    ++m_crashes;
+    m_changed.notify_all();
+}
+
+void simulated_minions::crash_minions_that_are_due()
+{
+    const instant now = node::boottime_now();
+    for (auto& [id, target] : m_minions)
+    {
+        const bool due = std::any_of(
+            target.m_running.begin(), target.m_running.end(),
+            [now](const run& each)
+            { return each.m_crashes_at && *each.m_crashes_at <= now; });
+        if (due)
+        {
+            crash(id, target);
+        }
+    }
+}
+
+void simulated_minions::restart_minions()
+{
+    const instant now = node::boottime_now();
+    std::vector<std::string> due;
+    for (const auto& [id, each] : m_minions)
+    {
+        if (each.m_restarts_at && *each.m_restarts_at <= now)
+        {
+            due.push_back(id);
+        }
+    }
+    for (const std::string& id : due)
+    {
+        minion& target = m_minions.at(id);
+        const int rack = target.m_rack;
+        switch (m_random() % 3)
+        {
+        case 0:
+            start_minion(id, rack, target.m_address);
+            break;
+        case 1:
+            start_minion(id, rack, any_address);
+            break;
+        default:
+            target.m_restarts_at.reset();
+            start_minion("i-" + std::to_string(m_minions.size()), rack,
+                         target.m_address);
+            break;
+        }
+    }
+}
+
 void simulated_minions::end_run(minion& target, std::size_t index,
                                 const std::string& reason)
 {
@@ -337,6 +505,8 @@
 
 void simulated_minions::advance()
 {
+    restart_minions();
+    crash_minions_that_are_due();
     end_broken_gangs();
     start_complete_gangs();
     const instant now = node::boottime_now();
@@ -377,23 +547,41 @@
 
 void simulated_minions::publish()
 {
+    const instant now = node::boottime_now();
     node::store_transaction transaction;
-    int index = 0;
     for (const auto& [id, target] : m_minions)
     {
-        const json entry{
-            {"backend", "pool"},
-            {"address", m_listener->address()},
+        if (target.m_relay)
+        {
+            transaction.m_writes.push_back(
+                {"servers/" + id, entry_of(target).dump(), 0});
+        }
+    }
+    for (const auto& [id, expires_at] : m_silent_entries)
+    {
+        if (expires_at <= now)
+        {
+            transaction.m_removals.push_back("servers/" + id);
+        }
+    }
+    if (node::is_ok(m_store.commit(transaction, span(100))))
+    {
+        std::erase_if(m_silent_entries,
+                      [now](const auto& each) { return each.second <= now; });
+    }
+}
+
+json simulated_minions::entry_of(const minion& target)
+{
+    return {{"backend", "pool"},
+            {"address", target.m_address},
             {"zone", "zone"},
             {"state", "ready"},
             {"capacity",
              {{"cpu", 64000}, {"memMb", 256000}, {"gpu", gpus_per_minion}}},
-            {"labels", {"a", "r-" + std::to_string(index++ / 4)}},
+            {"labels", {"a", "r-" + std::to_string(target.m_rack)}},
             {"clockMs", node::boottime_now().count()},
-            {"born", incarnation_start}};
-        transaction.m_writes.push_back({"servers/" + id, entry.dump(), 0});
-    }
-    m_store.commit(transaction, span(100));
+            {"born", target.m_born}};
 }
 
 void simulated_minions::run_update_loop()
--- a/stand_ins/simulated_minions.hpp
+++ b/stand_ins/simulated_minions.hpp
@@ -5,6 +5,8 @@
 #include <kingcuprudder/runtime/http_listener.hpp>
 
 #include <nlohmann/json_fwd.hpp>
+#include <stand_ins/counting_relay.hpp>
+#include <stand_ins/crash_record.hpp>
 #include <stand_ins/memory_store.hpp>
 
 #include <condition_variable>
@@ -24,8 +26,10 @@
 /// Simulates minions and records violations of what must hold for their runs. A
 /// task runs for the time in its spec, in milliseconds. A second number in the
 /// spec is the size of the task's gang, whose members begin to work when all of
-/// them have been started, and end together. All minions listen on one address;
-/// the header X-Target-Instance of a call selects the minion.
+/// them have been started, and end together. With a third and a fourth number,
+/// the task with this index in its step crashes its minion so many milliseconds
+/// after its start. A minion that has crashed loses its connections and its
+/// runs at once and returns after some seconds.
 class simulated_minions
 {
 public:
@@ -37,10 +41,19 @@
     /// Drops this share of the calls: they get status 500 after 700 ms. Half
     /// of the starts among them are carried out two seconds later.
     void lose_calls(double share, unsigned seed);
+    /// Crashes one of the running minions, selected by the number.
+    void crash_one(unsigned choice);
+    /// Returns how many minions have crashed.
+    int crash_count();
+    /// Returns how often the task was started.
+    int start_count(const std::string& task);
+    /// Returns how many minions have crashed while they ran the task.
+    int crash_count(const std::string& task);
     /// Returns how often each task was completed, by the name of the task.
     std::map<std::string, int> completion_counts();
     /// Returns a message for each violation: concurrent runs of a task, a run
-    /// or a second completion of a task that was completed, exceeded capacity.
+    /// or a second completion of a task that was completed, exceeded capacity,
+    /// too many starts of a task that crashes its minions.
     std::vector<std::string> violations();
 
 private:
@@ -53,6 +66,8 @@
         int m_gang_size = 1;
         /// When the run is done; empty while members of its gang are missing.
         std::optional<instant> m_ends_at;
+        /// When the run crashes its minion, if it does.
+        std::optional<instant> m_crashes_at;
     };
     /// Identifies a gang by the name of the step and the number of the run.
     using gang = std::pair<std::string, int>;
@@ -65,6 +80,14 @@
     };
     struct minion
     {
+        /// The start of its present incarnation.
+        std::int64_t m_born = 0;
+        int m_rack = 0;
+        std::string m_address;
+        /// Forwards the minion's connections; empty while it is down.
+        std::unique_ptr<counting_relay> m_relay;
+        /// When it starts again after a crash.
+        std::optional<instant> m_restarts_at;
         /// The highest fencing token received.
         std::int64_t m_fence = 0;
         instant m_lease_end;
@@ -82,6 +105,15 @@
     nlohmann::json renew_lease(std::unique_lock<std::mutex>& lock,
                                minion& target, const nlohmann::json& order,
                                int& status);
+    /// Starts a minion under its id, if possible at the given address.
+    void start_minion(const std::string& id, int rack,
+                      const std::string& address);
+    /// Ends the process of a minion with all that it runs and knows.
+    void crash(const std::string& id, minion& target);
+    /// Crashes the minions with a run that is due to do so.
+    void crash_minions_that_are_due();
+    /// Starts the minions again whose down time is over.
+    void restart_minions();
     void end_run(minion& target, std::size_t index, const std::string& reason);
     /// Ends the runs that are due to end and carries out the late starts.
     void advance();
@@ -95,14 +127,24 @@
     /// Returns why a run ends now, or nothing if it continues.
     static std::optional<std::string> end_reason(const minion& where,
                                                  const run& each, instant now);
-    /// Writes the worker entry of each minion to the store.
+    /// Writes the worker entry of each running minion to the store and removes
+    /// the entries that have expired.
     void publish();
+    static nlohmann::json entry_of(const minion& target);
     void run_update_loop();
 
     memory_store& m_store;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, minion> m_minions;
+    /// When the entries of crashed minions expire, by the minion's id.
+    std::map<std::string, instant> m_silent_entries;
+    std::int64_t m_last_born;
+    crash_record m_crash_record;
+    int m_crashes = 0;
+    /// Tasks that were done, but whose minion crashed before it was told that
+    /// their end had been noted; they may run again.
+    std::set<std::string> m_lost_ends;
     std::map<std::string, int> m_completed;
     std::vector<std::string> m_violations;
     std::set<gang> m_broken_gangs;
--- /dev/null
+++ b/unit_tests/node/simulated_minions_test.cpp
@@ -0,0 +1,139 @@
+#include <kingcuprudder/node/clocks.hpp>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <stand_ins/simulated_minions.hpp>
+
+#include <chrono>
+#include <httplib.h>
+#include <thread>
+
+namespace kingcuprudder::stand_ins
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Returns the entries of the minions in the store by their keys.
+std::map<std::string, json> entries(memory_store& store)
+{
+    std::map<std::string, json> found;
+    const auto listed = store.list("servers/", span(100));
+    for (const node::record& each : std::get<0>(listed).m_records)
+    {
+        found[each.m_key] = json::parse(each.m_value);
+    }
+    return found;
+}
+
+httplib::Result post(const std::string& address, const std::string& call,
+                     const json& body)
+{
+    httplib::Client client("http://" + address);
+    return client.Post("/kingcuprudder/" + call, {{"X-Target-Instance", "i-0"}},
+                       body.dump(), "application/json");
+}
+
+httplib::Result start(const std::string& address, const std::string& spec)
+{
+    return post(address, "run-start",
+                {{"task", "j.0.0.0"},
+                 {"run", 1},
+                 {"spec", spec},
+                 {"deadlineMs", node::boottime_now().count() + 30'000},
+                 {"fencingToken", 1}});
+}
+
+bool wait_for(const std::function<bool()>& condition)
+{
+    for (int at = 0; at < 700 && !condition(); ++at)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return condition();
+}
+
+} // namespace
+
+TEST(simulated_minions, a_task_that_crashes_its_minion_breaks_its_connections)
+{
+    memory_store store;
+    simulated_minions minions(store, 1);
+    const json before = entries(store).at("servers/i-0");
+    const std::string address = before.at("address");
+    ASSERT_EQ(start(address, "60000 1 0 30")->status, 200);
+    const instant polled_at = node::boottime_now();
+    EXPECT_FALSE(
+        post(address, "hold",
+             {{"fencingToken", 1}, {"lastSeen", 0}, {"waitMs", 2000}}));
+    EXPECT_LT(node::boottime_now() - polled_at, span(1000));
+    EXPECT_EQ(post(address, "hold", {}).error(), httplib::Error::Connection);
+    EXPECT_EQ(minions.crash_count(), 1);
+    EXPECT_EQ(minions.crash_count("j.0.0.0"), 1);
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            const std::map<std::string, json> now = entries(store);
+            return now.size() == 1 &&
+                   now.begin()->second.at("born") > before.at("born");
+        }));
+}
+
+TEST(simulated_minions, only_the_task_with_the_index_crashes_its_minion)
+{
+    memory_store store;
+    simulated_minions minions(store, 1);
+    const std::string address = entries(store).at("servers/i-0").at("address");
+    ASSERT_EQ(start(address, "60 1 1 30")->status, 200);
+    EXPECT_TRUE(wait_for([&] { return !minions.completion_counts().empty(); }));
+    EXPECT_EQ(minions.crash_count(), 0);
+}
+
+// A minion that crashes before it was told that an end was noted has lost it.
+TEST(simulated_minions, a_task_whose_end_was_lost_may_run_again)
+{
+    for (const std::int64_t last_seen : {0, 1})
+    {
+        memory_store store;
+        simulated_minions minions(store, 1);
+        std::string address = entries(store).at("servers/i-0").at("address");
+        ASSERT_EQ(start(address, "1")->status, 200);
+        ASSERT_TRUE(
+            wait_for([&] { return !minions.completion_counts().empty(); }));
+        ASSERT_EQ(post(address, "hold",
+                       {{"fencingToken", 1}, {"lastSeen", last_seen}})
+                      ->status,
+                  200);
+        minions.crash_one(0);
+        // It may come back under another id, which the calls have to name.
+        std::string id;
+        ASSERT_TRUE(wait_for(
+            [&]
+            {
+                const std::map<std::string, json> now = entries(store);
+                id = now.empty() ? "" : now.begin()->first;
+                address = now.empty() ? "" : now.begin()->second.at("address");
+                return now.size() == 1 &&
+                       post(address, "hold",
+                            {{"fencingToken", 1}, {"lastSeen", 0}});
+            }));
+        httplib::Client client("http://" + address);
+        const json order{{"task", "j.0.0.0"},
+                         {"run", 2},
+                         {"spec", "1"},
+                         {"deadlineMs", node::boottime_now().count() + 30'000},
+                         {"fencingToken", 1}};
+        ASSERT_EQ(
+            client
+                .Post("/kingcuprudder/run-start",
+                      {{"X-Target-Instance", id.substr(id.find('/') + 1)}},
+                      order.dump(), "application/json")
+                ->status,
+            200);
+        EXPECT_EQ(minions.violations().empty(), last_seen == 0);
+    }
+}
+
+} // namespace kingcuprudder::stand_ins
