Soak: workers that crash, some of them by their tasks

Cause: the soak plays neither, so BUDGET and LOST were not checked with real processes that are killed and paused meanwhile.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -9,7 +9,8 @@
 {
 
 deployment::deployment(std::string program, std::string folder,
-                       const std::string& store_address, int nodes)
+                       const std::string& store_address, int nodes,
+                       span worker_lease)
     : m_program(std::move(program)), m_folder(std::move(folder))
 {
     for (int index = 0; index < nodes; ++index)
@@ -26,7 +27,7 @@
             {"metrics_address", demo::free_loopback_address()},
             {"store_address", store_address},
             {"processor_share", 1},
-            {"worker_lease_ms", 6000},
+            {"worker_lease_ms", worker_lease.count()},
             {"worker_stop_ms", 400},
             {"reclaim_ms", 2900},
             {"distance_factor", 3},
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -1,6 +1,8 @@
 #ifndef SOAK_DEPLOYMENT_HPP
 #define SOAK_DEPLOYMENT_HPP
 
+#include <kingcuprudder/base/time.hpp>
+
 #include <demo/child_process.hpp>
 
 #include <memory>
@@ -18,7 +20,8 @@
     /// Writes the settings files of the processes to the folder, which also
     /// gets their logs. Starts no process yet.
     deployment(std::string program, std::string folder,
-               const std::string& store_address, int nodes);
+               const std::string& store_address, int nodes,
+               span worker_lease = span(6000));
 
     int size() const { return static_cast<int>(m_nodes.size()); }
     /// Returns the address for callers as "ip:port".
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -23,12 +23,16 @@
     TCLAP::ValueArg<std::string> folder("", "folder",
                                         "folder for settings and logs", false,
                                         "soak-logs", "path", line);
+    TCLAP::SwitchArg crashes("", "crashes",
+                             "workers crash, some by their tasks", line);
     line.parse(argc, argv);
     int failed_seeds = 0;
     for (unsigned seed = first.getValue();
          seed < first.getValue() + seeds.getValue(); ++seed)
     {
-        soak::scenario_options options;
+        soak::scenario_options options = crashes.getValue()
+                                             ? soak::crash_options()
+                                             : soak::scenario_options();
         options.m_program =
             (std::filesystem::canonical("/proc/self/exe").parent_path() /
              "kcr_node")
@@ -41,9 +45,10 @@
             kingcuprudder::span::seconds(seconds.getValue());
         const soak::scenario_report report = soak::run_scenario(options);
         std::printf("seed %u: accepted %d refused %d unanswered %d faults %d "
-                    "broken %zu\n",
+                    "crashes %d crashing jobs %d given up %d broken %zu\n",
                     seed, report.m_accepted, report.m_refused,
-                    report.m_unanswered, report.m_faults,
+                    report.m_unanswered, report.m_faults, report.m_crashes,
+                    report.m_crashing_jobs, report.m_given_up,
                     report.m_violations.size());
         for (const std::string& each : report.m_violations)
         {
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -2,15 +2,19 @@
 
 #include <nlohmann/json.hpp>
 #include <soak/deployment.hpp>
+#include <soak/job_checks.hpp>
 #include <soak/scenario.hpp>
 #include <stand_ins/platform_stand_in.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <httplib.h>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace kingcuprudder::soak
@@ -25,6 +29,12 @@
 constexpr span fault_interval = span(700);
 constexpr span max_store_outage = span(3500);
 constexpr span recovery_timeout = span::seconds(30);
+// Longer than it takes to give up a task that was started last of all.
+constexpr span recovery_timeout_with_crashes = span::seconds(60);
+constexpr int faults_without_crashes = 8;
+constexpr int faults_with_crashes = 10;
+// One of so many jobs has a task that crashes its workers.
+constexpr unsigned jobs_per_crashing_job = 60;
 constexpr std::chrono::milliseconds call_timeout(2500);
 constexpr int max_attempts = 6;
 constexpr int status_ok = 200;
@@ -38,8 +48,41 @@
     /// Each attempt so far was refused or got no connection.
     bool m_refused_only = true;
     int m_tasks = 1;
+    bool m_crashes_workers = false;
 };
 
+/// A job to submit.
+struct job_request
+{
+    std::string m_id;
+    int m_tasks = 1;
+    int m_work_ms = 100;
+    /// The process to which it is submitted first.
+    unsigned m_first = 0;
+    /// The index of a task that crashes its workers, if there is one, and the
+    /// time from its start to the crash.
+    std::optional<int> m_crashing_task;
+    int m_crash_delay_ms = 0;
+
+    bool is_gang() const { return m_tasks % 2 == 0; }
+};
+
+/// Returns the spec of a job in the form that the simulated workers read.
+std::string spec_of(const job_request& job)
+{
+    std::string spec = std::to_string(job.m_work_ms);
+    if (job.is_gang() || job.m_crashing_task)
+    {
+        spec += " " + std::to_string(job.is_gang() ? job.m_tasks : 1);
+    }
+    if (job.m_crashing_task)
+    {
+        spec += " " + std::to_string(*job.m_crashing_task) + " " +
+                std::to_string(job.m_crash_delay_ms);
+    }
+    return spec;
+}
+
 void sleep_for(span time)
 {
     std::this_thread::sleep_for(std::chrono::milliseconds(time.count()));
@@ -53,7 +96,8 @@
         : m_options(options), m_random(options.m_seed),
           m_platform(options.m_minions),
           m_nodes(options.m_program, options.m_folder,
-                  m_platform.store_address(), options.m_nodes)
+                  m_platform.store_address(), options.m_nodes,
+                  options.m_worker_lease)
     {
     }
 
@@ -103,12 +147,18 @@
             std::snprintf(id, sizeof id, "%08x%08x",
                           static_cast<unsigned>(random()),
                           static_cast<unsigned>(random()));
-            const int tasks = 1 + static_cast<int>(random() % 4);
-            const int work_ms = 100 + static_cast<int>(random() % 1500);
-            const unsigned first = static_cast<unsigned>(random());
-            calls.emplace_back(
-                [this, name = std::string(id), tasks, work_ms, first]
-                { submit(name, tasks, work_ms, first); });
+            job_request job;
+            job.m_id = id;
+            job.m_tasks = 1 + static_cast<int>(random() % 4);
+            job.m_work_ms = 100 + static_cast<int>(random() % 1500);
+            job.m_first = static_cast<unsigned>(random());
+            if (m_options.m_crashes && random() % jobs_per_crashing_job == 0)
+            {
+                job.m_crashing_task = static_cast<int>(
+                    random() % static_cast<unsigned>(job.m_tasks));
+                job.m_crash_delay_ms = 2 + static_cast<int>(random() % 40);
+            }
+            calls.emplace_back([this, job] { submit(job); });
             sleep_for(job_interval);
         }
         for (std::thread& each : calls)
@@ -119,29 +169,28 @@
 
     /// Submits a job and retries at the next process, as the platform's callers
     /// do.
-    void submit(const std::string& id, int tasks, int work_ms, unsigned first)
+    void submit(const job_request& request)
     {
-        const bool gang = tasks % 2 == 0;
-        const nlohmann::json body{
-            {"spec", std::to_string(work_ms) +
-                         (gang ? " " + std::to_string(tasks) : "")},
-            {"steps",
-             {{{"count", tasks},
-               {"cpu", 1000},
-               {"memMb", 1000},
-               {"gpu", 1},
-               {"estimateMs", work_ms},
-               {"gang", gang}}}}};
+        const nlohmann::json body{{"spec", spec_of(request)},
+                                  {"steps",
+                                   {{{"count", request.m_tasks},
+                                     {"cpu", 1000},
+                                     {"memMb", 1000},
+                                     {"gpu", 1},
+                                     {"estimateMs", request.m_work_ms},
+                                     {"gang", request.is_gang()}}}}};
         submitted_job job;
-        job.m_tasks = tasks;
+        job.m_tasks = request.m_tasks;
+        job.m_crashes_workers = request.m_crashing_task.has_value();
         for (unsigned attempt = 0; attempt < max_attempts && !job.m_accepted;
              ++attempt)
         {
-            const int node = static_cast<int>(
-                (first + attempt) % static_cast<unsigned>(m_nodes.size()));
+            const int node =
+                static_cast<int>((request.m_first + attempt) %
+                                 static_cast<unsigned>(m_nodes.size()));
             const auto answer =
-                client(node).Post(("/q/" + id).c_str(), headers(), body.dump(),
-                                  "application/json");
+                client(node).Post(("/q/" + request.m_id).c_str(), headers(),
+                                  body.dump(), "application/json");
             const int status = answer ? answer->status : 0;
             job.m_accepted = status == status_ok;
             const bool refused =
@@ -151,7 +200,7 @@
             sleep_for(span(job.m_accepted ? 0 : 150));
         }
         std::lock_guard lock(m_mutex);
-        m_jobs[id] = job;
+        m_jobs[request.m_id] = job;
     }
 
     void run_faults()
@@ -175,7 +224,8 @@
     void inject_fault()
     {
         const int node = draw(m_nodes.size());
-        switch (draw(8))
+        switch (draw(m_options.m_crashes ? faults_with_crashes
+                                         : faults_without_crashes))
         {
         case 0:
         case 1:
@@ -205,11 +255,14 @@
         case 6:
             m_platform.store().compact();
             break;
-        default:
+        case 7:
             m_platform.minions().lose_calls(0.15, m_options.m_seed);
             sleep_for(span(draw(1500)));
             m_platform.minions().lose_calls(0, m_options.m_seed);
             break;
+        default:
+            m_platform.minions().crash_one(static_cast<unsigned>(m_random()));
+            break;
         }
     }
 
@@ -244,8 +297,10 @@
         resume_all();
         m_platform.store().set_fault_hook(nullptr);
         m_platform.minions().lose_calls(0, m_options.m_seed);
-        const instant end = node::boottime_now() + recovery_timeout;
-        while (node::boottime_now() < end && !all_accepted_jobs_completed())
+        const instant end = node::boottime_now() +
+                            (m_options.m_crashes ? recovery_timeout_with_crashes
+                                                 : recovery_timeout);
+        while (node::boottime_now() < end && !all_accepted_jobs_ended())
         {
             for (int node = 0; node < m_nodes.size(); ++node)
             {
@@ -273,56 +328,70 @@
         return "no answer";
     }
 
-    bool all_accepted_jobs_completed()
+    bool all_accepted_jobs_ended()
     {
         for (auto& [id, job] : m_jobs)
         {
-            if (job.m_accepted && !m_completed.contains(id))
+            if (job.m_accepted && !m_ended.contains(id))
             {
-                if (reported_state(id) != "completed")
+                const std::string state = reported_state(id);
+                if (state != "completed" && state != "failed")
                 {
                     return false;
                 }
-                m_completed.insert(id);
+                m_ended[id] = state;
             }
         }
         return true;
     }
 
-    void check()
+    observed_job observe(const std::string& id, const submitted_job& job)
     {
+        observed_job seen;
+        seen.m_id = id;
+        seen.m_accepted = job.m_accepted;
+        seen.m_refused_only = job.m_refused_only;
+        seen.m_crashes_workers = job.m_crashes_workers;
+        seen.m_tasks = job.m_tasks;
+        if (job.m_accepted)
+        {
+            const auto ended = m_ended.find(id);
+            seen.m_state =
+                ended == m_ended.end() ? reported_state(id) : ended->second;
+        }
         const std::map<std::string, int> completed =
             m_platform.minions().completion_counts();
+        for (int index = 0; index < job.m_tasks; ++index)
+        {
+            const std::string task = id + ".0.0." + std::to_string(index);
+            seen.m_completed_tasks += completed.contains(task) ? 1 : 0;
+            seen.m_started_tasks +=
+                m_platform.minions().start_count(task) > 0 ? 1 : 0;
+            seen.m_crashes = std::max(seen.m_crashes,
+                                      m_platform.minions().crash_count(task));
+        }
+        return seen;
+    }
+
+    void check()
+    {
         m_report.m_violations = m_platform.minions().violations();
+        m_report.m_crashes = m_platform.minions().crash_count();
         for (const auto& [id, job] : m_jobs)
         {
-            m_report.m_accepted += job.m_accepted ? 1 : 0;
-            m_report.m_refused += job.m_refused_only ? 1 : 0;
+            const observed_job seen = observe(id, job);
+            m_report.m_accepted += seen.m_accepted ? 1 : 0;
+            m_report.m_refused += seen.m_refused_only ? 1 : 0;
             m_report.m_unanswered +=
-                !job.m_accepted && !job.m_refused_only ? 1 : 0;
-            int completed_tasks = 0;
-            for (int task = 0; task < job.m_tasks; ++task)
+                !seen.m_accepted && !seen.m_refused_only ? 1 : 0;
+            if (seen.m_accepted && seen.m_crashes_workers)
             {
-                completed_tasks += static_cast<int>(
-                    completed.count(id + ".0.0." + std::to_string(task)));
-            }
-            if (job.m_accepted && !m_completed.contains(id))
-            {
-                m_report.m_violations.push_back("accepted job " + id +
-                                                " is reported as " +
-                                                reported_state(id));
-            }
-            if (job.m_accepted && completed_tasks < job.m_tasks)
-            {
-                m_report.m_violations.push_back(
-                    "accepted job " + id + " completed " +
-                    std::to_string(completed_tasks) + " of " +
-                    std::to_string(job.m_tasks) + " tasks");
-            }
-            if (job.m_refused_only && completed_tasks > 0)
-            {
-                m_report.m_violations.push_back("refused job " + id + " ran");
+                ++m_report.m_crashing_jobs;
+                m_report.m_given_up += seen.m_state == "failed" ? 1 : 0;
             }
+            const std::vector<std::string> found = job_violations(seen);
+            m_report.m_violations.insert(m_report.m_violations.end(),
+                                         found.begin(), found.end());
         }
     }
 
@@ -333,13 +402,23 @@
     std::atomic<bool> m_stop_callers = false;
     std::mutex m_mutex;
     std::map<std::string, submitted_job> m_jobs;
-    std::set<std::string> m_completed;
+    /// The final states of the jobs that have ended.
+    std::map<std::string, std::string> m_ended;
     std::set<int> m_paused;
     scenario_report m_report;
 };
 
 } // namespace
 
+scenario_options crash_options()
+{
+    scenario_options options;
+    options.m_crashes = true;
+    options.m_minions = 10;
+    options.m_worker_lease = span(3000);
+    return options;
+}
+
 scenario_report run_scenario(const scenario_options& options)
 {
     return scenario(options).run();
--- a/soak/scenario.hpp
+++ b/soak/scenario.hpp
@@ -17,8 +17,17 @@
     span m_fault_duration = span::seconds(10);
     int m_nodes = 3;
     int m_minions = 6;
+    /// How long workers run their tasks without a renewal. A crashed worker's
+    /// tasks are started again when it is over.
+    span m_worker_lease = span(6000);
+    /// Workers crash and return, alone and by tasks that crash each worker.
+    bool m_crashes = false;
 };
 
+/// Returns the options of a scenario with crashes, in which there are more
+/// workers and their leases are short.
+scenario_options crash_options();
+
 /// The results of a scenario.
 struct scenario_report
 {
@@ -26,13 +35,18 @@
     int m_refused = 0;    ///< Jobs that were refused in each attempt.
     int m_unanswered = 0; ///< Jobs of which the outcome is unknown.
     int m_faults = 0;     ///< Injected faults.
+    int m_crashes = 0;    ///< Workers that crashed, some of them by a task.
+    /// Accepted jobs with a task that crashes its workers.
+    int m_crashing_jobs = 0;
+    int m_given_up = 0; ///< The ones among them that are reported as failed.
     /// A message for each violation.
     std::vector<std::string> m_violations;
 };
 
 /// Submits jobs to kcr_node processes and injects random faults, then ends the
 /// faults and waits for recovery. Checks that every accepted job was run once
-/// and is reported as completed, and that no refused job ran.
+/// and is reported as completed, that no refused job ran, and that tasks that
+/// crash their workers are given up in time.
 scenario_report run_scenario(const scenario_options& options);
 
 } // namespace kingcuprudder::soak
--- a/unit_tests/node/soak_test.cpp
+++ b/unit_tests/node/soak_test.cpp
@@ -6,6 +6,20 @@
 namespace kingcuprudder::soak
 {
 
+namespace
+{
+
+scenario_report run_seed(scenario_options options, unsigned seed)
+{
+    options.m_program = KCR_BINARY_DIR "/bin/kcr_node";
+    options.m_folder = ::testing::TempDir() + "/soak-" + std::to_string(seed);
+    std::filesystem::create_directories(options.m_folder);
+    options.m_seed = seed;
+    return run_scenario(options);
+}
+
+} // namespace
+
 // Real processes are killed, stopped, paused and restarted while the store
 // refuses calls, loses answers and compacts its history and minions lose
 // orders. Every accepted job must run once and be reported as completed, and no
@@ -18,16 +32,27 @@
     for (const unsigned seed : {1u, 105u, 204u, 208u, 308u})
     {
         scenario_options options;
-        options.m_program = KCR_BINARY_DIR "/bin/kcr_node";
-        options.m_folder =
-            ::testing::TempDir() + "/soak-" + std::to_string(seed);
-        std::filesystem::create_directories(options.m_folder);
-        options.m_seed = seed;
         options.m_fault_duration = span::seconds(6);
-        const scenario_report report = run_scenario(options);
+        const scenario_report report = run_seed(options, seed);
         EXPECT_GT(report.m_accepted, 20);
         EXPECT_EQ(report.m_violations, std::vector<std::string>()) << seed;
     }
 }
 
+// The same while workers crash, some of them by tasks that crash each worker:
+// these are given up in time, and no other job is.
+TEST(soak, a_short_run_with_crashes_has_no_violations)
+{
+    for (const unsigned seed : {9001u})
+    {
+        scenario_options options = crash_options();
+        options.m_fault_duration = span::seconds(12);
+        const scenario_report report = run_seed(options, seed);
+        EXPECT_GT(report.m_accepted, 40);
+        EXPECT_GT(report.m_crashing_jobs, 0);
+        EXPECT_GT(report.m_crashes, 3);
+        EXPECT_EQ(report.m_violations, std::vector<std::string>()) << seed;
+    }
+}
+
 } // namespace kingcuprudder::soak
