Known failure: crashes right before a takeover

The next leader discards the first failed calls to these workers (connection_refused), as they have not answered it (note_silence returns for workers that are not synced), and takes all workers that have tasks and have not answered yet for lost together (is_lost_with_others). With three of them, two of which had crashed seconds before or after, the suspicion is none.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -376,6 +376,37 @@
         (crash_evidence{0, 1}));
 }
 
+TEST_F(crash_fixture, crashes_right_before_a_takeover_count_beside_others)
+{
+    constexpr int crashed = 3;
+    for (int index = 1; index <= crashed; ++index)
+    {
+        const std::string id = "w" + std::to_string(index);
+        job_progress progress;
+        progress.m_state = job_state::running;
+        progress.m_tasks = {{{task_progress()}}};
+        progress.m_tasks[0][0][0].m_last_run = 1;
+        progress.m_tasks[0][0][0].m_worker = id;
+        progress.m_tasks[0][0][0].m_worker_incarnation = 100;
+        m_dispatcher.worker_listed(worker(id), m_now);
+        m_dispatcher.add_job(job("job-" + id, 1, 8), progress, 1, m_now, m_now);
+    }
+    for (int index = crashed + 1; index <= 10; ++index)
+    {
+        add_worker("w" + std::to_string(index));
+    }
+    for (int index = 1; index <= crashed; ++index)
+    {
+        m_dispatcher.renewal_failed(
+            "w" + std::to_string(index),
+            {order_outcome::not_sent, call_failure::connection_refused}, m_now);
+    }
+    step();
+    pass(span(700));
+    report("w1", {}, {}, 101);
+    EXPECT_TRUE(crashes_of("job-w1").any());
+}
+
 TEST_F(crash_fixture, crashes_of_a_task_that_lasts_are_forgotten)
 {
     add_workers(2);
