Simulated minions: no call reaches a minion that has just crashed

Cause: a call looked its minion up and only then played what was due, so it was carried out by a minion that crashed in that very call; its run went on on a minion that was down. Change: what is due comes first. Result: the tests of simulated_minions and crash_record pass.

--- a/stand_ins/simulated_minions.cpp
+++ b/stand_ins/simulated_minions.cpp
@@ -141,6 +141,7 @@
         [this](const httplib::Request& request, httplib::Response& response)
         {
             std::unique_lock lock(m_mutex);
+            advance();
             const auto found =
                 m_minions.find(request.get_header_value("X-Target-Instance"));
             if (found == m_minions.end() || !found->second.m_relay)
@@ -148,7 +149,6 @@
                 response.status = status_other_instance;
                 return;
             }
-            advance();
             const json order = json::parse(request.body);
             const std::string call = request.matches[1];
             const double drawn =
