Known failure: five crashes that are not conclusive

Callers saw nothing; workers saw BUDGET broken: a task was started a sixth time after five crashes that were all attributed to it. Cause: crashes are weighed (certain 4, possible 2, slight 1) and conclusive from 9 on; their number alone is never conclusive. Five crashes weigh less than 9 when two or more are slight and none is certain. Result: a_task_is_not_started_a_sixth_time_after_five_crashes fails for two to five slight crashes out of five.

--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -376,6 +376,15 @@
         (crash_evidence{0, 1}));
 }
 
+TEST_F(crash_fixture, a_task_is_not_started_a_sixth_time_after_five_crashes)
+{
+    for (int slight = 0; slight <= starts_allowed; ++slight)
+    {
+        const crash_evidence crashes{0, starts_allowed - slight, slight};
+        EXPECT_TRUE(crashes.is_conclusive()) << slight << " slight ones";
+    }
+}
+
 TEST_F(crash_fixture, crashes_right_before_a_takeover_count_beside_others)
 {
     constexpr int crashed = 3;
