Five counted crashes are conclusive whatever their weight

Cause: five crashes may weigh less than the limit. Change: five counted crashes are conclusive. Result: a_task_is_not_started_a_sixth_time_after_five_crashes failed before and passes.

--- a/kingcuprudder/dispatch/crash_evidence.cpp
+++ b/kingcuprudder/dispatch/crash_evidence.cpp
@@ -15,6 +15,8 @@
 constexpr int possible_weight = 2;
 constexpr int slight_weight = 1;
 constexpr int conclusive_weight = 9;
+// More crashes than this must not be, whatever their weight.
+constexpr int conclusive_count = 5;
 
 } // namespace
 
@@ -54,7 +56,8 @@
 {
     const int weight = certain_weight * m_certain +
                        possible_weight * m_possible + slight_weight * m_slight;
-    return weight >= conclusive_weight;
+    const int count = m_certain + m_possible + m_slight;
+    return weight >= conclusive_weight || count >= conclusive_count;
 }
 
 } // namespace kingcuprudder::dispatch
--- a/kingcuprudder/dispatch/crash_evidence.hpp
+++ b/kingcuprudder/dispatch/crash_evidence.hpp
@@ -30,8 +30,8 @@
     /// Returns whether any lost worker is attributed to the task, so that its
     /// next run is kept apart from the starts of others.
     bool any() const { return m_certain + m_possible + m_slight > 0; }
-    /// Returns whether the weight of the losses alone shows that the task
-    /// crashes its workers. This takes at least three.
+    /// Returns whether the losses show that the task crashes its workers. This
+    /// takes three to five.
     bool is_conclusive() const;
 
     friend bool operator==(const crash_evidence&,
