A refused call tells a new leader that a worker's process has ended

Cause: the reason of a failed call was dropped for a worker that had not answered this leader, so ended processes were taken for one lost rack. Change: the reason is kept; workers whose process has ended are not counted as lost together. Result: crashes_right_before_a_takeover_count_beside_others failed before and passes.

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -45,8 +45,15 @@
 void dispatcher::note_silence(worker_entry& worker, const call_result& result,
                               instant now)
 {
-    if (!worker.m_synced || worker.m_silent_since)
+    if (worker.m_silent_since)
+    {
+        return;
+    }
+    if (!worker.m_synced)
     {
+        // When it was lost is not known.
+        worker.m_process_ended =
+            worker.m_process_ended || result.shows_ended_process();
         return;
     }
     worker.m_silent_since = now;
@@ -61,11 +68,11 @@
 
 void dispatcher::note_answer(worker_entry& worker)
 {
+    worker.m_process_ended = false;
+    worker.m_cut_off = false;
     if (worker.m_silent_since)
     {
         worker.m_silent_since.reset();
-        worker.m_process_ended = false;
-        worker.m_cut_off = false;
         std::erase_if(m_silent_workers, [&worker](const silent_worker& each)
                       { return each.m_id == worker.id(); });
     }
@@ -158,10 +165,14 @@
     int with_new_run = loss.follows_a_start() ? 1 : 0;
     if (!loss.m_silent_since)
     {
+        if (loss.m_process_ended)
+        {
+            return false;
+        }
         for (const auto& [id, other] : m_workers)
         {
             const bool never_answered =
-                !other.m_synced &&
+                !other.m_synced && !other.m_process_ended &&
                 (!other.m_tasks.empty() || other.m_loss_attributed);
             lost += never_answered && id != worker.id() ? 1 : 0;
         }
