--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -13,7 +13,7 @@
 constexpr int late_factor = 3;
 // A suspected task waits this long for a worker without other new runs. On a
 // busy pool there may be none.
-constexpr span max_wait_for_quiet_worker = span(3000);
+constexpr span max_wait_for_quiet_worker = span(2000);
 
 // The weight of capacity for jobs of priority 0 and of 2 and above, relative to
 // priority 1, and the factor by which it drops once a job is late.
