--- a/stand_ins/counting_relay.cpp
+++ b/stand_ins/counting_relay.cpp
@@ -58,6 +58,8 @@
         }
         m_wake.raise();
         m_thread.join();
+        // A caller whose connection is closed must not reach the listener.
+        m_listeners.clear();
     }
 
     std::string add(const std::string& target, const std::string& name,
