A restart shows a new leader that a worker's process has ended

Change: a new incarnation of a worker that has not answered this leader shows that its process has ended, like a refused call.

--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -106,6 +106,10 @@
            {"started", number(incarnation)}});
     m_changed = true;
     mark_renewal(worker.id());
+    if (!worker.m_silent_since)
+    {
+        worker.m_process_ended = true; // No call has shown how it was lost.
+    }
     lose_worker_runs(worker, "worker restarted", now);
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -612,6 +612,24 @@
     EXPECT_TRUE(crashes_of("job-w1").any());
 }
 
+TEST_F(crash_fixture, a_restart_that_a_new_leader_notices_at_once_counts)
+{
+    for (int index = 1; index <= 3; ++index)
+    {
+        const std::string id = "w" + std::to_string(index);
+        job_progress progress;
+        progress.m_state = job_state::running;
+        progress.m_tasks = {{{task_progress()}}};
+        progress.m_tasks[0][0][0].m_last_run = 1;
+        progress.m_tasks[0][0][0].m_worker = id;
+        progress.m_tasks[0][0][0].m_worker_incarnation = 100;
+        m_dispatcher.worker_listed(worker(id), m_now);
+        m_dispatcher.add_job(job("job-" + id, 1, 8), progress, 1, m_now, m_now);
+    }
+    report("w1", {}, {}, 101);
+    EXPECT_TRUE(crashes_of("job-w1").any());
+}
+
 TEST_F(crash_fixture, crashes_of_a_task_that_lasts_are_forgotten)
 {
     add_workers(2);
