Give each soak test a folder of its own

Both write their settings to the same folder: by their logs the second run started at 02:46:50.607 and overwrote the settings of the first, whose processes restarted at 02:46:50.998 with the other run's store. Change: the folder's name has the process id.

--- a/unit_tests/node/soak_test.cpp
+++ b/unit_tests/node/soak_test.cpp
@@ -2,6 +2,7 @@
 #include <soak/scenario.hpp>
 
 #include <filesystem>
+#include <unistd.h>
 
 namespace kingcuprudder::soak
 {
@@ -12,7 +13,9 @@
 scenario_report run_seed(scenario_options options, unsigned seed)
 {
     options.m_program = KCR_BINARY_DIR "/bin/kcr_node";
-    options.m_folder = ::testing::TempDir() + "/soak-" + std::to_string(seed);
+    // Tests of several checkouts may run at the same time.
+    options.m_folder = ::testing::TempDir() + "/soak-" + std::to_string(seed) +
+                       "-" + std::to_string(getpid());
     std::filesystem::create_directories(options.m_folder);
     options.m_seed = seed;
     return run_scenario(options);
