Log what a released run leaves behind and what has shown a restart

Cause: run_over did not say whether an unanswered start of the run may still be executed, worker_restarted did not say what has shown the restart, and a run of an earlier leader that the worker list ends had no line. Change: run_over has the phase, the starts sent and unanswered, the worker's start time and the rest of its lease; worker_restarted has its evidence, the address and the age of the last answer; recorded_run_over is new; worker_listed is written for a changed address too and names the earlier one. No decision changes.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -104,6 +104,12 @@
                 if (stored.m_worker_incarnation < incarnation)
                 {
                     // The run ended with its process.
+                    m_log("recorded_run_over", submission.m_id,
+                          {{"run", number(stored.m_last_run)},
+                           {"worker", stored.m_worker},
+                           {"worker_started_then",
+                            number(stored.m_worker_incarnation)},
+                           {"worker_started", number(incarnation)}});
                     m_runs_lost_before_term[stored.m_worker].push_back(task_ref{
                         submission.m_id, static_cast<int>(repeat),
                         static_cast<int>(step), static_cast<int>(index)});
@@ -113,7 +119,8 @@
                 if (incarnation != 0 &&
                     stored.m_worker_incarnation > incarnation)
                 {
-                    begin_incarnation(worker, stored.m_worker_incarnation, now);
+                    begin_incarnation(worker, stored.m_worker_incarnation,
+                                      restart_evidence::stored_record, now);
                 }
                 incarnation = stored.m_worker_incarnation;
                 tasks[index].m_active = run;
@@ -168,17 +175,21 @@
     const std::int64_t current = worker.m_description.m_incarnation;
     if (current != 0 && description.m_incarnation > current)
     {
-        begin_incarnation(worker, description.m_incarnation, now);
+        begin_incarnation(worker, description.m_incarnation,
+                          restart_evidence::worker_list, now);
     }
     const std::int64_t incarnation =
         std::max(current, description.m_incarnation);
     if (!worker.m_listed ||
-        worker.m_description.m_draining != description.m_draining)
+        worker.m_description.m_draining != description.m_draining ||
+        worker.m_description.m_address != description.m_address)
     {
         m_log("worker_listed", description.m_id,
               {{"draining", description.m_draining ? "true" : "false"},
                {"zone", description.m_zone},
                {"address", description.m_address},
+               {"address_before", worker.m_description.m_address},
+               {"started", number(description.m_incarnation)},
                {"gpus", number(description.m_capacity.m_gpus)}});
     }
     note_heartbeat(worker, description);
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -199,7 +199,7 @@
                                       instant now);
     void fail_job(job_entry& job, const decision_fields& cause, instant now);
     void begin_incarnation(worker_entry& worker, std::int64_t incarnation,
-                           instant now);
+                           restart_evidence evidence, instant now);
 
     /// Marks the run, and with it the job, as started.
     void mark_started(job_entry& job, active_run& run, instant now);
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -125,6 +125,11 @@
               {{"run", number(active.m_number)},
                {"worker", active.m_worker},
                {"reason", reason},
+               {"phase", std::string(to_string(active.m_phase))},
+               {"sends", number(active.m_send_count)},
+               {"unanswered_sends", number(active.m_unanswered_sends)},
+               {"worker_started", number(worker.m_description.m_incarnation)},
+               {"lease_left_ms", number((worker.m_lease_end - now).count())},
                {"held_ms", number((now - active.m_assigned_at).count())}});
     }
     if (job.step(ref).m_gang && !task.m_progress.m_done)
@@ -199,6 +204,10 @@
     }
     active_run& active = *job->task(ref).m_active;
     worker_entry& worker = find_or_add_worker(order.m_worker);
+    if (outcome != order_outcome::may_have_arrived)
+    {
+        --active.m_unanswered_sends;
+    }
     switch (outcome)
     {
     case order_outcome::accepted:
@@ -424,6 +433,7 @@
         note_start(worker, job.task(ref), ref.str(), now);
     }
     ++active.m_send_count;
+    ++active.m_unanswered_sends;
     worker.m_lease_end = std::max(worker.m_lease_end, lease_end(now));
     effects.m_starts.push_back({worker.id(),
                                 {ref, active.m_number},
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -32,7 +32,8 @@
     {
         if (worker.m_description.m_incarnation != 0)
         {
-            begin_incarnation(worker, report.m_incarnation, now);
+            begin_incarnation(worker, report.m_incarnation,
+                              restart_evidence::answer, now);
         }
         worker.m_description.m_incarnation = report.m_incarnation;
     }
@@ -99,11 +100,17 @@
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
-                                   std::int64_t incarnation, instant now)
+                                   std::int64_t incarnation,
+                                   restart_evidence evidence, instant now)
 {
-    m_log("worker_restarted", worker.id(),
-          {{"started_before", number(worker.m_description.m_incarnation)},
-           {"started", number(incarnation)}});
+    m_log(
+        "worker_restarted", worker.id(),
+        {{"started_before", number(worker.m_description.m_incarnation)},
+         {"started", number(incarnation)},
+         {"shown_by", std::string(to_string(evidence))},
+         {"address", worker.m_description.m_address},
+         {"last_answer_age_ms", number((now - worker.m_last_answer).count())},
+         {"tasks", number(static_cast<std::int64_t>(worker.m_tasks.size()))}});
     m_changed = true;
     mark_renewal(worker.id());
     if (!worker.m_silent_since)
--- a/kingcuprudder/dispatch/job_table.cpp
+++ b/kingcuprudder/dispatch/job_table.cpp
@@ -59,6 +59,24 @@
 
 } // namespace
 
+std::string_view to_string(run_phase phase)
+{
+    switch (phase)
+    {
+    case run_phase::assigned:
+        return "assigned";
+    case run_phase::sent:
+        return "sent";
+    case run_phase::unverified:
+        return "unverified";
+    case run_phase::confirmed:
+        return "confirmed";
+    case run_phase::stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
 bool job_entry::has_task(const task_ref& ref) const
 {
     return ref.m_repeat < static_cast<int>(m_tasks.size()) &&
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace kingcuprudder::dispatch
@@ -25,6 +26,8 @@
     stopping,   ///< The run is being stopped.
 };
 
+std::string_view to_string(run_phase phase);
+
 /// The newest run of a task while a worker holds it or may hold it.
 struct active_run
 {
@@ -39,6 +42,8 @@
     /// When the start was sent first; empty if an earlier leader sent it.
     std::optional<instant> m_first_sent_at;
     int m_send_count = 0;
+    /// The starts without an answer. The worker may still execute them.
+    int m_unanswered_sends = 0;
     /// Reports that are requested after this time list the run if the worker
     /// has it; an unlisted run has ended.
     std::optional<instant> m_listed_from;
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kingcuprudder::dispatch
@@ -21,6 +22,16 @@
     friend auto operator<=>(const run_ref&, const run_ref&) = default;
 };
 
+/// What has shown that a worker's process was restarted.
+enum class restart_evidence
+{
+    answer,        ///< An answer of the worker.
+    worker_list,   ///< The worker's entry in the platform's worker list.
+    stored_record, ///< The record of a run that a later process was given.
+};
+
+std::string_view to_string(restart_evidence evidence);
+
 /// Orders a worker to start a run. The order is idempotent.
 struct start_order
 {
--- /dev/null
+++ b/unit_tests/dispatch/release_log_test.cpp
@@ -0,0 +1,68 @@
+#include "dispatcher_fixture.hpp"
+
+namespace kingcuprudder::dispatch
+{
+
+namespace
+{
+
+class release_log_test : public dispatcher_fixture
+{
+};
+
+} // namespace
+
+TEST_F(release_log_test, the_log_says_whether_a_start_may_still_be_executed)
+{
+    add_worker("w1");
+    accept(job("job", 1, 1));
+    const std::vector<start_order> starts = start_all();
+    ASSERT_EQ(starts.size(), 1u);
+    m_dispatcher.start_finished(
+        starts[0], {order_outcome::may_have_arrived, call_failure::timed_out},
+        m_now);
+    confirm(step().m_starts);
+    report("w1", {}, {}, 200);
+    const std::vector<log_line> over = m_log.lines("run_over");
+    ASSERT_EQ(over.size(), 1u);
+    EXPECT_EQ(over[0].field("phase"), "confirmed");
+    EXPECT_EQ(over[0].field("sends"), "2");
+    EXPECT_EQ(over[0].field("unanswered_sends"), "1");
+    EXPECT_EQ(over[0].field("worker_started"), "100");
+}
+
+TEST_F(release_log_test, the_log_says_what_has_shown_a_restart)
+{
+    add_worker("w1");
+    worker_description restarted = worker("w1");
+    restarted.m_incarnation = 200;
+    m_dispatcher.worker_listed(restarted, m_now);
+    report("w1", {}, {}, 300);
+    const std::vector<log_line> lines = m_log.lines("worker_restarted");
+    ASSERT_EQ(lines.size(), 2u);
+    EXPECT_EQ(lines[0].field("shown_by"), "worker_list");
+    EXPECT_EQ(lines[1].field("shown_by"), "answer");
+}
+
+TEST_F(release_log_test, the_log_names_a_run_that_the_worker_list_ends)
+{
+    worker_description restarted = worker("w1");
+    restarted.m_incarnation = 200;
+    m_dispatcher.worker_listed(restarted, m_now);
+    const job_submission submission = job("job", 1, 1);
+    job_progress progress;
+    progress.m_tasks = {{{task_progress()}}};
+    task_progress& task = progress.m_tasks[0][0][0];
+    task.m_last_run = 3;
+    task.m_worker = "w1";
+    task.m_worker_incarnation = 100;
+    m_dispatcher.add_job(submission, progress, 1, m_now, m_now);
+    const std::vector<log_line> over = m_log.lines("recorded_run_over");
+    ASSERT_EQ(over.size(), 1u);
+    EXPECT_EQ(over[0].m_id, "job");
+    EXPECT_EQ(over[0].field("run"), "3");
+    EXPECT_EQ(over[0].field("worker_started_then"), "100");
+    EXPECT_EQ(over[0].field("worker_started"), "200");
+}
+
+} // namespace kingcuprudder::dispatch
