The worker list's start time ends no run

Callers see a task run twice at the same time. Any program can write to the worker list. An entry with the id of a living worker and a later start time released the worker's runs at once, so their tasks started on other workers, and all later answers of the worker were discarded as those of an earlier process while its lease was renewed on. A new leader released the runs of an earlier one by the same evidence.

Cause: worker_listed() and add_job() took the start time in the list for evidence that the process before has ended. Change: worker_entry::m_incarnation comes from answers and stored records only. A later start time in the list makes the worker unused until an answer to a later call confirms or refutes it; its runs are released by an answer of the new process or by the end of the lease. The list still counts for the attribution of crashes before the term, which an answer withdraws. The restoring of a recorded run is a function of its own.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -80,57 +80,22 @@
     job_entry& job = m_jobs.add(submission, progress, revision, now - age);
     update_policy(job);
     job.refresh_prediction(m_durations, now);
-    for (std::size_t repeat = 0; repeat < job.m_tasks.size(); ++repeat)
+    task_ref ref{submission.m_id, 0, 0, 0};
+    for (auto& repeat : job.m_tasks)
     {
-        for (std::size_t step = 0; step < job.m_tasks[repeat].size(); ++step)
+        ref.m_step = 0;
+        for (auto& step : repeat)
         {
-            auto& tasks = job.m_tasks[repeat][step];
-            for (std::size_t index = 0; index < tasks.size(); ++index)
+            ref.m_index = 0;
+            for (task_entry& task : step)
             {
-                task_progress& stored = tasks[index].m_progress;
-                tasks[index].m_waiting_since = now;
-                if (stored.m_done || stored.m_worker.empty())
-                {
-                    continue;
-                }
-                active_run run;
-                run.m_number = stored.m_last_run;
-                run.m_worker = stored.m_worker;
-                run.m_phase = run_phase::unverified;
-                run.m_assigned_at = now;
-                run.m_start_checkpoint = stored.m_checkpoint;
-                worker_entry& worker = find_or_add_worker(stored.m_worker);
-                std::int64_t& incarnation = worker.m_description.m_incarnation;
-                if (stored.m_worker_incarnation < incarnation)
-                {
-                    // The run ended with its process.
-                    m_log("recorded_run_over", submission.m_id,
-                          {{"run", number(stored.m_last_run)},
-                           {"worker", stored.m_worker},
-                           {"worker_started_then",
-                            number(stored.m_worker_incarnation)},
-                           {"worker_started", number(incarnation)}});
-                    m_runs_lost_before_term[stored.m_worker].push_back(task_ref{
-                        submission.m_id, static_cast<int>(repeat),
-                        static_cast<int>(step), static_cast<int>(index)});
-                    stored.m_worker.clear();
-                    continue;
-                }
-                if (incarnation != 0 &&
-                    stored.m_worker_incarnation > incarnation)
-                {
-                    begin_incarnation(worker, stored.m_worker_incarnation,
-                                      restart_evidence::stored_record, now);
-                }
-                incarnation = stored.m_worker_incarnation;
-                tasks[index].m_active = run;
-                mark_renewal(worker.id());
-                worker.m_tasks.insert(
-                    task_ref{submission.m_id, static_cast<int>(repeat),
-                             static_cast<int>(step), static_cast<int>(index)});
-                add_allocated(worker, submission.m_steps[step]);
+                task.m_waiting_since = now;
+                restore_run(job, ref, now);
+                ++ref.m_index;
             }
+            ++ref.m_step;
         }
+        ++ref.m_repeat;
     }
     m_changed = true;
     m_log("job_loaded", submission.m_id,
@@ -143,6 +108,53 @@
     }
 }
 
+void dispatcher::restore_run(job_entry& job, const task_ref& ref, instant now)
+{
+    task_entry& task = job.task(ref);
+    task_progress& stored = task.m_progress;
+    if (stored.m_done || stored.m_worker.empty())
+    {
+        return;
+    }
+    worker_entry& worker = find_or_add_worker(stored.m_worker);
+    if (stored.m_worker_incarnation < worker.m_incarnation)
+    {
+        // The run ended with its process.
+        m_log("recorded_run_over", ref.str(),
+              {{"run", number(stored.m_last_run)},
+               {"worker", stored.m_worker},
+               {"worker_started_then", number(stored.m_worker_incarnation)},
+               {"worker_started", number(worker.m_incarnation)}});
+        m_runs_lost_before_term[stored.m_worker].push_back(ref);
+        stored.m_worker.clear();
+        return;
+    }
+    if (worker.m_incarnation != 0 &&
+        stored.m_worker_incarnation > worker.m_incarnation)
+    {
+        begin_incarnation(worker, stored.m_worker_incarnation,
+                          restart_evidence::stored_record, now);
+    }
+    worker.m_incarnation = stored.m_worker_incarnation;
+    if (worker.m_description.m_incarnation > worker.m_incarnation)
+    {
+        // It probably ended with its process; an answer of the worker decides.
+        m_runs_lost_before_term[stored.m_worker].push_back(ref);
+        note_listed_incarnation(worker, worker.m_description.m_incarnation,
+                                now);
+    }
+    active_run run;
+    run.m_number = stored.m_last_run;
+    run.m_worker = stored.m_worker;
+    run.m_phase = run_phase::unverified;
+    run.m_assigned_at = now;
+    run.m_start_checkpoint = stored.m_checkpoint;
+    task.m_active = run;
+    mark_renewal(worker.id());
+    worker.m_tasks.insert(ref);
+    add_allocated(worker, job.step(ref));
+}
+
 bool dispatcher::has_job(const std::string& id)
 {
     return m_jobs.find(id) != nullptr;
@@ -171,15 +183,7 @@
                                instant now)
 {
     worker_entry& worker = find_or_add_worker(description.m_id);
-    // The list may be older than the worker's last answer.
-    const std::int64_t current = worker.m_description.m_incarnation;
-    if (current != 0 && description.m_incarnation > current)
-    {
-        begin_incarnation(worker, description.m_incarnation,
-                          restart_evidence::worker_list, now);
-    }
-    const std::int64_t incarnation =
-        std::max(current, description.m_incarnation);
+    note_listed_incarnation(worker, description.m_incarnation, now);
     if (!worker.m_listed ||
         worker.m_description.m_draining != description.m_draining ||
         worker.m_description.m_address != description.m_address)
@@ -193,20 +197,41 @@
                {"gpus", number(description.m_capacity.m_gpus)}});
     }
     note_heartbeat(worker, description);
-    worker_description changed = description;
-    changed.m_incarnation = incarnation;
     // Every entry has another clock reading, which alone changes nothing.
-    worker.m_description.m_clock = changed.m_clock;
-    if (!worker.m_listed || worker.m_description != changed)
+    worker.m_description.m_clock = description.m_clock;
+    if (!worker.m_listed || worker.m_description != description)
     {
         m_changed = true;
         mark_renewal(description.m_id);
     }
-    worker.m_description = std::move(changed);
+    worker.m_description = description;
     worker.m_listed = true;
     worker.m_last_heartbeat = now;
 }
 
+void dispatcher::note_listed_incarnation(worker_entry& worker,
+                                         std::int64_t listed, instant now)
+{
+    if (worker.m_incarnation == 0 || listed <= worker.m_incarnation ||
+        listed == worker.m_refuted_incarnation)
+    {
+        worker.m_restart_listed_at.reset();
+        return;
+    }
+    if (worker.m_restart_listed_at &&
+        worker.m_description.m_incarnation == listed)
+    {
+        return; // It is being checked.
+    }
+    worker.m_restart_listed_at = now;
+    worker.m_synced = false;
+    m_log(
+        "restart_listed", worker.id(),
+        {{"started", number(worker.m_incarnation)},
+         {"listed", number(listed)},
+         {"last_answer_age_ms", number((now - worker.m_last_answer).count())}});
+}
+
 void dispatcher::worker_unlisted(const std::string& id, instant now)
 {
     const auto found = m_workers.find(id);
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -139,6 +139,9 @@
     /// Sets the job's policy to the current policy of its queue.
     void update_policy(job_entry& job) const;
 
+    /// Restores the recorded run of a task unless a later record shows that it
+    /// ended with its worker's process.
+    void restore_run(job_entry& job, const task_ref& ref, instant now);
     void assign(job_entry& job, const task_ref& ref, worker_entry& worker,
                 int run, instant now);
     void add_allocated(worker_entry& worker, const job_step& step);
@@ -194,10 +197,21 @@
                     const std::string& task_name, instant now);
     /// Attributes the workers that an earlier leader lost while it ended.
     void attribute_losses_of_earlier_term();
+    void attribute_earlier_loss(worker_entry& worker, const task_ref& ref,
+                                bool with_others);
     /// Discards the crashes of a task whose run lasts.
     void clear_crashes_of_lasting_run(job_entry& job, const task_ref& ref,
                                       instant now);
     void fail_job(job_entry& job, const decision_fields& cause, instant now);
+    /// Notes which incarnation the worker list names. A later one than the
+    /// worker's must be confirmed by an answer; until then the worker gets no
+    /// new work and keeps its runs.
+    void note_listed_incarnation(worker_entry& worker, std::int64_t listed,
+                                 instant now);
+    /// Settles, by an answer to a call that was sent at the given time, whether
+    /// the worker has restarted as the worker list says.
+    void check_listed_restart(worker_entry& worker, instant sent);
+    /// Releases the runs of the worker's earlier process, which has ended.
     void begin_incarnation(worker_entry& worker, std::int64_t incarnation,
                            restart_evidence evidence, instant now);
 
@@ -263,7 +277,8 @@
     std::vector<silent_worker> m_silent_workers;
     /// The last unexplained loss by the address of the worker.
     std::map<std::string, instant> m_unexplained_losses;
-    /// The runs that had ended with their worker before this term, by worker.
+    /// The runs that had ended with their worker before this term, by worker;
+    /// some of them only according to the worker list.
     std::map<std::string, std::vector<task_ref>> m_runs_lost_before_term;
     instant m_term_start;
     bool m_changed = true;
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -83,7 +83,7 @@
                                 const worker_description& description)
 {
     if (!worker.m_silent_since || !worker.m_process_ended ||
-        description.m_incarnation != worker.m_description.m_incarnation ||
+        description.m_incarnation != worker.m_incarnation ||
         description.m_clock == 0 || worker.m_answer_clock == 0)
     {
         return;
@@ -329,17 +329,32 @@
                {"silent_ms", "before this term"}});
         for (const task_ref& ref : refs)
         {
-            if (!with_others && m_jobs.find_task(ref) != nullptr)
-            {
-                attribute_crash(find_or_add_worker(id),
-                                {ref, crash_suspicion::possible, true},
-                                {{"lost", "before this term"}});
-            }
+            attribute_earlier_loss(find_or_add_worker(id), ref, with_others);
         }
     }
     m_runs_lost_before_term.clear();
 }
 
+void dispatcher::attribute_earlier_loss(worker_entry& worker,
+                                        const task_ref& ref, bool with_others)
+{
+    if (m_jobs.find_task(ref) == nullptr)
+    {
+        return;
+    }
+    // Only the worker list shows the loss of a run that is not released, so the
+    // worker's next answer may withdraw it.
+    const bool unconfirmed = worker.m_tasks.contains(ref);
+    worker.m_loss_attributed = worker.m_loss_attributed || unconfirmed;
+    const attributed_loss loss{ref, crash_suspicion::possible, true};
+    if (!with_others &&
+        attribute_crash(worker, loss, {{"lost", "before this term"}}) &&
+        unconfirmed)
+    {
+        worker.m_attributed.push_back(loss);
+    }
+}
+
 void dispatcher::clear_crashes_of_lasting_run(job_entry& job,
                                               const task_ref& ref, instant now)
 {
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -36,7 +36,7 @@
     active.m_start_checkpoint = task.m_progress.m_checkpoint;
     task.m_progress.m_last_run = run;
     task.m_progress.m_worker = worker.id();
-    task.m_progress.m_worker_incarnation = worker.m_description.m_incarnation;
+    task.m_progress.m_worker_incarnation = worker.m_incarnation;
     m_jobs.mark_changed(job);
     active.m_required_version = job.m_version;
     task.m_active = active;
@@ -128,7 +128,7 @@
                {"phase", std::string(to_string(active.m_phase))},
                {"sends", number(active.m_send_count)},
                {"unanswered_sends", number(active.m_unanswered_sends)},
-               {"worker_started", number(worker.m_description.m_incarnation)},
+               {"worker_started", number(worker.m_incarnation)},
                {"lease_left_ms", number((worker.m_lease_end - now).count())},
                {"held_ms", number((now - active.m_assigned_at).count())}});
     }
@@ -451,7 +451,7 @@
         return request;
     }
     request.m_address = worker.m_description.m_address;
-    request.m_incarnation = worker.m_description.m_incarnation;
+    request.m_incarnation = worker.m_incarnation;
     request.m_acknowledged = worker.m_acknowledged;
     request.m_awaits_store = !worker.m_unstored_completions.empty();
     request.m_clock = worker.m_description.m_clock;
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -22,21 +22,22 @@
                                   instant now)
 {
     worker_entry& worker = find_or_add_worker(id);
-    if (report.m_incarnation != 0 && worker.m_description.m_incarnation != 0 &&
-        report.m_incarnation < worker.m_description.m_incarnation)
+    if (report.m_incarnation != 0 &&
+        report.m_incarnation < worker.m_incarnation)
     {
         return; // An answer of an earlier incarnation.
     }
-    if (report.m_incarnation != worker.m_description.m_incarnation &&
+    if (report.m_incarnation != worker.m_incarnation &&
         report.m_incarnation != 0)
     {
-        if (worker.m_description.m_incarnation != 0)
+        if (worker.m_incarnation != 0)
         {
             begin_incarnation(worker, report.m_incarnation,
                               restart_evidence::answer, now);
         }
-        worker.m_description.m_incarnation = report.m_incarnation;
+        worker.m_incarnation = report.m_incarnation;
     }
+    check_listed_restart(worker, sent);
     if (!worker.m_reachable || !worker.m_synced)
     {
         m_log("worker_answers", id,
@@ -64,7 +65,7 @@
     }
     release_unlisted_runs(worker, report, sent, now);
     stop_slow_runs(worker, now);
-    worker.m_synced = true;
+    worker.m_synced = !worker.m_restart_listed_at;
     worker.m_replaced = false;
     advance_acknowledged(worker);
 }
@@ -105,7 +106,7 @@
 {
     m_log(
         "worker_restarted", worker.id(),
-        {{"started_before", number(worker.m_description.m_incarnation)},
+        {{"started_before", number(worker.m_incarnation)},
          {"started", number(incarnation)},
          {"shown_by", std::string(to_string(evidence))},
          {"address", worker.m_description.m_address},
@@ -131,7 +132,7 @@
     worker.m_unstored_completions.clear();
     worker.m_failed_jobs.clear();
     worker.m_quarantined_until = instant();
-    worker.m_description.m_incarnation = incarnation;
+    worker.m_incarnation = incarnation;
     for (auto each = m_unrecorded_runs.begin();
          each != m_unrecorded_runs.end();)
     {
@@ -140,6 +141,27 @@
     }
 }
 
+void dispatcher::check_listed_restart(worker_entry& worker, instant sent)
+{
+    const std::int64_t listed = worker.m_description.m_incarnation;
+    if (!worker.m_restart_listed_at)
+    {
+        return;
+    }
+    if (listed <= worker.m_incarnation)
+    {
+        worker.m_restart_listed_at.reset();
+    }
+    else if (*worker.m_restart_listed_at < sent)
+    {
+        worker.m_refuted_incarnation = listed;
+        worker.m_restart_listed_at.reset();
+        m_log("listed_restart_refuted", worker.id(),
+              {{"started", number(worker.m_incarnation)},
+               {"listed", number(listed)}});
+    }
+}
+
 void dispatcher::release_worker_runs(worker_entry& worker,
                                      const std::string& reason, instant now)
 {
--- a/kingcuprudder/dispatch/worker_orders.cpp
+++ b/kingcuprudder/dispatch/worker_orders.cpp
@@ -9,8 +9,6 @@
     {
     case restart_evidence::answer:
         return "answer";
-    case restart_evidence::worker_list:
-        return "worker_list";
     case restart_evidence::stored_record:
         return "stored_record";
     }
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -26,7 +26,6 @@
 enum class restart_evidence
 {
     answer,        ///< An answer of the worker.
-    worker_list,   ///< The worker's entry in the platform's worker list.
     stored_record, ///< The record of a run that a later process was given.
 };
 
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -29,7 +29,17 @@
 /// The last reported state of a worker and its allocated runs.
 struct worker_entry
 {
+    /// The worker's entry in the platform's worker list. Other programs can
+    /// write there, so it is no evidence that a run has ended.
     worker_description m_description;
+    /// The incarnation that answered last or, before the first answer, the
+    /// newest one in the stored records; 0 if unknown.
+    std::int64_t m_incarnation = 0;
+    /// When the worker list first named a later incarnation, which no answer
+    /// has confirmed or refuted yet.
+    std::optional<instant> m_restart_listed_at;
+    /// A later incarnation in the worker list that an answer has refuted.
+    std::int64_t m_refuted_incarnation = 0;
     /// The worker is in the platform's worker list.
     bool m_listed = false;
     /// The current incarnation has answered a renewal of this term.
