Call a worker where it answers; a refusal elsewhere ends no run

Callers see a task run twice at the same time. An entry of the worker list with the id of a living worker and another address made the leader close the session with the worker and call the other address. The process there refused the call as another instance's (421), which released the worker's runs at once; they went on at the worker until their lease ended.

Cause: the address in the worker list, which any program can write, was called without regard to where the worker answers, and a refusal at any address counted as the end of the worker's process. Change: the leader calls a worker at the address where it answered last, and tries the listed one by turns only while the worker is silent there. A refusal releases runs only at that address. The address is stored with a run, so that the next leader has the same evidence and reaches a worker that has left the list. Results of renewals at another address than the one called now are not applied.

--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -87,6 +87,14 @@
 constexpr std::size_t crash_fields_at = 5;
 constexpr std::size_t crash_field_count = 5;
 
+/// Returns the position of the address of a task's worker in an entry of this
+/// size, which is its last field. Only tasks with a worker have one.
+std::size_t address_position(std::size_t entry_size)
+{
+    const std::size_t with_crashes = crash_fields_at + crash_field_count;
+    return entry_size >= with_crashes ? with_crashes : crash_fields_at;
+}
+
 json encode_task(const task_progress& task)
 {
     if (task == task_progress())
@@ -108,6 +116,10 @@
         entry.push_back(task.m_workers_ended);
         entry.push_back(task.m_lost_run);
     }
+    if (!task.m_worker_address.empty())
+    {
+        entry.push_back(task.m_worker_address);
+    }
     return entry;
 }
 
@@ -143,6 +155,11 @@
         task.m_workers_ended = value.at(crash_fields_at + 3);
         task.m_lost_run = value.at(crash_fields_at + 4);
     }
+    const std::size_t address_at = address_position(value.size());
+    if (value.size() > address_at)
+    {
+        task.m_worker_address = value.at(address_at);
+    }
     return task;
 }
 
--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -127,6 +127,7 @@
                {"worker_started", number(worker.m_incarnation)}});
         m_runs_lost_before_term[stored.m_worker].push_back(ref);
         stored.m_worker.clear();
+        stored.m_worker_address.clear();
         return;
     }
     if (worker.m_incarnation != 0 &&
@@ -136,6 +137,11 @@
                           restart_evidence::stored_record, now);
     }
     worker.m_incarnation = stored.m_worker_incarnation;
+    if (!stored.m_worker_address.empty())
+    {
+        worker.m_answered_address = stored.m_worker_address;
+    }
+    choose_called_address(worker);
     if (worker.m_description.m_incarnation > worker.m_incarnation)
     {
         // It probably ended with its process; an answer of the worker decides.
@@ -205,10 +211,49 @@
         mark_renewal(description.m_id);
     }
     worker.m_description = description;
+    choose_called_address(worker);
     worker.m_listed = true;
     worker.m_last_heartbeat = now;
 }
 
+void dispatcher::choose_called_address(worker_entry& worker)
+{
+    const std::string& listed = worker.m_description.m_address;
+    if (worker.m_answered_address.empty())
+    {
+        worker.m_called_address = listed;
+    }
+    else if (worker.m_called_address != listed)
+    {
+        worker.m_called_address = worker.m_answered_address;
+    }
+}
+
+void dispatcher::call_other_address(worker_entry& worker)
+{
+    const std::string& listed = worker.m_description.m_address;
+    const std::string& answered = worker.m_answered_address;
+    if (answered.empty() || listed.empty() || answered == listed)
+    {
+        return;
+    }
+    worker.m_called_address =
+        worker.m_called_address == answered ? listed : answered;
+    m_log("worker_address_tried", worker.id(),
+          {{"address", worker.m_called_address},
+           {"answered_at", answered},
+           {"listed", listed}});
+    mark_renewal(worker.id());
+}
+
+bool dispatcher::is_called_at(const std::string& worker,
+                              const std::string& address) const
+{
+    const auto found = m_workers.find(worker);
+    return found != m_workers.end() &&
+           found->second.m_called_address == address;
+}
+
 void dispatcher::note_listed_incarnation(worker_entry& worker,
                                          std::int64_t listed, instant now)
 {
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -69,6 +69,10 @@
     void worker_listed(const worker_description& description, instant now);
     void worker_unlisted(const std::string& id, instant now);
 
+    /// Returns whether the worker is called at this address now. Results of
+    /// renewals at another address must not be applied.
+    bool is_called_at(const std::string& worker,
+                      const std::string& address) const;
     /// Extends the worker's lease for a renewal that was sent.
     void renewal_sent(const std::string& id, instant sent);
     /// Applies the answer to a renewal that was sent at the given time.
@@ -203,6 +207,11 @@
     void clear_crashes_of_lasting_run(job_entry& job, const task_ref& ref,
                                       instant now);
     void fail_job(job_entry& job, const decision_fields& cause, instant now);
+    /// Sets the address to call after the known addresses have changed.
+    static void choose_called_address(worker_entry& worker);
+    /// Calls a silent worker at the other one of its addresses, if the worker
+    /// list names another one than that at which it answered.
+    void call_other_address(worker_entry& worker);
     /// Notes which incarnation the worker list names. A later one than the
     /// worker's must be confirmed by an answer; until then the worker gets no
     /// new work and keeps its runs.
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -37,6 +37,7 @@
     task.m_progress.m_last_run = run;
     task.m_progress.m_worker = worker.id();
     task.m_progress.m_worker_incarnation = worker.m_incarnation;
+    task.m_progress.m_worker_address = worker.m_answered_address;
     m_jobs.mark_changed(job);
     active.m_required_version = job.m_version;
     task.m_active = active;
@@ -118,6 +119,7 @@
     task.m_active.reset();
     task.m_waiting_since = now;
     task.m_progress.m_worker.clear();
+    task.m_progress.m_worker_address.clear();
     m_jobs.mark_changed(job);
     if (reason != completion_reported) // Logged with the completion.
     {
@@ -450,7 +452,7 @@
     {
         return request;
     }
-    request.m_address = worker.m_description.m_address;
+    request.m_address = worker.m_called_address;
     request.m_incarnation = worker.m_incarnation;
     request.m_acknowledged = worker.m_acknowledged;
     request.m_awaits_store = !worker.m_unstored_completions.empty();
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -52,6 +52,7 @@
     }
     mark_renewal(id);
     worker.m_reachable = true;
+    worker.m_answered_address = worker.m_called_address;
     worker.m_last_answer = now;
     worker.m_answer_clock = report.m_clock;
     note_answer(worker);
@@ -86,18 +87,21 @@
     m_changed = m_changed || worker.m_reachable;
     worker.m_reachable = false;
     mark_renewal(id);
+    const bool called_where_it_answered =
+        worker.m_called_address == worker.m_answered_address;
     if (result.m_outcome == order_outcome::wrong_incarnation &&
-        !worker.m_replaced)
+        called_where_it_answered && !worker.m_replaced)
     {
         worker.m_replaced = true;
         m_log("worker_replaced", id,
-              {{"address", worker.m_description.m_address},
+              {{"address", worker.m_called_address},
                {"last_answer_age_ms",
                 number((now - worker.m_last_answer).count())}});
         // Its process is gone, and so are its runs, whatever is left of the
         // lease.
         lose_worker_runs(worker, "worker replaced", now);
     }
+    call_other_address(worker);
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
--- a/kingcuprudder/dispatch/job_progress.hpp
+++ b/kingcuprudder/dispatch/job_progress.hpp
@@ -48,6 +48,9 @@
     int m_workers_ended = 0;
     /// The last run that ended with its worker and was counted.
     int m_lost_run = 0;
+    /// The address at which m_worker had answered the leader when the run was
+    /// assigned; empty in records of earlier versions.
+    std::string m_worker_address = {};
 
     /// Returns whether the task must not be started again, as it crashes its
     /// workers. It may crash five of them at most.
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -40,6 +40,12 @@
     std::optional<instant> m_restart_listed_at;
     /// A later incarnation in the worker list that an answer has refuted.
     std::int64_t m_refuted_incarnation = 0;
+    /// The address at which the worker answered last, to this leader or to the
+    /// one that recorded its runs; empty if neither is known.
+    std::string m_answered_address;
+    /// The address to call: the above, or the listed one if the worker is
+    /// silent there.
+    std::string m_called_address;
     /// The worker is in the platform's worker list.
     bool m_listed = false;
     /// The current incarnation has answered a renewal of this term.
@@ -93,8 +99,8 @@
     instant m_last_failure;
     /// The worker gets no new work before this time.
     instant m_quarantined_until;
-    /// Since the worker's last answer, another incarnation has answered at its
-    /// address.
+    /// Since the worker's last answer, another process has answered at the
+    /// address where it had answered.
     bool m_replaced = false;
 
     const std::string& id() const { return m_description.m_id; }
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -274,30 +274,42 @@
         m_environment.m_worker_calls(
             m_worker_loop, request.m_worker, request.m_address,
             [current = m_term] { return current->is_valid(); }),
-        m_term, m_environment.m_limits.m_worker_lease, session_hooks());
+        m_term, m_environment.m_limits.m_worker_lease,
+        session_hooks(request.m_address));
 }
 
-worker_session::hooks scheduler::session_hooks()
+worker_session::hooks scheduler::session_hooks(const std::string& address)
 {
     worker_session::hooks hooks;
     hooks.m_renewal_sent = [this](const std::string& worker, instant sent) {
         post([this, worker, sent] { m_dispatcher.renewal_sent(worker, sent); });
     };
-    hooks.m_renewal_answered = [this](const std::string& worker,
-                                      const dispatch::worker_report& report,
-                                      instant sent)
+    hooks.m_renewal_answered =
+        [this, address](const std::string& worker,
+                        const dispatch::worker_report& report, instant sent)
     {
         post(
-            [this, worker, report, sent] {
-                m_dispatcher.renewal_answered(worker, report, sent,
-                                              boottime_now());
+            [this, address, worker, report, sent]
+            {
+                if (m_dispatcher.is_called_at(worker, address))
+                {
+                    m_dispatcher.renewal_answered(worker, report, sent,
+                                                  boottime_now());
+                }
             });
     };
     hooks.m_renewal_failed =
-        [this](const std::string& worker, const dispatch::call_result& result)
+        [this, address](const std::string& worker,
+                        const dispatch::call_result& result)
     {
-        post([this, worker, result]
-             { m_dispatcher.renewal_failed(worker, result, boottime_now()); });
+        post(
+            [this, address, worker, result]
+            {
+                if (m_dispatcher.is_called_at(worker, address))
+                {
+                    m_dispatcher.renewal_failed(worker, result, boottime_now());
+                }
+            });
     };
     hooks.m_start_finished = [this](const dispatch::start_order& order,
                                     const dispatch::call_result& result)
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -112,7 +112,8 @@
     void remove_old_records();
     std::shared_ptr<worker_session>
     make_session(const dispatch::renewal_request& request);
-    worker_session::hooks session_hooks();
+    /// Returns the hooks of a session that calls the worker at this address.
+    worker_session::hooks session_hooks(const std::string& address);
     /// Logs an unexpected error and ends the term. The next leader reloads the
     /// state from the store, so no state that the error left behind is used.
     void abandon_term(const std::string& error);
--- a/unit_tests/dispatch/values_test.cpp
+++ b/unit_tests/dispatch/values_test.cpp
@@ -71,6 +71,18 @@
     EXPECT_EQ(decode_progress(encode_progress(progress)), progress);
 }
 
+TEST(dispatch_codec, the_address_of_a_tasks_worker_can_be_read_back)
+{
+    task_progress plain{false, 3, "w", 100, {}, ""};
+    plain.m_worker_address = "10.0.0.1:1";
+    task_progress suspected = plain;
+    suspected.m_crashes = {1, 2, 3};
+    job_progress progress;
+    progress.m_state = job_state::running;
+    progress.m_tasks = {{{plain, suspected}}};
+    EXPECT_EQ(decode_progress(encode_progress(progress)), progress);
+}
+
 TEST(dispatch_codec, damaged_records_are_refused)
 {
     for (const char* text : {"", "{", "[]", "{\"state\":\"lost\"}", "7"})
