Release a restarted worker's runs only when its new process refuses them

Callers see a task run twice at the same time. A worker may restart under its id. Orders name the id only, so a start that was in flight, waited in the session or is executed late runs in the new process. The first answer of that process released all runs of the worker at once, also a run that this very answer listed, and the task started elsewhere while the run went on. A new leader released a recorded run because another record or the worker list named a later process, without an answer of the worker.

Cause: the end of a process was taken for the end of all orders to it. Change: a run that the new process lists goes on, and its record names that process. A run of which a start is unanswered is stopped at the new process, which then refuses the start, and is released by a later report. Only runs whose starts were all answered are released at once. A new leader releases recorded runs by answers of this term and by the end of the lease only. Not covered: a start that a restarted worker executes after the lease, while neither its answers nor stops get through; nothing in an order tells the two processes apart.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -117,7 +117,10 @@
         return;
     }
     worker_entry& worker = find_or_add_worker(stored.m_worker);
-    if (stored.m_worker_incarnation < worker.m_incarnation)
+    const bool is_old = stored.m_worker_incarnation < worker.m_incarnation;
+    const bool holds_it =
+        m_unrecorded_runs.contains({worker.id(), {ref, stored.m_last_run}});
+    if (is_old && worker.m_synced && !holds_it)
     {
         // The run ended with its process.
         m_log("recorded_run_over", ref.str(),
@@ -130,24 +133,18 @@
         stored.m_worker_address.clear();
         return;
     }
-    if (worker.m_incarnation != 0 &&
-        stored.m_worker_incarnation > worker.m_incarnation)
-    {
-        begin_incarnation(worker, stored.m_worker_incarnation,
-                          restart_evidence::stored_record, now);
-    }
-    worker.m_incarnation = stored.m_worker_incarnation;
+    worker.m_incarnation =
+        std::max(worker.m_incarnation, stored.m_worker_incarnation);
     if (!stored.m_worker_address.empty())
     {
         worker.m_answered_address = stored.m_worker_address;
     }
     choose_called_address(worker);
-    if (worker.m_description.m_incarnation > worker.m_incarnation)
+    note_listed_incarnation(worker, worker.m_description.m_incarnation, now);
+    if (is_old || worker.m_restart_listed_at)
     {
         // It probably ended with its process; an answer of the worker decides.
         m_runs_lost_before_term[stored.m_worker].push_back(ref);
-        note_listed_incarnation(worker, worker.m_description.m_incarnation,
-                                now);
     }
     active_run run;
     run.m_number = stored.m_last_run;
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -220,9 +220,15 @@
     /// Settles, by an answer to a call that was sent at the given time, whether
     /// the worker has restarted as the worker list says.
     void check_listed_restart(worker_entry& worker, instant sent);
-    /// Releases the runs of the worker's earlier process, which has ended.
-    void begin_incarnation(worker_entry& worker, std::int64_t incarnation,
-                           restart_evidence evidence, instant now);
+    /// Applies the first report of the worker's new process.
+    void begin_incarnation(worker_entry& worker, const worker_report& report,
+                           instant now);
+    /// Releases the runs that have ended with the worker's earlier process.
+    /// Keeps those that the new one holds. Stops those of which a start may
+    /// still reach it.
+    void release_runs_of_earlier_process(worker_entry& worker,
+                                         const worker_report& report,
+                                         instant now);
 
     /// Marks the run, and with it the job, as started.
     void mark_started(job_entry& job, active_run& run, instant now);
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -32,8 +32,7 @@
     {
         if (worker.m_incarnation != 0)
         {
-            begin_incarnation(worker, report.m_incarnation,
-                              restart_evidence::answer, now);
+            begin_incarnation(worker, report, now);
         }
         worker.m_incarnation = report.m_incarnation;
     }
@@ -105,15 +104,13 @@
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
-                                   std::int64_t incarnation,
-                                   restart_evidence evidence, instant now)
+                                   const worker_report& report, instant now)
 {
     m_log(
         "worker_restarted", worker.id(),
         {{"started_before", number(worker.m_incarnation)},
-         {"started", number(incarnation)},
-         {"shown_by", std::string(to_string(evidence))},
-         {"address", worker.m_description.m_address},
+         {"started", number(report.m_incarnation)},
+         {"address", worker.m_called_address},
          {"last_answer_age_ms", number((now - worker.m_last_answer).count())},
          {"tasks", number(static_cast<std::int64_t>(worker.m_tasks.size()))}});
     m_changed = true;
@@ -122,7 +119,9 @@
     {
         worker.m_process_ended = true; // No call has shown how it was lost.
     }
-    lose_worker_runs(worker, "worker restarted", now);
+    attribute_loss(worker, now);
+    worker.m_incarnation = report.m_incarnation;
+    release_runs_of_earlier_process(worker, report, now);
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
     worker.m_process_ended = false;
@@ -136,7 +135,6 @@
     worker.m_unstored_completions.clear();
     worker.m_failed_jobs.clear();
     worker.m_quarantined_until = instant();
-    worker.m_incarnation = incarnation;
     for (auto each = m_unrecorded_runs.begin();
          each != m_unrecorded_runs.end();)
     {
@@ -145,6 +143,41 @@
     }
 }
 
+void dispatcher::release_runs_of_earlier_process(worker_entry& worker,
+                                                 const worker_report& report,
+                                                 instant now)
+{
+    const std::set<task_ref> tasks = worker.m_tasks;
+    for (const task_ref& ref : tasks)
+    {
+        job_entry& job = *m_jobs.find_task(ref);
+        if (!job.task(ref).m_active ||
+            job.task(ref).m_active->m_worker != worker.id())
+        {
+            continue; // Released with its gang.
+        }
+        active_run& active = *job.task(ref).m_active;
+        const running_report* held = report.find(ref.str(), active.m_number);
+        // Orders name the worker only, so its new process executes a start that
+        // was meant for the one before.
+        const bool may_start = active.m_unanswered_sends > 0;
+        if (held == nullptr && !may_start)
+        {
+            release_run(job, ref, "worker restarted", now);
+            continue;
+        }
+        job.task(ref).m_progress.m_worker_incarnation = worker.m_incarnation;
+        m_jobs.mark_changed(job);
+        if (held == nullptr)
+        {
+            begin_stopping(job, ref, "worker restarted", now);
+        }
+        // What the earlier process has answered does not hold for the new one.
+        active.m_stop_sent_at.reset();
+        active.m_listed_from.reset();
+    }
+}
+
 void dispatcher::check_listed_restart(worker_entry& worker, instant sent)
 {
     const std::int64_t listed = worker.m_description.m_incarnation;
--- a/kingcuprudder/dispatch/worker_description.cpp
+++ b/kingcuprudder/dispatch/worker_description.cpp
@@ -1,5 +1,7 @@
 #include <kingcuprudder/dispatch/worker_description.hpp>
 
+#include <algorithm>
+
 namespace kingcuprudder::dispatch
 {
 
@@ -23,4 +25,14 @@
     return "unknown";
 }
 
+const running_report* worker_report::find(const std::string& task,
+                                          int run) const
+{
+    const auto found =
+        std::find_if(m_running.begin(), m_running.end(),
+                     [&](const running_report& each)
+                     { return each.m_task == task && each.m_run == run; });
+    return found == m_running.end() ? nullptr : &*found;
+}
+
 } // namespace kingcuprudder::dispatch
--- a/kingcuprudder/dispatch/worker_description.hpp
+++ b/kingcuprudder/dispatch/worker_description.hpp
@@ -85,6 +85,9 @@
     std::vector<running_report> m_running;
     std::vector<completion_report> m_ended;
 
+    /// Returns the entry of a run that the worker holds, or null.
+    const running_report* find(const std::string& task, int run) const;
+
     friend bool operator==(const worker_report&,
                            const worker_report&) = default;
 };
--- a/kingcuprudder/dispatch/worker_orders.cpp
+++ b/kingcuprudder/dispatch/worker_orders.cpp
@@ -3,18 +3,6 @@
 namespace kingcuprudder::dispatch
 {
 
-std::string_view to_string(restart_evidence evidence)
-{
-    switch (evidence)
-    {
-    case restart_evidence::answer:
-        return "answer";
-    case restart_evidence::stored_record:
-        return "stored_record";
-    }
-    return "unknown";
-}
-
 std::string_view to_string(order_outcome outcome)
 {
     switch (outcome)
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -7,7 +7,6 @@
 
 #include <cstdint>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace kingcuprudder::dispatch
@@ -22,15 +21,6 @@
     friend auto operator<=>(const run_ref&, const run_ref&) = default;
 };
 
-/// What has shown that a worker's process was restarted.
-enum class restart_evidence
-{
-    answer,        ///< An answer of the worker.
-    stored_record, ///< The record of a run that a later process was given.
-};
-
-std::string_view to_string(restart_evidence evidence);
-
 /// Orders a worker to start a run. The order is idempotent.
 struct start_order
 {
--- a/unit_tests/dispatch/planner_test.cpp
+++ b/unit_tests/dispatch/planner_test.cpp
@@ -209,10 +209,12 @@
     const auto again = start_all();
     ASSERT_EQ(again.size(), 1u);
     EXPECT_EQ(again[0].m_run.m_task.m_job, "l");
+    confirm(again);
 
     report("w1", {}, {ended(2, filler[0], run_outcome::done)});
     const auto held = start_all(); // "c" takes the other half.
     ASSERT_EQ(held.size(), 1u);
+    confirm(held);
     accept(job("d", 1, 8));
     add_worker("w2");
     const auto wide = start_all();
