Settle the runs of a restarted worker by calls that came after their start

Callers see a task run twice at the same time, or a task that could run and does not. The first answer of a worker's new process may have been requested before that process accepted a start, whose answer overtook it: the run was released while it was at work. A stop that the earlier process had accepted, answered after the restart, counted as a stop at the new one. A run that the new process held was never released again when it left that process without an end.

Cause: answers were applied without regard to when, and of which process, they were requested. Change: a run is released with its process only if the poll was sent after the start was confirmed; a stop order names the incarnation that it was made for; a run that the new process holds is expected in all later reports; its record has the new process's address.

--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -220,15 +220,22 @@
     /// Settles, by an answer to a call that was sent at the given time, whether
     /// the worker has restarted as the worker list says.
     void check_listed_restart(worker_entry& worker, instant sent);
-    /// Applies the first report of the worker's new process.
+    /// Applies the first report of the worker's new process, requested at the
+    /// given time.
     void begin_incarnation(worker_entry& worker, const worker_report& report,
-                           instant now);
-    /// Releases the runs that have ended with the worker's earlier process.
-    /// Keeps those that the new one holds. Stops those of which a start may
-    /// still reach it.
-    void release_runs_of_earlier_process(worker_entry& worker,
-                                         const worker_report& report,
-                                         instant now);
+                           instant sent, instant now);
+    /// Releases the runs that have ended with the worker's earlier process, and
+    /// records the others as runs of the new one.
+    void settle_runs_of_earlier_process(worker_entry& worker,
+                                        const worker_report& report,
+                                        instant sent, instant now);
+    /// Returns whether a run has ended with its process, if it is not in the
+    /// new process's answer to a call of the given time.
+    static bool has_ended_with_process(const active_run& run, instant sent);
+    /// Keeps a run that the new process holds. Stops one of which a start may
+    /// still reach it, so that the process refuses the start.
+    void continue_at_new_process(job_entry& job, const task_ref& ref, bool held,
+                                 instant now);
 
     /// Marks the run, and with it the job, as started.
     void mark_started(job_entry& job, active_run& run, instant now);
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -274,7 +274,10 @@
         return;
     }
     active_run& active = *job->task(order.m_run.m_task).m_active;
+    const std::int64_t incarnation =
+        find_or_add_worker(order.m_worker).m_incarnation;
     if (active.m_worker == order.m_worker &&
+        order.m_incarnation == incarnation &&
         active.m_number == order.m_run.m_run &&
         active.m_phase == run_phase::stopping &&
         outcome == order_outcome::accepted && !active.m_listed_from)
@@ -324,7 +327,8 @@
                 due(active.m_stop_sent_at))
             {
                 active.m_stop_sent_at = now;
-                effects.m_stops.push_back({id, {ref, active.m_number}});
+                effects.m_stops.push_back(
+                    {id, {ref, active.m_number}, worker.m_incarnation});
             }
         }
     }
@@ -333,7 +337,9 @@
         if (due(sent))
         {
             sent = now;
-            effects.m_stops.push_back({run.first, run.second});
+            effects.m_stops.push_back(
+                {run.first, run.second,
+                 find_or_add_worker(run.first).m_incarnation});
         }
     }
 }
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -32,7 +32,7 @@
     {
         if (worker.m_incarnation != 0)
         {
-            begin_incarnation(worker, report, now);
+            begin_incarnation(worker, report, sent, now);
         }
         worker.m_incarnation = report.m_incarnation;
     }
@@ -104,7 +104,8 @@
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
-                                   const worker_report& report, instant now)
+                                   const worker_report& report, instant sent,
+                                   instant now)
 {
     m_log(
         "worker_restarted", worker.id(),
@@ -121,7 +122,8 @@
     }
     attribute_loss(worker, now);
     worker.m_incarnation = report.m_incarnation;
-    release_runs_of_earlier_process(worker, report, now);
+    worker.m_answered_address = worker.m_called_address;
+    settle_runs_of_earlier_process(worker, report, sent, now);
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
     worker.m_process_ended = false;
@@ -143,9 +145,9 @@
     }
 }
 
-void dispatcher::release_runs_of_earlier_process(worker_entry& worker,
-                                                 const worker_report& report,
-                                                 instant now)
+void dispatcher::settle_runs_of_earlier_process(worker_entry& worker,
+                                                const worker_report& report,
+                                                instant sent, instant now)
 {
     const std::set<task_ref> tasks = worker.m_tasks;
     for (const task_ref& ref : tasks)
@@ -156,25 +158,47 @@
         {
             continue; // Released with its gang.
         }
-        active_run& active = *job.task(ref).m_active;
-        const running_report* held = report.find(ref.str(), active.m_number);
-        // Orders name the worker only, so its new process executes a start that
-        // was meant for the one before.
-        const bool may_start = active.m_unanswered_sends > 0;
-        if (held == nullptr && !may_start)
+        const active_run& active = *job.task(ref).m_active;
+        const bool held = report.find(ref.str(), active.m_number) != nullptr;
+        if (!held && has_ended_with_process(active, sent))
         {
             release_run(job, ref, "worker restarted", now);
             continue;
         }
-        job.task(ref).m_progress.m_worker_incarnation = worker.m_incarnation;
+        task_progress& recorded = job.task(ref).m_progress;
+        recorded.m_worker_incarnation = worker.m_incarnation;
+        recorded.m_worker_address = worker.m_answered_address;
         m_jobs.mark_changed(job);
-        if (held == nullptr)
+        if (held || active.m_unanswered_sends > 0)
         {
-            begin_stopping(job, ref, "worker restarted", now);
+            continue_at_new_process(job, ref, held, now);
         }
-        // What the earlier process has answered does not hold for the new one.
-        active.m_stop_sent_at.reset();
-        active.m_listed_from.reset();
+    }
+}
+
+bool dispatcher::has_ended_with_process(const active_run& run, instant sent)
+{
+    // Orders name the worker only, so its new process executes a start that was
+    // meant for the one before. An answer to a call that was sent before the
+    // start was confirmed does not show whether it has done so.
+    return run.m_unanswered_sends == 0 &&
+           (!run.m_listed_from || *run.m_listed_from < sent);
+}
+
+void dispatcher::continue_at_new_process(job_entry& job, const task_ref& ref,
+                                         bool held, instant now)
+{
+    if (!held)
+    {
+        begin_stopping(job, ref, "worker restarted", now);
+    }
+    active_run& active = *job.task(ref).m_active;
+    // What the earlier process has answered does not hold for the new one.
+    active.m_stop_sent_at.reset();
+    active.m_listed_from.reset();
+    if (held && active.m_phase != run_phase::stopping)
+    {
+        active.m_listed_from = now;
     }
 }
 
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -38,6 +38,9 @@
 {
     std::string m_worker;
     run_ref m_run;
+    /// The worker's incarnation when the order was made. An earlier process's
+    /// answer says nothing about the run at the present one.
+    std::int64_t m_incarnation = 0;
 
     friend bool operator==(const stop_order&, const stop_order&) = default;
 };
--- a/unit_tests/dispatch/planner_test.cpp
+++ b/unit_tests/dispatch/planner_test.cpp
@@ -220,6 +220,7 @@
     const auto wide = start_all();
     ASSERT_EQ(wide.size(), 1u);
     confirm(wide);
+    pass(span(1));
     report("w1", {}, {}, 200); // Restarted with nothing running.
     pass(span(100));
     m_dispatcher.worker_unlisted("w1", m_now);
--- /dev/null
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -0,0 +1,132 @@
+#include "dispatcher_fixture.hpp"
+
+#include <utility>
+
+namespace kingcuprudder::dispatch
+{
+
+namespace
+{
+
+constexpr std::int64_t second_start = 200;
+
+/// A task whose start was sent to the first of two workers.
+class release_review_test : public dispatcher_fixture
+{
+protected:
+    release_review_test()
+    {
+        add_worker("w1");
+        accept(job("job", 1, 8));
+        m_run = start_all().at(0);
+        add_worker("w2");
+    }
+
+    /// The process of w1 with this start time answers a call of the given time.
+    void answer(std::int64_t started, instant sent,
+                std::vector<running_report> running = {})
+    {
+        worker_report made;
+        made.m_clock = m_now.count();
+        made.m_incarnation = started;
+        made.m_running = std::move(running);
+        m_dispatcher.renewal_answered("w1", made, sent, m_now);
+    }
+
+    /// Returns whether the task is started elsewhere.
+    bool is_started_again()
+    {
+        bool again = false;
+        for (int round = 0; round < 2; ++round)
+        {
+            const dispatch_effects effects = step();
+            for (const start_order& order : effects.m_starts)
+            {
+                again = again || order.m_run.m_run > m_run.m_run.m_run;
+            }
+            m_stops.insert(m_stops.end(), effects.m_stops.begin(),
+                           effects.m_stops.end());
+            store();
+        }
+        return again;
+    }
+
+    worker_description entry_of_restart() const
+    {
+        worker_description entry = worker("w1");
+        entry.m_incarnation = second_start;
+        return entry;
+    }
+
+    start_order m_run;
+    std::vector<stop_order> m_stops;
+};
+
+} // namespace
+
+TEST_F(release_review_test,
+       a_poll_older_than_the_accepted_start_ends_no_run_of_the_new_process)
+{
+    // The new process writes the answer, then accepts the start.
+    const instant polled = m_now + span(5);
+    pass(span(10));
+    confirm({m_run});
+    answer(second_start, polled);
+    EXPECT_FALSE(is_started_again());
+}
+
+TEST_F(release_review_test,
+       a_stop_that_the_earlier_process_accepted_does_not_end_the_run)
+{
+    m_dispatcher.start_finished(
+        m_run, {order_outcome::may_have_arrived, call_failure::timed_out},
+        m_now);
+    m_dispatcher.cancel_job("job", m_now);
+    is_started_again();
+    const std::vector<stop_order> to_earlier = std::exchange(m_stops, {});
+    ASSERT_EQ(to_earlier.size(), 1u);
+    pass(span(10));
+    answer(second_start, m_now);
+    m_dispatcher.stop_finished(to_earlier[0], order_outcome::accepted, m_now);
+    pass(span(10));
+    answer(second_start, m_now);
+    EXPECT_EQ(m_dispatcher.workers().at("w1").m_tasks.size(), 1u);
+}
+
+TEST_F(release_review_test,
+       a_run_that_leaves_the_new_process_without_an_end_is_released)
+{
+    confirm({m_run});
+    pass(span(10));
+    answer(second_start, m_now, {running(m_run)});
+    for (int poll = 0; poll < 60; ++poll)
+    {
+        pass(span(500));
+        m_dispatcher.renewal_sent("w1", m_now);
+        answer(second_start, m_now);
+    }
+    EXPECT_TRUE(is_started_again());
+}
+
+TEST_F(release_review_test, the_record_names_the_address_of_the_new_process)
+{
+    m_dispatcher.start_finished(
+        m_run, {order_outcome::may_have_arrived, call_failure::timed_out},
+        m_now);
+    worker_description entry = entry_of_restart();
+    entry.m_address = "address-2-of-w1";
+    m_dispatcher.worker_listed(entry, m_now);
+    m_dispatcher.renewal_failed(
+        "w1", {order_outcome::not_sent, call_failure::connection_refused},
+        m_now);
+    ASSERT_TRUE(m_dispatcher.is_called_at("w1", "address-2-of-w1"));
+    pass(span(10));
+    answer(second_start, m_now, {running(m_run)});
+    const std::vector<job_write> writes = store();
+    ASSERT_FALSE(writes.empty());
+    const task_progress& task = writes.back().m_progress.m_tasks[0][0][0];
+    EXPECT_EQ(task.m_worker_incarnation, second_start);
+    EXPECT_EQ(task.m_worker_address, "address-2-of-w1");
+}
+
+} // namespace kingcuprudder::dispatch
