Poll a silent worker at its listed address, and send it nothing else there

Callers could see a task run twice or wait for ever. A start that was repeated at the listed address of a silent worker could run there while a refusal at the address before released the run. A record of an earlier process set the address at which a refusal counts for a run of a later one. A silent worker with two addresses got a new session for each call, without a pause.

Cause: the listed address, tried while a worker is silent, was treated like one at which the worker had answered. Change: starts go only to the address where the worker answered; the addresses take turns of one second; the address comes from the records of the newest process only.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -14,6 +14,8 @@
 // be 2% slow, for which the divisor adds 2.5% of the lease.
 constexpr span lease_end_margin = span(250);
 constexpr std::int64_t lease_clock_error_divisor = 40;
+// A silent worker with two addresses is called this long at each of them.
+constexpr span address_trial_time = span(1000);
 
 } // namespace
 
@@ -135,7 +137,7 @@
     }
     worker.m_incarnation =
         std::max(worker.m_incarnation, stored.m_worker_incarnation);
-    if (!stored.m_worker_address.empty())
+    if (!is_old && !stored.m_worker_address.empty())
     {
         worker.m_answered_address = stored.m_worker_address;
     }
@@ -226,14 +228,16 @@
     }
 }
 
-void dispatcher::call_other_address(worker_entry& worker)
+void dispatcher::call_other_address(worker_entry& worker, instant now)
 {
     const std::string& listed = worker.m_description.m_address;
     const std::string& answered = worker.m_answered_address;
-    if (answered.empty() || listed.empty() || answered == listed)
+    if (answered.empty() || listed.empty() || answered == listed ||
+        now - worker.m_address_tried_at < address_trial_time)
     {
         return;
     }
+    worker.m_address_tried_at = now;
     worker.m_called_address =
         worker.m_called_address == answered ? listed : answered;
     m_log("worker_address_tried", worker.id(),
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -211,7 +211,7 @@
     static void choose_called_address(worker_entry& worker);
     /// Calls a silent worker at the other one of its addresses, if the worker
     /// list names another one than that at which it answered.
-    void call_other_address(worker_entry& worker);
+    void call_other_address(worker_entry& worker, instant now);
     /// Notes which incarnation the worker list names. A later one than the
     /// worker's must be confirmed by an answer; until then the worker gets no
     /// new work and keeps its runs.
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -420,6 +420,10 @@
 {
     active_run& active = *job.task(ref).m_active;
     worker_entry& worker = find_or_add_worker(active.m_worker);
+    if (!worker.is_called_where_it_answered())
+    {
+        return false;
+    }
     if (active.m_phase == run_phase::assigned)
     {
         if (job.m_stored_version < active.m_required_version ||
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -86,10 +86,8 @@
     m_changed = m_changed || worker.m_reachable;
     worker.m_reachable = false;
     mark_renewal(id);
-    const bool called_where_it_answered =
-        worker.m_called_address == worker.m_answered_address;
     if (result.m_outcome == order_outcome::wrong_incarnation &&
-        called_where_it_answered && !worker.m_replaced)
+        worker.is_called_where_it_answered() && !worker.m_replaced)
     {
         worker.m_replaced = true;
         m_log("worker_replaced", id,
@@ -100,7 +98,7 @@
         // lease.
         lose_worker_runs(worker, "worker replaced", now);
     }
-    call_other_address(worker);
+    call_other_address(worker, now);
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -46,6 +46,8 @@
     /// The address to call: the above, or the listed one if the worker is
     /// silent there.
     std::string m_called_address;
+    /// When m_called_address was last exchanged for the other one.
+    instant m_address_tried_at;
     /// The worker is in the platform's worker list.
     bool m_listed = false;
     /// The current incarnation has answered a renewal of this term.
@@ -104,6 +106,12 @@
     bool m_replaced = false;
 
     const std::string& id() const { return m_description.m_id; }
+    /// Returns whether the worker is called at the address where it answered
+    /// last. Another address is only polled.
+    bool is_called_where_it_answered() const
+    {
+        return m_called_address == m_answered_address;
+    }
     /// Returns the resources for new assignments. Runs that are being stopped
     /// count as free.
     resources plannable_capacity() const
--- a/unit_tests/dispatch/release_review_test.cpp
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 
+constexpr std::int64_t first_start = 100;
 constexpr std::int64_t second_start = 200;
 
 /// A task whose start was sent to the first of two workers.
@@ -62,6 +63,36 @@
     std::vector<stop_order> m_stops;
 };
 
+/// A leader that loads the records of an earlier one.
+class loaded_leader_test : public dispatcher_fixture
+{
+protected:
+    loaded_leader_test()
+    {
+        m_dispatcher.worker_listed(worker("w2"), m_now);
+        report("w2", {});
+    }
+
+    void load(const std::string& id, std::int64_t started,
+              const std::string& address)
+    {
+        job_progress progress;
+        progress.m_state = job_state::running;
+        progress.m_tasks = {{{task_progress()}}};
+        task_progress& task = progress.m_tasks[0][0][0];
+        task.m_last_run = 1;
+        task.m_worker = "w1";
+        task.m_worker_incarnation = started;
+        task.m_worker_address = address;
+        m_dispatcher.add_job(job(id, 1, 4), progress, 1, m_now, m_now);
+    }
+
+    std::size_t tasks_of_w1()
+    {
+        return m_dispatcher.workers().at("w1").m_tasks.size();
+    }
+};
+
 } // namespace
 
 TEST_F(release_review_test,
@@ -129,4 +160,42 @@
     EXPECT_EQ(task.m_worker_address, "address-2-of-w1");
 }
 
+TEST_F(release_review_test,
+       no_start_is_sent_to_an_address_where_the_worker_has_not_answered)
+{
+    const call_result timed_out{order_outcome::may_have_arrived,
+                                call_failure::timed_out};
+    worker_description entry = entry_of_restart();
+    entry.m_address = "address-2-of-w1";
+    m_dispatcher.worker_listed(entry, m_now);
+    m_dispatcher.renewal_failed("w1", timed_out, m_now);
+    m_dispatcher.start_finished(m_run, timed_out, m_now);
+    ASSERT_TRUE(m_dispatcher.is_called_at("w1", "address-2-of-w1"));
+    EXPECT_TRUE(step().m_starts.empty());
+    pass(span(1000));
+    m_dispatcher.renewal_failed("w1", timed_out, m_now);
+    ASSERT_TRUE(m_dispatcher.is_called_at("w1", "address-of-w1"));
+    EXPECT_EQ(step().m_starts.size(), 1u);
+}
+
+TEST_F(loaded_leader_test, the_address_of_an_earlier_process_ends_no_later_run)
+{
+    worker_description entry = worker("w1");
+    entry.m_incarnation = second_start;
+    entry.m_address = "address-2-of-w1";
+    m_dispatcher.worker_listed(entry, m_now);
+    load("a-later", second_start, "address-2-of-w1");
+    load("b-earlier", first_start, "address-of-w1");
+    m_dispatcher.renewal_failed(
+        "w1", {order_outcome::may_have_arrived, call_failure::timed_out},
+        m_now);
+    if (m_dispatcher.is_called_at("w1", "address-of-w1"))
+    {
+        m_dispatcher.renewal_failed("w1", order_outcome::wrong_incarnation,
+                                    m_now);
+    }
+    EXPECT_GE(tasks_of_w1(), 1u);
+    EXPECT_TRUE(m_log.lines("worker_replaced").empty());
+}
+
 } // namespace kingcuprudder::dispatch
--- a/unit_tests/dispatch/restart_evidence_test.cpp
+++ b/unit_tests/dispatch/restart_evidence_test.cpp
@@ -177,6 +177,7 @@
         "w1", {order_outcome::not_sent, call_failure::connection_refused},
         m_now);
     EXPECT_EQ(called_address(), "address-2-of-w1");
+    pass(span(1000));
     // Its address before is tried again, as an entry may be false.
     m_dispatcher.renewal_failed("w1", order_outcome::wrong_incarnation, m_now);
     EXPECT_EQ(called_address(), "address-of-w1");
