Hold no start against a task that only the worker's next process received

Workers are cut off and restart behind the cut. Cause: when another process answered at the worker's address, the first one was taken to have ended at that moment. At 7.225 s and 7.244 s the starts of runs 2 and 3 went to workers that had last answered 1.5 s and 2.3 s earlier and had been replaced. 1 ms later each refused as the wrong incarnation, and each counted as a certain crash and as an ended worker. Neither run ever started. Class: the time at which a loss is noticed is taken for the time of the loss. Change: a refusal as the wrong incarnation that is the first sign of a loss does not date it. Starts that the lost worker had not accepted count neither as a crash nor as an ended worker then. Accepted runs and the losses that a closed, refused or timed-out call shows first count as before. worker_lost has found_replaced. Not covered: a task that crashes its worker although its start was not answered, if no open call shows the end of the process before its successor answers. Evidence: starts_that_reach_only_the_next_process_fail_no_good_job failed before: the job was given up after three such starts. a_worker_that_is_replaced_after_it_accepted_has_crashed passed before and passes.

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -58,6 +58,8 @@
     }
     worker.m_silent_since = now;
     worker.m_process_ended = result.shows_ended_process();
+    worker.m_found_replaced =
+        result.m_outcome == order_outcome::wrong_incarnation;
     std::vector<task_ref> refs;
     const bool follows_a_start = loss_of(worker, now, refs).follows_a_start();
     std::erase_if(m_silent_workers, [now](const silent_worker& each)
@@ -69,6 +71,7 @@
 void dispatcher::note_answer(worker_entry& worker)
 {
     worker.m_process_ended = false;
+    worker.m_found_replaced = false;
     worker.m_cut_off = false;
     if (worker.m_silent_since)
     {
@@ -133,6 +136,7 @@
     worker_loss loss;
     loss.m_silent_since = worker.m_silent_since;
     loss.m_process_ended = worker.m_process_ended;
+    loss.m_found_replaced = worker.m_found_replaced;
     loss.m_last_answer = worker.m_last_answer;
     loss.m_unreliable = is_unreliable(worker, now);
     if (!loss.m_silent_since && worker.m_synced)
@@ -266,7 +270,8 @@
     const bool ended = loss.m_process_ended && !loss.m_with_others;
     for (std::size_t at = 0; at < refs.size(); ++at)
     {
-        const attributed_loss counted{refs[at], loss.suspicion_of(at), ended};
+        const attributed_loss counted{refs[at], loss.suspicion_of(at),
+                                      ended && loss.may_have_started(at)};
         const task_entry& lost = m_jobs.find_task(refs[at])->task(refs[at]);
         const decision_fields evidence =
             run_fields(loss, at, lost.m_active->m_number);
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -125,6 +125,7 @@
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
     worker.m_process_ended = false;
+    worker.m_found_replaced = false;
     worker.m_cut_off = false;
     worker.m_loss_attributed = false;
     worker.m_last_start_at = instant();
--- a/kingcuprudder/dispatch/worker_loss.cpp
+++ b/kingcuprudder/dispatch/worker_loss.cpp
@@ -22,9 +22,19 @@
 
 } // namespace
 
+bool worker_loss::may_precede(const lost_run& run) const
+{
+    return m_found_replaced && run.m_first_sent_at && !run.m_accepted;
+}
+
+bool worker_loss::may_have_started(std::size_t position) const
+{
+    return !may_precede(m_runs[position]);
+}
+
 bool worker_loss::is_new(const lost_run& run) const
 {
-    if (!m_silent_since)
+    if (!m_silent_since || may_precede(run))
     {
         return false;
     }
@@ -70,6 +80,10 @@
 crash_suspicion worker_loss::suspicion_by_start(std::size_t position) const
 {
     const lost_run& run = m_runs[position];
+    if (may_precede(run))
+    {
+        return crash_suspicion::none;
+    }
     if (!run.m_first_sent_at)
     {
         const bool old = m_silent_since &&
--- a/kingcuprudder/dispatch/worker_loss.hpp
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -36,6 +36,9 @@
     std::optional<instant> m_silent_since;
     /// The process ended; else the machine or its network may be lost.
     bool m_process_ended = false;
+    /// Another process was the first sign of the loss, so this one may have
+    /// ended at any time since its last answer.
+    bool m_found_replaced = false;
     instant m_last_answer;
     /// The address was lost before without a start to explain it.
     bool m_unreliable = false;
@@ -48,8 +51,14 @@
     /// Returns how strongly this loss, taken alone, points to the run with this
     /// position in m_runs.
     crash_suspicion suspicion_of(std::size_t position) const;
+    /// Returns whether the worker may have ended under this run. A start that
+    /// it did not accept may have been sent after its end.
+    bool may_have_started(std::size_t position) const;
 
 private:
+    /// Returns whether the worker may have been lost before it received the
+    /// run's start.
+    bool may_precede(const lost_run& run) const;
     /// Returns whether the worker was lost right after the run's start.
     bool is_new(const lost_run& run) const;
     /// The same without regard to the worker's other losses.
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -58,6 +58,9 @@
     std::optional<instant> m_silent_since;
     /// The renewal failed as the worker's process had ended.
     bool m_process_ended = false;
+    /// The first renewal without an answer reached another process, so this one
+    /// may have ended at any time since its last answer.
+    bool m_found_replaced = false;
     /// The worker does not answer, but has written its description since.
     bool m_cut_off = false;
     /// The worker's clock in its last answer, in milliseconds.
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -958,6 +958,52 @@
     EXPECT_TRUE(m_dispatcher.has_job("good"));
 }
 
+TEST_F(crash_fixture, starts_that_reach_only_the_next_process_fail_no_good_job)
+{
+    add_workers(1);
+    accept(job("good", 1, 8));
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        pass(span(2000));
+        const std::vector<start_order> starts = start_all();
+        ASSERT_EQ(starts.size(), 1u) << "round " << round;
+        pass(span(1));
+        m_dispatcher.renewal_failed(starts[0].m_worker,
+                                    order_outcome::wrong_incarnation, m_now);
+        m_dispatcher.start_finished(starts[0], order_outcome::wrong_incarnation,
+                                    m_now);
+        add_workers(1);
+        step();
+        store();
+    }
+    EXPECT_TRUE(m_dispatcher.has_job("good"));
+    EXPECT_EQ(crashes_of("good"), crash_evidence());
+}
+
+TEST_F(crash_fixture, a_worker_that_is_replaced_after_it_accepted_has_crashed)
+{
+    add_workers(1);
+    accept(job("deadly", 1, 8));
+    int starts = 0;
+    for (int round = 0; round < 2 * starts_allowed; ++round)
+    {
+        pass(span(2000));
+        for (const start_order& order : start_all())
+        {
+            ++starts;
+            confirm({order});
+            pass(span(10));
+            m_dispatcher.renewal_failed(
+                order.m_worker, order_outcome::wrong_incarnation, m_now);
+            add_workers(1);
+        }
+        step();
+        store();
+    }
+    EXPECT_LE(starts, starts_allowed);
+    EXPECT_FALSE(m_dispatcher.has_job("deadly"));
+}
+
 TEST_F(crash_fixture, a_guaranteed_gang_does_not_wait_for_suspected_tasks)
 {
     constexpr int suspects = 12;
