Attribute a crash alike whether the list or a failed call shows it first

Callers could see a good job given up, or a task that crashes its workers started on. Since the worker list makes a worker unused until an answer, a worker whose restart was listed before a call failed looked like one that had never answered this leader: its silence was not recorded, so its crash counted for nothing and was not compared with others. A loss that a later record shows was withdrawn by the first answer of the new process, which refutes nothing.

Cause: "has not answered since the list named a restart" and "has never answered this leader" were one flag. Change: worker_entry::has_answered(); only a loss that nothing but the list shows is withdrawn by an answer.

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -49,7 +49,7 @@
     {
         return;
     }
-    if (!worker.m_synced)
+    if (!worker.has_answered())
     {
         // When it was lost is not known.
         worker.m_process_ended =
@@ -139,7 +139,7 @@
     loss.m_found_replaced = worker.m_found_replaced;
     loss.m_last_answer = worker.m_last_answer;
     loss.m_unreliable = is_unreliable(worker, now);
-    if (!loss.m_silent_since && worker.m_synced)
+    if (!loss.m_silent_since && worker.has_answered())
     {
         loss.m_silent_since = now; // It restarted between two renewals.
         loss.m_process_ended = true;
@@ -349,7 +349,10 @@
     }
     // Only the worker list shows the loss of a run that is not released, so the
     // worker's next answer may withdraw it.
-    const bool unconfirmed = worker.m_tasks.contains(ref);
+    const std::int64_t recorded =
+        m_jobs.find_task(ref)->task(ref).m_progress.m_worker_incarnation;
+    const bool unconfirmed =
+        worker.m_tasks.contains(ref) && recorded >= worker.m_incarnation;
     worker.m_loss_attributed = worker.m_loss_attributed || unconfirmed;
     const attributed_loss loss{ref, crash_suspicion::possible, true};
     if (!with_others &&
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -109,6 +109,8 @@
     bool m_replaced = false;
 
     const std::string& id() const { return m_description.m_id; }
+    /// Returns whether the worker has answered this leader.
+    bool has_answered() const { return m_last_answer != instant(); }
     /// Returns whether the worker is called at the address where it answered
     /// last. Another address is only polled.
     bool is_called_where_it_answered() const
--- a/unit_tests/dispatch/release_review_test.cpp
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::int64_t first_start = 100;
 constexpr std::int64_t second_start = 200;
+const call_result connection_closed{order_outcome::may_have_arrived,
+                                    call_failure::connection_closed};
 
 /// A task whose start was sent to the first of two workers.
 class release_review_test : public dispatcher_fixture
@@ -198,4 +200,28 @@
     EXPECT_TRUE(m_log.lines("worker_replaced").empty());
 }
 
+TEST_F(loaded_leader_test, an_answer_of_the_new_process_keeps_the_earlier_crash)
+{
+    load("a-later", second_start, "");
+    load("b-earlier", first_start, "");
+    step();
+    ASSERT_EQ(m_log.lines("crash_attributed").size(), 1u);
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {}, {}, second_start);
+    EXPECT_TRUE(m_log.lines("crash_withdrawn").empty());
+}
+
+TEST_F(release_review_test, a_crash_is_attributed_if_the_list_shows_it_first)
+{
+    confirm({m_run});
+    pass(span(200));
+    m_dispatcher.worker_listed(entry_of_restart(), m_now);
+    m_dispatcher.renewal_failed("w1", connection_closed, m_now);
+    pass(span(10));
+    answer(second_start, m_now);
+    const std::vector<log_line> lines = m_log.lines("crash_attributed");
+    ASSERT_EQ(lines.size(), 1u);
+    EXPECT_EQ(lines[0].field("suspicion"), "certain");
+}
+
 } // namespace kingcuprudder::dispatch
