Follow a worker that restarts with a lower start time

Callers could see a task that could run and does not: after a restart with the clock set back, all answers of the worker were discarded as those of an earlier process, while its lease was renewed and it got work.

Cause: a lower start time was taken for an earlier process. Change: an answer to a call that was sent after the last answer comes from the present process, whatever its start time; only older calls can have been answered by an earlier one. Evidence: release_review_test, a_process_that_restarts_later_by_a_clock_set_back_is_not_ignored fails on the commit before. Result: the 161 tests of kcr_dispatch_tests without load profiles pass.

--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -22,8 +22,12 @@
                                   instant now)
 {
     worker_entry& worker = find_or_add_worker(id);
+    // Answers may overtake each other. A call that was sent after the last
+    // answer was answered by the present process, though its start time may be
+    // lower than before, as clocks are set back.
     if (report.m_incarnation != 0 &&
-        report.m_incarnation < worker.m_incarnation)
+        report.m_incarnation < worker.m_incarnation &&
+        sent <= worker.m_last_answer)
     {
         return; // An answer of an earlier incarnation.
     }
--- a/unit_tests/dispatch/release_review_test.cpp
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -224,4 +224,17 @@
     EXPECT_EQ(lines[0].field("suspicion"), "certain");
 }
 
+TEST_F(release_review_test,
+       a_process_that_restarts_later_by_a_clock_set_back_is_not_ignored)
+{
+    confirm({m_run});
+    for (int poll = 0; poll < 60; ++poll)
+    {
+        pass(span(500));
+        m_dispatcher.renewal_sent("w1", m_now);
+        answer(first_start - 1, m_now);
+    }
+    EXPECT_TRUE(is_started_again());
+}
+
 } // namespace kingcuprudder::dispatch
