--- a/unit_tests/dispatch/release_review_test.cpp
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -237,4 +237,71 @@
     EXPECT_TRUE(is_started_again());
 }
 
+TEST_F(loaded_leader_test, workers_that_restart_before_the_term_show_no_crash)
+{
+    for (int at = 0; at < 20; ++at)
+    {
+        const std::string id = "v" + std::to_string(at);
+        m_dispatcher.worker_listed(worker(id), m_now);
+        job_progress progress;
+        progress.m_state = job_state::running;
+        progress.m_tasks = {{{task_progress()}}};
+        task_progress& task = progress.m_tasks[0][0][0];
+        task.m_last_run = 1;
+        task.m_worker = id;
+        task.m_worker_incarnation = first_start;
+        m_dispatcher.add_job(job("of-" + id, 1, 4), progress, 1, m_now, m_now);
+    }
+    for (int at = 0; at < 20; ++at)
+    {
+        report("v" + std::to_string(at), {}, {}, second_start);
+    }
+    EXPECT_TRUE(m_log.lines("crash_attributed").empty());
+}
+
+TEST_F(release_review_test, the_capacity_in_a_refuted_entry_is_not_used)
+{
+    confirm({m_run});
+    worker_description entry = entry_of_restart();
+    entry.m_capacity.m_gpus = 24;
+    m_dispatcher.worker_listed(entry, m_now);
+    pass(span(10));
+    answer(first_start, m_now, {running(m_run)});
+    ASSERT_EQ(m_log.lines("listed_restart_refuted").size(), 1u);
+    accept(job("more", 3, 8));
+    for (const start_order& order : start_all())
+    {
+        EXPECT_EQ(order.m_worker, "w2");
+    }
+}
+
+TEST_F(release_review_test,
+       a_new_process_gets_no_work_by_the_entry_of_the_earlier_one)
+{
+    confirm({m_run});
+    pass(span(10));
+    answer(second_start, m_now);
+    accept(job("more", 2, 8));
+    for (const start_order& order : start_all())
+    {
+        EXPECT_EQ(order.m_worker, "w2");
+    }
+}
+
+TEST_F(release_review_test, entries_with_changing_start_times_idle_no_worker)
+{
+    confirm({m_run});
+    for (int second = 0; second < 6; ++second)
+    {
+        worker_description entry = worker("w1");
+        entry.m_incarnation = 900 + second % 2;
+        m_dispatcher.worker_listed(entry, m_now);
+        EXPECT_TRUE(second < 2 || m_dispatcher.workers().at("w1").m_synced)
+            << second;
+        pass(span(500));
+        answer(first_start, m_now, {running(m_run)});
+        pass(span(500));
+    }
+}
+
 } // namespace kingcuprudder::dispatch
