An entry of the worker list with an unusable address ends no term

Callers see LOST. Any program can write to the worker list. One entry with an address without a port, with port 70000 or with a host that is no IP address made the leader give up its term, and each leader after it in turn, so that no task was started anywhere.

Cause: the constructor of http_endpoint throws for such an address, and nothing between scheduler::make_session() and scheduler::run() caught it.

--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -263,19 +263,36 @@
     {
         session = make_session(request);
     }
+    if (!session)
+    {
+        m_sessions.erase(request.m_worker);
+        return;
+    }
     session->update(request);
 }
 
 std::shared_ptr<worker_session>
 scheduler::make_session(const dispatch::renewal_request& request)
 {
-    return std::make_shared<worker_session>(
-        m_worker_loop, request.m_address,
-        m_environment.m_worker_calls(
-            m_worker_loop, request.m_worker, request.m_address,
-            [current = m_term] { return current->is_valid(); }),
-        m_term, m_environment.m_limits.m_worker_lease,
-        session_hooks(request.m_address));
+    try
+    {
+        return std::make_shared<worker_session>(
+            m_worker_loop, request.m_address,
+            m_environment.m_worker_calls(
+                m_worker_loop, request.m_worker, request.m_address,
+                [current = m_term] { return current->is_valid(); }),
+            m_term, m_environment.m_limits.m_worker_lease,
+            session_hooks(request.m_address));
+    }
+    catch (const std::exception& error)
+    {
+        // Records that other programs write hold the address. One that cannot
+        // be used must not end the calls to all other workers.
+        m_environment.m_log.write(
+            "scheduler", "worker_address_not_used", request.m_worker,
+            {{"address", request.m_address}, {"error", error.what()}});
+        return nullptr;
+    }
 }
 
 worker_session::hooks scheduler::session_hooks(const std::string& address)
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -110,6 +110,7 @@
     void publish_summary();
     void publish_metrics();
     void remove_old_records();
+    /// Returns null, and logs why, for an address that cannot be used.
     std::shared_ptr<worker_session>
     make_session(const dispatch::renewal_request& request);
     /// Returns the hooks of a session that calls the worker at this address.
--- a/kingcuprudder/runtime/ip_address.hpp
+++ b/kingcuprudder/runtime/ip_address.hpp
@@ -16,6 +16,10 @@
 /// Parses "ip:port". Throws std::runtime_error for a malformed text.
 ip_address parse_ip_address(const std::string& text);
 
+/// Returns whether the text is "ip:port" and a connection to it can be tried:
+/// the host is a numeric IP address, and the port is not 0.
+bool is_callable_address(const std::string& text);
+
 } // namespace kingcuprudder
 
 #endif
--- a/unit_tests/platform/platform_records_test.cpp
+++ b/unit_tests/platform/platform_records_test.cpp
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 #include <platform/platform_records.hpp>
 
+#include <string>
+#include <vector>
+
 namespace kingcuprudder::platform
 {
 
@@ -13,6 +16,15 @@
 {"cpu":16000,"memMb":32768,"gpu":4},"labels":["a","r1-3"],"clockMs":482113,
 "seq":4,"born":1700000000000})";
 
+/// Returns the text with the first occurrence of a part replaced.
+std::string replaced(std::string text, const std::string& part,
+                     const std::string& by)
+{
+    const std::size_t at = text.find(part);
+    EXPECT_NE(at, std::string::npos) << part;
+    return text.replace(at, part.size(), by);
+}
+
 } // namespace
 
 TEST(platform_records, a_configuration_is_read)
@@ -62,6 +74,28 @@
     }
 }
 
+// Guards against one entry whose address ends the term of each leader in turn.
+TEST(platform_records, worker_entries_with_an_unusable_address_are_rejected)
+{
+    const std::string address = "10.128.0.9:8080";
+    for (const char* unusable :
+         {"", ":", "10.128.0.9", "10.128.0.9:", "10.128.0.9:0",
+          "10.128.0.9:70000", "10.128.0.9:-1", "10.128.0.9:80x",
+          "10.128.0.9:99999999999", "10.128.0.999:8080", "minion.example:8080",
+          "http://10.128.0.9:8080", " 10.128.0.9:8080", ":8080"})
+    {
+        EXPECT_FALSE(platform_records().m_decode_worker(
+            "i-1", replaced(worker_entry, address, unusable)))
+            << unusable;
+    }
+    for (const char* usable : {"10.128.0.9:1", "10.128.0.9:65535", "::1:8080"})
+    {
+        EXPECT_TRUE(platform_records().m_decode_worker(
+            "i-1", replaced(worker_entry, address, usable)))
+            << usable;
+    }
+}
+
 TEST(platform_records, a_job_is_read)
 {
     const auto job =
