Entries of the worker list with a number out of range are rejected

Any program can write to the worker list. Capacities, clocks and start times were taken as they came: negative, wrapped around from above 64 bits, converted from a double that no integer holds (undefined), or so large that sums overflow. No failure of callers was traced to it.

Cause: decode_worker() converted numbers without a check.

--- a/unit_tests/platform/platform_records_test.cpp
+++ b/unit_tests/platform/platform_records_test.cpp
@@ -25,6 +25,15 @@
     return text.replace(at, part.size(), by);
 }
 
+// Beyond what a signed number of 64 bits holds, or so large that sums overflow.
+const std::vector<std::string> too_large_numbers = {"1e400",
+                                                    "1e300",
+                                                    "-1e300",
+                                                    "18446744073709551615",
+                                                    "9223372036854775807",
+                                                    "-9223372036854775808",
+                                                    "1000000000000000000"};
+
 } // namespace
 
 TEST(platform_records, a_configuration_is_read)
@@ -96,6 +105,40 @@
     }
 }
 
+// Guards against an overflow in sums of capacities and of times.
+TEST(platform_records, worker_entries_with_a_number_out_of_range_are_rejected)
+{
+    const auto decode = platform_records().m_decode_worker;
+    for (const std::string part :
+         {"\"cpu\":16000", "\"memMb\":32768", "\"gpu\":4", "\"clockMs\":482113",
+          "\"born\":1700000000000", "\"slots\":8"})
+    {
+        const std::string field = part.substr(0, part.find(':') + 1);
+        for (const std::string& number : too_large_numbers)
+        {
+            // Fields that are not used may hold any number that can be read.
+            const bool is_used = field != "\"slots\":";
+            EXPECT_EQ(
+                decode("i-1", replaced(worker_entry, part, field + number))
+                    .has_value(),
+                !is_used && number != "1e400")
+                << field << number;
+        }
+    }
+    for (const std::string& number : too_large_numbers)
+    {
+        EXPECT_FALSE(decode("i-1", replaced(worker_entry, "\"seq\":4",
+                                            "\"drainRemainingMs\":" + number)))
+            << number;
+    }
+    EXPECT_FALSE(
+        decode("i-1", replaced(worker_entry, "\"gpu\":4", "\"gpu\":-1")));
+    EXPECT_FALSE(decode("i-1", replaced(worker_entry, "\"born\":1700000000000",
+                                        "\"born\":-1")));
+    EXPECT_FALSE(decode("i-1", replaced(worker_entry, "\"born\":1700000000000",
+                                        "\"born\":1700000000000.5")));
+}
+
 TEST(platform_records, a_job_is_read)
 {
     const auto job =
