Jobs with a number out of range are rejected

Callers could submit steps with negative estimates or times near the limit of 64 bits, on which the sums of the planner overflow, and numbers above 32 bits wrapped around: a step after step waited for step 0.

Cause: step_from() and decode_job() converted numbers without a check.

--- a/unit_tests/platform/platform_records_test.cpp
+++ b/unit_tests/platform/platform_records_test.cpp
@@ -172,6 +172,35 @@
                    R"({"steps":[{"count":1}],"spec":")" + long_spec + "\"}"));
 }
 
+// Guards against an overflow in sums of demands and of times.
+TEST(platform_records, jobs_with_a_number_out_of_range_are_rejected)
+{
+    const std::string id = "5c0e7a21d94b36f8";
+    std::vector<std::string> numbers = too_large_numbers;
+    numbers.emplace_back("-1");
+    for (const std::string& number : numbers)
+    {
+        for (const char* field : {"cpu", "memMb", "gpu", "estimateMs",
+                                  "targetMs", "antiAffinity", "maxUnavailable"})
+        {
+            std::string text = R"({"steps":[{"count":1,")";
+            text.append(field).append("\":").append(number).append("}]}");
+            EXPECT_FALSE(decode_job(id, text)) << text;
+        }
+        for (const char* field : {"startMs", "intervalMs"})
+        {
+            std::string text = R"({"steps":[{"count":1}],")";
+            text.append(field).append("\":").append(number).append("}");
+            EXPECT_FALSE(decode_job(id, text)) << text;
+        }
+    }
+    // These wrap around to 0 and 1 in a narrower type.
+    EXPECT_FALSE(decode_job(
+        id, R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})"));
+    EXPECT_FALSE(
+        decode_job(id, R"({"steps":[{"count":1,"antiAffinity":4294967297}]})"));
+}
+
 // Guards against one job whose tasks use up the memory of each leader in turn.
 TEST(platform_records, jobs_with_too_many_tasks_are_rejected)
 {
