A worker's report with a number out of range is not read

No failure of callers was traced to it.

Cause: report_from() converted numbers without a check. Change: numbers of a report are checked; one out of range makes the answer unreadable, which is handled like a lost answer. The clock in an answer to an order is ignored if it is out of range.

--- a/unit_tests/platform/platform_worker_test.cpp
+++ b/unit_tests/platform/platform_worker_test.cpp
@@ -88,4 +88,38 @@
     }
 }
 
+// Guards against a number that wraps around to that of another run, and against
+// a conversion that is undefined.
+TEST(platform_worker, a_report_with_a_number_out_of_range_is_not_read)
+{
+    const auto report = [](const std::string& clock, const std::string& born,
+                           const std::string& run, const std::string& percent,
+                           const std::string& number)
+    {
+        return decode_renewal_answer(http_answer{
+            200, R"({"clockMs":)" + clock + R"(,"born":)" + born +
+                     R"(,"running":[["t.0.0.1",)" + run + R"(,"",)" + percent +
+                     R"(]],"ended":[[)" + number + R"(,"t.0.0.2",)" + run +
+                     R"(,"done",""]]})"});
+    };
+    const node::renewal_answer unreadable{call_result(
+        order_outcome::may_have_arrived, call_failure::unreadable_answer)};
+    ASSERT_EQ(report("1", "2", "3", "41.5", "5").index(), 0u);
+    for (const std::string number :
+         {"1e400", "1e300", "-1e300", "18446744073709551615",
+          "9223372036854775807", "-9223372036854775808"})
+    {
+        EXPECT_EQ(report(number, "2", "3", "4", "5"), unreadable) << number;
+        EXPECT_EQ(report("1", number, "3", "4", "5"), unreadable) << number;
+        EXPECT_EQ(report("1", "2", number, "4", "5"), unreadable) << number;
+        EXPECT_EQ(report("1", "2", "3", number, "5"), unreadable) << number;
+        EXPECT_EQ(report("1", "2", "3", "4", number), unreadable) << number;
+        EXPECT_FALSE(decode(200, "{\"clockMs\":" + number + "}").m_clock)
+            << number;
+    }
+    EXPECT_EQ(report("1", "2", "4294967299", "4", "5"), unreadable);
+    EXPECT_EQ(report("1", "2", "-1", "4", "5"), unreadable);
+    EXPECT_EQ(report("1", "2", "3", "4", "-1"), unreadable);
+}
+
 } // namespace kingcuprudder::platform
