--- a/unit_tests/platform/platform_records_test.cpp
+++ b/unit_tests/platform/platform_records_test.cpp
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 #include <platform/platform_records.hpp>
 
+#include <string>
+#include <vector>
+
 namespace kingcuprudder::platform
 {
 
@@ -13,6 +16,24 @@
 {"cpu":16000,"memMb":32768,"gpu":4},"labels":["a","r1-3"],"clockMs":482113,
 "seq":4,"born":1700000000000})";
 
+/// Returns the text with the first occurrence of a part replaced.
+std::string replaced(std::string text, const std::string& part,
+                     const std::string& by)
+{
+    const std::size_t at = text.find(part);
+    EXPECT_NE(at, std::string::npos) << part;
+    return text.replace(at, part.size(), by);
+}
+
+// Beyond what a signed number of 64 bits holds, or so large that sums overflow.
+const std::vector<std::string> too_large_numbers = {"1e400",
+                                                    "1e300",
+                                                    "-1e300",
+                                                    "18446744073709551615",
+                                                    "9223372036854775807",
+                                                    "-9223372036854775808",
+                                                    "1000000000000000000"};
+
 } // namespace
 
 TEST(platform_records, a_configuration_is_read)
@@ -62,6 +83,62 @@
     }
 }
 
+// Guards against one entry whose address ends the term of each leader in turn.
+TEST(platform_records, worker_entries_with_an_unusable_address_are_rejected)
+{
+    const std::string address = "10.128.0.9:8080";
+    for (const char* unusable :
+         {"", ":", "10.128.0.9", "10.128.0.9:", "10.128.0.9:0",
+          "10.128.0.9:70000", "10.128.0.9:-1", "10.128.0.9:80x",
+          "10.128.0.9:99999999999", "10.128.0.999:8080", "minion.example:8080",
+          "http://10.128.0.9:8080", " 10.128.0.9:8080", ":8080"})
+    {
+        EXPECT_FALSE(platform_records().m_decode_worker(
+            "i-1", replaced(worker_entry, address, unusable)))
+            << unusable;
+    }
+    for (const char* usable : {"10.128.0.9:1", "10.128.0.9:65535", "::1:8080"})
+    {
+        EXPECT_TRUE(platform_records().m_decode_worker(
+            "i-1", replaced(worker_entry, address, usable)))
+            << usable;
+    }
+}
+
+// Guards against an overflow in sums of capacities and of times.
+TEST(platform_records, worker_entries_with_a_number_out_of_range_are_rejected)
+{
+    const auto decode = platform_records().m_decode_worker;
+    for (const std::string part :
+         {"\"cpu\":16000", "\"memMb\":32768", "\"gpu\":4", "\"clockMs\":482113",
+          "\"born\":1700000000000", "\"slots\":8"})
+    {
+        const std::string field = part.substr(0, part.find(':') + 1);
+        for (const std::string& number : too_large_numbers)
+        {
+            // Fields that are not used may hold any number that can be read.
+            const bool is_used = field != "\"slots\":";
+            EXPECT_EQ(
+                decode("i-1", replaced(worker_entry, part, field + number))
+                    .has_value(),
+                !is_used && number != "1e400")
+                << field << number;
+        }
+    }
+    for (const std::string& number : too_large_numbers)
+    {
+        EXPECT_FALSE(decode("i-1", replaced(worker_entry, "\"seq\":4",
+                                            "\"drainRemainingMs\":" + number)))
+            << number;
+    }
+    EXPECT_FALSE(
+        decode("i-1", replaced(worker_entry, "\"gpu\":4", "\"gpu\":-1")));
+    EXPECT_FALSE(decode("i-1", replaced(worker_entry, "\"born\":1700000000000",
+                                        "\"born\":-1")));
+    EXPECT_FALSE(decode("i-1", replaced(worker_entry, "\"born\":1700000000000",
+                                        "\"born\":1700000000000.5")));
+}
+
 TEST(platform_records, a_job_is_read)
 {
     const auto job =
@@ -95,6 +172,35 @@
                    R"({"steps":[{"count":1}],"spec":")" + long_spec + "\"}"));
 }
 
+// Guards against an overflow in sums of demands and of times.
+TEST(platform_records, jobs_with_a_number_out_of_range_are_rejected)
+{
+    const std::string id = "5c0e7a21d94b36f8";
+    std::vector<std::string> numbers = too_large_numbers;
+    numbers.emplace_back("-1");
+    for (const std::string& number : numbers)
+    {
+        for (const char* field : {"cpu", "memMb", "gpu", "estimateMs",
+                                  "targetMs", "antiAffinity", "maxUnavailable"})
+        {
+            std::string text = R"({"steps":[{"count":1,")";
+            text.append(field).append("\":").append(number).append("}]}");
+            EXPECT_FALSE(decode_job(id, text)) << text;
+        }
+        for (const char* field : {"startMs", "intervalMs"})
+        {
+            std::string text = R"({"steps":[{"count":1}],")";
+            text.append(field).append("\":").append(number).append("}");
+            EXPECT_FALSE(decode_job(id, text)) << text;
+        }
+    }
+    // These wrap around to 0 and 1 in a narrower type.
+    EXPECT_FALSE(decode_job(
+        id, R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})"));
+    EXPECT_FALSE(
+        decode_job(id, R"({"steps":[{"count":1,"antiAffinity":4294967297}]})"));
+}
+
 // Guards against one job whose tasks use up the memory of each leader in turn.
 TEST(platform_records, jobs_with_too_many_tasks_are_rejected)
 {
