A lease end is computed for the slowest clock a worker may have

Cause: a lease end on the worker's clock was extrapolated from the last reading at full speed. That clock may be 2% slow, so the lease end was later on the worker by 2% of the reading's age: 250 ms after about 13 s, which is all the margin that the leader's own lease end has. A worker without running tasks is not called for longer than that, and a leader whose reading is old released runs that still held their lease.

Change: worker_clock computes lease ends.

--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -97,11 +97,7 @@
         m_unanswered_lease_end.reset();
     }
     m_request = request;
-    if (request.m_clock != 0 &&
-        (!m_clock || m_clock->m_read_at < request.m_clock_read_at))
-    {
-        m_clock = clock_reading{request.m_clock, request.m_clock_read_at};
-    }
+    m_clock.observe(request.m_clock, request.m_clock_read_at);
     consider_renewal();
 }
 
@@ -150,9 +146,9 @@
     // extended the lease of an unresponsive worker, its lease would never
     // expire and its tasks could never be assigned to another worker.
     const bool repeats = m_unanswered_lease_end.has_value();
-    call.m_lease_end_clock =
-        repeats ? m_unanswered_lease_end : lease_end_clock(m_worker_lease);
     const instant sent = boottime_now();
+    call.m_lease_end_clock = repeats ? m_unanswered_lease_end
+                                     : m_clock.lease_end(m_worker_lease, sent);
     if (!repeats && call.m_lease_end_clock)
     {
         m_hooks.m_renewal_sent(m_request.m_worker, sent);
@@ -192,7 +188,7 @@
 void worker_session::apply_report(const renewal_call& call, instant sent,
                                   const dispatch::worker_report& report)
 {
-    update_clock(report.m_clock, boottime_now());
+    m_clock.observe(report.m_clock, boottime_now());
     m_last_renewal_answered = true;
     m_unanswered_lease_end.reset();
     m_last_acknowledged = std::max(m_last_acknowledged, call.m_acknowledged);
@@ -223,7 +219,7 @@
         m_orders.pop_front();
         const auto* start = std::get_if<dispatch::start_order>(&next);
         const std::optional<std::int64_t> lease_end =
-            lease_end_clock(start_lease);
+            m_clock.lease_end(start_lease, boottime_now());
         if (!m_term->is_valid() || (start != nullptr && !lease_end))
         {
             report_order(next, {dispatch::order_outcome::not_sent,
@@ -252,7 +248,7 @@
     m_order_in_flight = false;
     if (answer.m_clock)
     {
-        update_clock(*answer.m_clock, boottime_now());
+        m_clock.observe(*answer.m_clock, boottime_now());
     }
     report_order(sent, answer.m_result);
     execute_next();
@@ -270,22 +266,4 @@
                             result.m_outcome);
 }
 
-std::optional<std::int64_t> worker_session::lease_end_clock(span length) const
-{
-    if (!m_clock)
-    {
-        return std::nullopt;
-    }
-    const span elapsed = boottime_now() - m_clock->m_read_at;
-    return m_clock->m_clock + elapsed.count() + length.count();
-}
-
-void worker_session::update_clock(std::int64_t clock, instant read_at)
-{
-    if (clock != 0)
-    {
-        m_clock = clock_reading{clock, read_at};
-    }
-}
-
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -4,6 +4,7 @@
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/node/leadership.hpp>
 #include <kingcuprudder/node/worker_calls.hpp>
+#include <kingcuprudder/node/worker_clock.hpp>
 #include <kingcuprudder/runtime/event_loop.hpp>
 
 #include <cstdint>
@@ -70,13 +71,6 @@
         pausing,
     };
 
-    /// A reading of the worker's clock and the local time when it was read.
-    struct clock_reading
-    {
-        std::int64_t m_clock = 0;
-        instant m_read_at;
-    };
-
     // The functions below run on the event loop's thread.
     /// Adds an order to those that wait, unless it waits already. A stop
     /// replaces the start of its run.
@@ -93,10 +87,6 @@
     void execute_next();
     void finish_order(const order& sent, const order_answer& answer);
     void report_order(const order& sent, const dispatch::call_result& result);
-    /// Returns the end of a lease of this length from now, on the worker's
-    /// clock; nothing before the first reading of that clock.
-    std::optional<std::int64_t> lease_end_clock(span length) const;
-    void update_clock(std::int64_t clock, instant read_at);
 
     event_loop& m_loop;
     std::string m_address;
@@ -109,7 +99,7 @@
 
     // The members below are used on the event loop's thread only.
     dispatch::renewal_request m_request;
-    std::optional<clock_reading> m_clock;
+    worker_clock m_clock;
     /// The incarnation of the worker to which the clock and the numbers of the
     /// completions belong.
     std::int64_t m_incarnation = 0;
