A lease is computed from the worker's own answers only

Cause: the clock in an entry of the worker list replaced the reading from an answer. Other programs can write such an entry, and after a restart it may be of the process before. A clock that is too large makes the lease as long as the worker allows from the arrival of a call, which may be seconds late.

Change: a session reads the clock from answers only. Without a reading it renews without a lease end, also if no lease is needed, and then at once with one. A start without a reading of the last 8 s waits for the answer to such a renewal and is given up if there is none. A worker that tells no clock is asked at intervals. renewal_request::m_clock and m_clock_read_at are gone.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -210,7 +210,6 @@
     worker.m_description = description;
     choose_called_address(worker);
     worker.m_listed = true;
-    worker.m_last_heartbeat = now;
 }
 
 void dispatcher::choose_called_address(worker_entry& worker)
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -456,8 +456,6 @@
     request.m_incarnation = worker.m_incarnation;
     request.m_acknowledged = worker.m_acknowledged;
     request.m_awaits_store = !worker.m_unstored_completions.empty();
-    request.m_clock = worker.m_description.m_clock;
-    request.m_clock_read_at = worker.m_last_heartbeat;
     request.m_needed =
         (worker.m_listed && (!worker.m_synced || !worker.m_reachable)) ||
         !worker.m_tasks.empty() || request.m_awaits_store;
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -96,10 +96,6 @@
     std::int64_t m_acknowledged = 0;
     /// Completions that the worker reported are not stored yet.
     bool m_awaits_store = false;
-    /// The worker's clock in its last description, and the local time at which
-    /// that description was read.
-    std::int64_t m_clock = 0;
-    instant m_clock_read_at;
 
     friend bool operator==(const renewal_request&,
                            const renewal_request&) = default;
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -72,8 +72,6 @@
     /// No other run is started before this time, so that a crash of the worker
     /// can be attributed to the suspected task that was started.
     instant m_trial_until;
-    /// The time at which the last description was read.
-    instant m_last_heartbeat;
     /// All runs on the worker have ended by this time unless a later renewal or
     /// start reached it.
     instant m_lease_end;
--- a/kingcuprudder/node/worker_clock.hpp
+++ b/kingcuprudder/node/worker_clock.hpp
@@ -16,9 +16,13 @@
 class worker_clock
 {
 public:
-    /// Takes a reading of the clock that was received at this time, unless
-    /// there is a later one. A clock of 0 is unknown and ignored.
+    /// Takes a reading of the clock from an answer that was received at this
+    /// time. A clock of 0 is unknown and ignored.
     void observe(std::int64_t clock, instant received);
+    /// Returns whether there is a reading.
+    bool is_known() const { return m_reading.has_value(); }
+    /// Returns whether the reading is recent enough for a short lease.
+    bool is_recent(instant now) const;
     /// Forgets the reading.
     void reset() { m_reading.reset(); }
     /// Returns the end of a lease of this length from now; nothing before the
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -97,13 +97,21 @@
         m_unanswered_lease_end.reset();
     }
     m_request = request;
-    m_clock.observe(request.m_clock, request.m_clock_read_at);
     consider_renewal();
 }
 
 bool worker_session::is_renewal_due() const
 {
-    return m_request.m_needed || m_request.m_acknowledged > m_last_acknowledged;
+    return m_request.m_needed ||
+           m_request.m_acknowledged > m_last_acknowledged ||
+           !m_clock.is_known() || start_needs_clock();
+}
+
+bool worker_session::start_needs_clock() const
+{
+    return !m_orders.empty() &&
+           std::holds_alternative<dispatch::start_order>(m_orders.front()) &&
+           !m_clock.is_recent(boottime_now());
 }
 
 void worker_session::consider_renewal()
@@ -115,7 +123,7 @@
     {
         return;
     }
-    if (m_request.m_acknowledged >= m_highest_completion)
+    if (m_request.m_acknowledged >= m_highest_completion || start_needs_clock())
     {
         renew();
     }
@@ -140,13 +148,14 @@
     renewal_call call;
     call.m_fence = m_term->fence();
     call.m_acknowledged = m_request.m_acknowledged;
-    call.m_wait =
-        m_last_renewal_answered && m_request.m_needed ? renewal_wait : span(0);
+    const instant sent = boottime_now();
+    const bool may_wait = m_last_renewal_answered && m_request.m_needed &&
+                          m_clock.is_recent(sent);
+    call.m_wait = may_wait ? renewal_wait : span(0);
     // A renewal after an unanswered one repeats its lease end. If each attempt
     // extended the lease of an unresponsive worker, its lease would never
     // expire and its tasks could never be assigned to another worker.
     const bool repeats = m_unanswered_lease_end.has_value();
-    const instant sent = boottime_now();
     call.m_lease_end_clock = repeats ? m_unanswered_lease_end
                                      : m_clock.lease_end(m_worker_lease, sent);
     if (!repeats && call.m_lease_end_clock)
@@ -170,7 +179,7 @@
     if (const auto* report = std::get_if<dispatch::worker_report>(&answer))
     {
         apply_report(call, sent, *report);
-        consider_renewal();
+        continue_after_report();
         return;
     }
     const auto& result = std::get<dispatch::call_result>(answer);
@@ -183,6 +192,20 @@
     m_unanswered_lease_end = call.m_lease_end_clock;
     m_hooks.m_renewal_failed(m_request.m_worker, result);
     pause_renewals();
+    execute_next();
+}
+
+void worker_session::continue_after_report()
+{
+    if (m_clock.is_known())
+    {
+        consider_renewal();
+    }
+    else
+    {
+        pause_renewals();
+    }
+    execute_next();
 }
 
 void worker_session::apply_report(const renewal_call& call, instant sent,
@@ -215,32 +238,42 @@
 {
     while (!m_order_in_flight && !m_orders.empty() && !m_closed)
     {
+        if (start_needs_clock())
+        {
+            consider_renewal();
+        }
+        const bool needs_clock = start_needs_clock();
+        if (needs_clock && m_renewal_phase == renewal_phase::in_flight)
+        {
+            return; // The answer to the renewal contains the clock.
+        }
         const order next = std::move(m_orders.front());
         m_orders.pop_front();
-        const auto* start = std::get_if<dispatch::start_order>(&next);
-        const std::optional<std::int64_t> lease_end =
-            m_clock.lease_end(start_lease, boottime_now());
-        if (!m_term->is_valid() || (start != nullptr && !lease_end))
+        if (needs_clock || !m_term->is_valid())
         {
             report_order(next, {dispatch::order_outcome::not_sent,
                                 dispatch::call_failure::given_up});
             continue;
         }
-        m_order_in_flight = true;
-        const auto done =
-            [self = shared_from_this(), next](const order_answer& answer)
-        { self->finish_order(next, answer); };
-        if (start != nullptr)
-        {
-            m_calls->start(*start, m_term->fence(), *lease_end, order_timeout,
-                           done);
-        }
-        else
-        {
-            m_calls->stop(std::get<dispatch::stop_order>(next), m_term->fence(),
-                          order_timeout, done);
-        }
+        send_order(next);
+    }
+}
+
+void worker_session::send_order(const order& next)
+{
+    m_order_in_flight = true;
+    const auto done =
+        [self = shared_from_this(), next](const order_answer& answer)
+    { self->finish_order(next, answer); };
+    if (const auto* start = std::get_if<dispatch::start_order>(&next))
+    {
+        m_calls->start(*start, m_term->fence(),
+                       *m_clock.lease_end(start_lease, boottime_now()),
+                       order_timeout, done);
+        return;
     }
+    m_calls->stop(std::get<dispatch::stop_order>(next), m_term->fence(),
+                  order_timeout, done);
 }
 
 void worker_session::finish_order(const order& sent, const order_answer& answer)
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -77,14 +77,22 @@
     void enqueue(const order& next);
     void apply_update(const dispatch::renewal_request& request);
     bool is_renewal_due() const;
+    /// Returns whether the next order is a start whose lease end cannot be
+    /// computed from a recent reading of the worker's clock.
+    bool start_needs_clock() const;
     void consider_renewal();
     void renew();
     void finish_renewal(const renewal_call& call, instant sent,
                         const renewal_answer& answer);
     void apply_report(const renewal_call& call, instant sent,
                       const dispatch::worker_report& report);
+    void continue_after_report();
     void pause_renewals();
+    /// Sends the next order. A start without a recent reading of the worker's
+    /// clock waits for the answer to a renewal and is given up if there is
+    /// none.
     void execute_next();
+    void send_order(const order& next);
     void finish_order(const order& sent, const order_answer& answer);
     void report_order(const order& sent, const dispatch::call_result& result);
 
--- a/unit_tests/node/worker_clock_test.cpp
+++ b/unit_tests/node/worker_clock_test.cpp
@@ -31,6 +31,16 @@
     EXPECT_EQ(tested.lease_end(lease, instant(0)), std::nullopt);
 }
 
+// Guards against short leases that have passed when they are granted.
+TEST(worker_clock, only_a_reading_of_the_last_seconds_is_recent)
+{
+    worker_clock tested;
+    EXPECT_FALSE(tested.is_recent(instant(0)));
+    tested.observe(first_clock, instant(0));
+    EXPECT_TRUE(tested.is_recent(instant(8000)));
+    EXPECT_FALSE(tested.is_recent(instant(8001)));
+}
+
 // Guards against runs that a worker with a slow clock holds after the leader
 // has started them elsewhere.
 TEST(worker_clock, an_old_reading_of_a_slow_clock_makes_no_longer_lease)
