--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -97,17 +97,21 @@
         m_unanswered_lease_end.reset();
     }
     m_request = request;
-    if (request.m_clock != 0 &&
-        (!m_clock || m_clock->m_read_at < request.m_clock_read_at))
-    {
-        m_clock = clock_reading{request.m_clock, request.m_clock_read_at};
-    }
     consider_renewal();
 }
 
 bool worker_session::is_renewal_due() const
 {
-    return m_request.m_needed || m_request.m_acknowledged > m_last_acknowledged;
+    return m_request.m_needed ||
+           m_request.m_acknowledged > m_last_acknowledged ||
+           !m_clock.is_known() || start_needs_clock();
+}
+
+bool worker_session::start_needs_clock() const
+{
+    return !m_orders.empty() &&
+           std::holds_alternative<dispatch::start_order>(m_orders.front()) &&
+           !m_clock.is_recent(boottime_now());
 }
 
 void worker_session::consider_renewal()
@@ -119,7 +123,7 @@
     {
         return;
     }
-    if (m_request.m_acknowledged >= m_highest_completion)
+    if (m_request.m_acknowledged >= m_highest_completion || start_needs_clock())
     {
         renew();
     }
@@ -144,15 +148,16 @@
     renewal_call call;
     call.m_fence = m_term->fence();
     call.m_acknowledged = m_request.m_acknowledged;
-    call.m_wait =
-        m_last_renewal_answered && m_request.m_needed ? renewal_wait : span(0);
+    const instant sent = boottime_now();
+    const bool may_wait = m_last_renewal_answered && m_request.m_needed &&
+                          m_clock.is_recent(sent);
+    call.m_wait = may_wait ? renewal_wait : span(0);
     // A renewal after an unanswered one repeats its lease end. If each attempt
     // extended the lease of an unresponsive worker, its lease would never
     // expire and its tasks could never be assigned to another worker.
     const bool repeats = m_unanswered_lease_end.has_value();
-    call.m_lease_end_clock =
-        repeats ? m_unanswered_lease_end : lease_end_clock(m_worker_lease);
-    const instant sent = boottime_now();
+    call.m_lease_end_clock = repeats ? m_unanswered_lease_end
+                                     : m_clock.lease_end(m_worker_lease, sent);
     if (!repeats && call.m_lease_end_clock)
     {
         m_hooks.m_renewal_sent(m_request.m_worker, sent);
@@ -174,7 +179,7 @@
     if (const auto* report = std::get_if<dispatch::worker_report>(&answer))
     {
         apply_report(call, sent, *report);
-        consider_renewal();
+        continue_after_report();
         return;
     }
     const auto& result = std::get<dispatch::call_result>(answer);
@@ -187,12 +192,26 @@
     m_unanswered_lease_end = call.m_lease_end_clock;
     m_hooks.m_renewal_failed(m_request.m_worker, result);
     pause_renewals();
+    execute_next();
+}
+
+void worker_session::continue_after_report()
+{
+    if (m_clock.is_known())
+    {
+        consider_renewal();
+    }
+    else
+    {
+        pause_renewals();
+    }
+    execute_next();
 }
 
 void worker_session::apply_report(const renewal_call& call, instant sent,
                                   const dispatch::worker_report& report)
 {
-    update_clock(report.m_clock, boottime_now());
+    m_clock.observe(report.m_clock, boottime_now());
     m_last_renewal_answered = true;
     m_unanswered_lease_end.reset();
     m_last_acknowledged = std::max(m_last_acknowledged, call.m_acknowledged);
@@ -219,32 +238,42 @@
 {
     while (!m_order_in_flight && !m_orders.empty() && !m_closed)
     {
+        if (start_needs_clock())
+        {
+            consider_renewal();
+        }
+        const bool needs_clock = start_needs_clock();
+        if (needs_clock && m_renewal_phase == renewal_phase::in_flight)
+        {
+            return; // The answer to the renewal contains the clock.
+        }
         const order next = std::move(m_orders.front());
         m_orders.pop_front();
-        const auto* start = std::get_if<dispatch::start_order>(&next);
-        const std::optional<std::int64_t> lease_end =
-            lease_end_clock(start_lease);
-        if (!m_term->is_valid() || (start != nullptr && !lease_end))
+        if (needs_clock || !m_term->is_valid())
         {
             report_order(next, {dispatch::order_outcome::not_sent,
                                 dispatch::call_failure::given_up});
             continue;
         }
-        m_order_in_flight = true;
-        const auto done =
-            [self = shared_from_this(), next](const order_answer& answer)
-        { self->finish_order(next, answer); };
-        if (start != nullptr)
-        {
-            m_calls->start(*start, m_term->fence(), *lease_end, order_timeout,
-                           done);
-        }
-        else
-        {
-            m_calls->stop(std::get<dispatch::stop_order>(next), m_term->fence(),
-                          order_timeout, done);
-        }
+        send_order(next);
+    }
+}
+
+void worker_session::send_order(const order& next)
+{
+    m_order_in_flight = true;
+    const auto done =
+        [self = shared_from_this(), next](const order_answer& answer)
+    { self->finish_order(next, answer); };
+    if (const auto* start = std::get_if<dispatch::start_order>(&next))
+    {
+        m_calls->start(*start, m_term->fence(),
+                       *m_clock.lease_end(start_lease, boottime_now()),
+                       order_timeout, done);
+        return;
     }
+    m_calls->stop(std::get<dispatch::stop_order>(next), m_term->fence(),
+                  order_timeout, done);
 }
 
 void worker_session::finish_order(const order& sent, const order_answer& answer)
@@ -252,7 +281,7 @@
     m_order_in_flight = false;
     if (answer.m_clock)
     {
-        update_clock(*answer.m_clock, boottime_now());
+        m_clock.observe(*answer.m_clock, boottime_now());
     }
     report_order(sent, answer.m_result);
     execute_next();
@@ -270,22 +299,4 @@
                             result.m_outcome);
 }
 
-std::optional<std::int64_t> worker_session::lease_end_clock(span length) const
-{
-    if (!m_clock)
-    {
-        return std::nullopt;
-    }
-    const span elapsed = boottime_now() - m_clock->m_read_at;
-    return m_clock->m_clock + elapsed.count() + length.count();
-}
-
-void worker_session::update_clock(std::int64_t clock, instant read_at)
-{
-    if (clock != 0)
-    {
-        m_clock = clock_reading{clock, read_at};
-    }
-}
-
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -4,6 +4,7 @@
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/node/leadership.hpp>
 #include <kingcuprudder/node/worker_calls.hpp>
+#include <kingcuprudder/node/worker_clock.hpp>
 #include <kingcuprudder/runtime/event_loop.hpp>
 
 #include <cstdint>
@@ -70,33 +71,30 @@
         pausing,
     };
 
-    /// A reading of the worker's clock and the local time when it was read.
-    struct clock_reading
-    {
-        std::int64_t m_clock = 0;
-        instant m_read_at;
-    };
-
     // The functions below run on the event loop's thread.
     /// Adds an order to those that wait, unless it waits already. A stop
     /// replaces the start of its run.
     void enqueue(const order& next);
     void apply_update(const dispatch::renewal_request& request);
     bool is_renewal_due() const;
+    /// Returns whether the next order is a start whose lease end cannot be
+    /// computed from a recent reading of the worker's clock.
+    bool start_needs_clock() const;
     void consider_renewal();
     void renew();
     void finish_renewal(const renewal_call& call, instant sent,
                         const renewal_answer& answer);
     void apply_report(const renewal_call& call, instant sent,
                       const dispatch::worker_report& report);
+    void continue_after_report();
     void pause_renewals();
+    /// Sends the next order. A start without a recent reading of the worker's
+    /// clock waits for the answer to a renewal and is given up if there is
+    /// none.
     void execute_next();
+    void send_order(const order& next);
     void finish_order(const order& sent, const order_answer& answer);
     void report_order(const order& sent, const dispatch::call_result& result);
-    /// Returns the end of a lease of this length from now, on the worker's
-    /// clock; nothing before the first reading of that clock.
-    std::optional<std::int64_t> lease_end_clock(span length) const;
-    void update_clock(std::int64_t clock, instant read_at);
 
     event_loop& m_loop;
     std::string m_address;
@@ -109,7 +107,7 @@
 
     // The members below are used on the event loop's thread only.
     dispatch::renewal_request m_request;
-    std::optional<clock_reading> m_clock;
+    worker_clock m_clock;
     /// The incarnation of the worker to which the clock and the numbers of the
     /// completions belong.
     std::int64_t m_incarnation = 0;
