Stand-in minions: a clock per process, late starts, a maximum lease

Callers see a task run twice at the same time; the soak never showed it.

Cause: the simulated minions shared one clock that survived a restart, took leases of any length, erased late starts when their process crashed, and answered calls for any id at any minion's address. Change: each process has a clock that starts anew, every second one 2% slow. A lease is shortened to a maximum counted from arrival; a start that is refused as old extends it too. A late start is carried out up to 2.5 s later by the process that then has the minion's id, if its deadline on the new clock and its fencing token allow it, and dropped while there is none. A call at another minion's address is refused with 421. The start time is the time of day. New faults: false entries of the worker list, and a restart under the same id before a late start. The detection of concurrent runs is as before. Evidence: five tests in simulated_minions_test. Not played by the stand-in: a start refused for lack of room, calls other than starts that are carried out late, stops that take time.

--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -83,7 +83,8 @@
 
 } // namespace
 
-platform_stand_in::platform_stand_in(int minions) : m_minions(m_store, minions)
+platform_stand_in::platform_stand_in(int minions, span max_hold)
+    : m_minions(m_store, minions, max_hold)
 {
     write_configuration(1, "key");
     m_store_listener = std::make_unique<http_listener>(
--- a/stand_ins/platform_stand_in.hpp
+++ b/stand_ins/platform_stand_in.hpp
@@ -18,7 +18,8 @@
 {
 public:
     /// Starts the store and the given number of minions on free loopback ports.
-    explicit platform_stand_in(int minions);
+    /// The minions hold their runs at most for `max_hold` after an order.
+    explicit platform_stand_in(int minions, span max_hold = span(6000));
 
     /// Returns the address of the store as "ip:port".
     const std::string& store_address() const;
--- a/stand_ins/simulated_minions.cpp
+++ b/stand_ins/simulated_minions.cpp
@@ -21,9 +21,10 @@
 constexpr span heartbeat_interval = span(500);
 constexpr std::chrono::milliseconds update_interval(5);
 constexpr std::chrono::milliseconds unanswered_delay(700);
-constexpr span late_start_delay = span(2000);
+constexpr std::int64_t max_late_start_delay_ms = 2500;
+// A slow clock counts 98 of 100 milliseconds.
+constexpr std::int64_t slow_clock_percent = 98;
 constexpr span gang_timeout = span(3000);
-constexpr std::int64_t first_incarnation = 1'700'000'000'000;
 constexpr const char* any_address = "127.0.0.1:0";
 constexpr int minions_per_rack = 4;
 // The entry of a silent minion is removed after three heartbeats.
@@ -35,11 +36,11 @@
 constexpr int status_refused = 409;
 constexpr int status_other_instance = 421;
 
-json with_clock(json body, std::int64_t born)
+std::int64_t unix_milliseconds()
 {
-    body["clockMs"] = node::boottime_now().count();
-    body["born"] = born;
-    return body;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
 }
 
 /// Returns the index of a task in its step, the last part of its name.
@@ -50,8 +51,15 @@
 
 } // namespace
 
-simulated_minions::simulated_minions(memory_store& store, int count)
-    : m_store(store), m_last_born(first_incarnation)
+instant simulated_minions::minion::clock(instant now) const
+{
+    const span age = now - m_started_at;
+    return instant() + (m_slow_clock ? age * slow_clock_percent / 100 : age);
+}
+
+simulated_minions::simulated_minions(memory_store& store, int count,
+                                     span max_hold)
+    : m_store(store), m_max_hold(max_hold)
 {
     m_listener = std::make_unique<http_listener>("127.0.0.1:0", server_threads,
                                                  [this](httplib::Server& server)
@@ -86,6 +94,80 @@
 void simulated_minions::crash_one(unsigned choice)
 {
     std::lock_guard lock(m_mutex);
+    const std::vector<std::string> running = running_minions();
+    if (!running.empty())
+    {
+        const std::string& id = running[choice % running.size()];
+        crash(id, m_minions.at(id));
+    }
+}
+
+bool simulated_minions::restart_one_with_late_start(unsigned choice)
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::string> candidates = running_minions();
+    std::erase_if(candidates,
+                  [this](const std::string& id)
+                  {
+                      return std::none_of(m_late_starts.begin(),
+                                          m_late_starts.end(),
+                                          [&id](const late_start& each)
+                                          { return each.m_minion == id; });
+                  });
+    if (candidates.empty())
+    {
+        return false;
+    }
+    const std::string& id = candidates[choice % candidates.size()];
+    minion& target = m_minions.at(id);
+    crash(id, target);
+    target.m_keeps_id = true;
+    target.m_restarts_at = node::boottime_now() + min_down_time;
+    return true;
+}
+
+void simulated_minions::write_false_entry(false_entry kind, unsigned choice)
+{
+    std::lock_guard lock(m_mutex);
+    if (running_minions().empty())
+    {
+        return;
+    }
+    const auto [id, text] = false_entry_of(kind, choice);
+    node::store_transaction transaction;
+    transaction.m_writes.push_back({"servers/" + id, text, 0});
+    m_store.commit(transaction, span(100));
+}
+
+std::pair<std::string, std::string>
+simulated_minions::false_entry_of(false_entry kind, unsigned choice)
+{
+    const std::vector<std::string> running = running_minions();
+    std::string id = running[choice % running.size()];
+    json entry = entry_of(m_minions.at(id));
+    switch (kind)
+    {
+    case false_entry::later_start:
+        entry["born"] =
+            std::max(m_minions.at(id).m_born + 1, unix_milliseconds());
+        break;
+    case false_entry::other_address:
+        entry["address"] =
+            m_minions.at(running[(choice + 1) % running.size()]).m_address;
+        break;
+    case false_entry::other_id:
+        id = "other-" + std::to_string(++m_false_ids);
+        m_silent_entries[id] = node::boottime_now() + entry_lifetime;
+        break;
+    case false_entry::unreadable:
+        entry["address"] = "127.0.0.1:99999";
+        break;
+    }
+    return {id, entry.dump()};
+}
+
+std::vector<std::string> simulated_minions::running_minions() const
+{
     std::vector<std::string> running;
     for (const auto& [id, each] : m_minions)
     {
@@ -94,11 +176,7 @@
             running.push_back(id);
         }
     }
-    if (!running.empty())
-    {
-        const std::string& id = running[choice % running.size()];
-        crash(id, m_minions.at(id));
-    }
+    return running;
 }
 
 int simulated_minions::crash_count()
@@ -144,7 +222,8 @@
             advance();
             const auto found =
                 m_minions.find(request.get_header_value("X-Target-Instance"));
-            if (found == m_minions.end() || !found->second.m_relay)
+            if (found == m_minions.end() || !found->second.m_relay ||
+                request.get_header_value("Host") != found->second.m_address)
             {
                 response.status = status_other_instance;
                 return;
@@ -157,9 +236,11 @@
             {
                 if (call == "run-start" && drawn < m_lost_share / 2)
                 {
+                    std::uniform_int_distribution<std::int64_t> delay(
+                        0, max_late_start_delay_ms);
                     m_late_starts.push_back(
-                        {node::boottime_now() + late_start_delay,
-                         {found->first, request.body}});
+                        {node::boottime_now() + span(delay(m_random)),
+                         found->first, request.body});
                 }
                 lock.unlock();
                 std::this_thread::sleep_for(unanswered_delay);
@@ -183,8 +264,9 @@
                            : renew_lease(lock, found->second, order, status);
             }
             response.status = status;
-            response.set_content(with_clock(body, found->second.m_born).dump(),
-                                 "application/json");
+            body["clockMs"] = found->second.clock(node::boottime_now()).count();
+            body["born"] = found->second.m_born;
+            response.set_content(body.dump(), "application/json");
         });
 }
 
@@ -192,8 +274,7 @@
 {
     const std::string task = order.at("task");
     const int number = order.at("run");
-    const instant now = node::boottime_now();
-    const instant lease_end(order.at("deadlineMs").get<std::int64_t>());
+    const instant deadline(order.at("deadlineMs").get<std::int64_t>());
     for (const run& each : target.m_running)
     {
         if (each.m_task == task && each.m_run == number)
@@ -201,12 +282,34 @@
             return json::object();
         }
     }
-    if (lease_end <= now || target.m_highest_ended_run[task] >= number)
+    if (deadline <= target.clock(node::boottime_now()))
     {
         status = status_refused;
-        return {{"reason", lease_end <= now ? "late" : "old"}};
+        return {{"reason", "late"}};
     }
-    target.m_lease_end = std::max(target.m_lease_end, lease_end);
+    extend_lease(target, order);
+    if (target.m_highest_ended_run[task] >= number)
+    {
+        status = status_refused;
+        return {{"reason", "old"}};
+    }
+    add_run(target, order);
+    return json::object();
+}
+
+void simulated_minions::extend_lease(minion& target, const json& order) const
+{
+    const instant deadline(order.value("deadlineMs", std::int64_t(0)));
+    const instant latest = target.clock(node::boottime_now()) + m_max_hold;
+    target.m_lease_end =
+        std::max(target.m_lease_end, std::min(deadline, latest));
+}
+
+void simulated_minions::add_run(minion& target, const json& order)
+{
+    const std::string task = order.at("task");
+    const int number = order.at("run");
+    const instant now = node::boottime_now();
     for (const auto& [id, other] : m_minions)
     {
         for (const run& each : other.m_running)
@@ -253,7 +356,6 @@
     {
         m_violations.push_back("capacity exceeded by " + task);
     }
-    return json::object();
 }
 
 json simulated_minions::stop(minion& target, const json& order, int&)
@@ -280,9 +382,7 @@
     const std::int64_t acknowledged = order.at("lastSeen");
     std::erase_if(target.m_ended, [acknowledged](const ended_run& each)
                   { return each.m_number <= acknowledged; });
-    target.m_lease_end =
-        std::max(target.m_lease_end,
-                 instant(order.value("deadlineMs", std::int64_t(0))));
+    extend_lease(target, order);
     m_changed.wait_for(
         lock, std::chrono::milliseconds(order.value("waitMs", std::int64_t(0))),
         [&]
@@ -311,7 +411,12 @@
                                      const std::string& address)
 {
     minion& started = m_minions[id];
-    started.m_born = ++m_last_born;
+    m_last_born = std::max(m_last_born + 1, unix_milliseconds());
+    started.m_born = m_last_born;
+    started.m_started_at = node::boottime_now();
+    m_slow_clocks = !m_slow_clocks;
+    started.m_slow_clock = m_slow_clocks;
+    started.m_keeps_id = false;
     started.m_rack = rack;
     started.m_restarts_at.reset();
     started.m_relay = std::make_unique<counting_relay>();
@@ -347,8 +452,6 @@
             m_lost_ends.insert(each.m_task);
         }
     }
-    std::erase_if(m_late_starts,
-                  [&id](const auto& each) { return each.second.first == id; });
     minion crashed;
     crashed.m_rack = target.m_rack;
     crashed.m_address = target.m_address;
@@ -392,7 +495,7 @@
     {
         minion& target = m_minions.at(id);
         const int rack = target.m_rack;
-        switch (m_random() % 3)
+        switch (m_random() % (target.m_keeps_id ? 2 : 3))
         {
         case 0:
             start_minion(id, rack, target.m_address);
@@ -492,7 +595,7 @@
     {
         return "done";
     }
-    if (where.m_lease_end <= now)
+    if (where.m_lease_end <= where.clock(now))
     {
         return "lapsed";
     }
@@ -531,14 +634,19 @@
 void simulated_minions::apply_late_starts()
 {
     const instant now = node::boottime_now();
-    while (!m_late_starts.empty() && m_late_starts.front().first <= now)
-    {
-        const auto [id, text] = m_late_starts.front().second;
-        m_late_starts.erase(m_late_starts.begin());
-        const json order = json::parse(text);
-        minion& target = m_minions.at(id);
-        if (order.at("fencingToken").get<std::int64_t>() >= target.m_fence)
+    const auto due = std::stable_partition(
+        m_late_starts.begin(), m_late_starts.end(),
+        [now](const late_start& each) { return each.m_due > now; });
+    const std::vector<late_start> taken(due, m_late_starts.end());
+    m_late_starts.erase(due, m_late_starts.end());
+    for (const late_start& each : taken)
+    {
+        minion& target = m_minions.at(each.m_minion);
+        const json order = json::parse(each.m_order);
+        const std::int64_t token = order.at("fencingToken");
+        if (target.m_relay && token >= target.m_fence)
         {
+            target.m_fence = token;
             int status = status_ok;
             start(target, order, status);
         }
@@ -580,7 +688,7 @@
             {"capacity",
              {{"cpu", 64000}, {"memMb", 256000}, {"gpu", gpus_per_minion}}},
             {"labels", {"a", "r-" + std::to_string(target.m_rack)}},
-            {"clockMs", node::boottime_now().count()},
+            {"clockMs", target.clock(node::boottime_now()).count()},
             {"born", target.m_born}};
 }
 
--- a/stand_ins/simulated_minions.hpp
+++ b/stand_ins/simulated_minions.hpp
@@ -29,20 +29,44 @@
 /// them have been started, and end together. With a third and a fourth number,
 /// the task with this index in its step crashes its minion so many milliseconds
 /// after its start. A minion that has crashed loses its connections and its
-/// runs at once and returns after some seconds.
+/// runs at once and returns after some seconds. Each incarnation has a clock of
+/// its own, which starts anew; every second one is 2% slow. A minion answers
+/// calls at its own address only.
 class simulated_minions
 {
 public:
-    simulated_minions(memory_store& store, int count);
+    /// What is wrong in an entry of the worker list that another writer puts
+    /// there.
+    enum class false_entry
+    {
+        later_start,   ///< A living minion's entry with a later start time.
+        other_address, ///< A living minion's entry with another one's address.
+        other_id,      ///< A living minion's entry under a new id.
+        unreadable,    ///< A living minion's entry without a valid port.
+    };
+
+    /// Starts the minions. They hold their runs at most for `max_hold` after
+    /// the arrival of an order, measured on their clocks.
+    simulated_minions(memory_store& store, int count,
+                      span max_hold = span(6000));
     ~simulated_minions();
     simulated_minions(const simulated_minions&) = delete;
     simulated_minions& operator=(const simulated_minions&) = delete;
 
     /// Drops this share of the calls: they get status 500 after 700 ms. Half
-    /// of the starts among them are carried out two seconds later.
+    /// of the starts among them are carried out up to 2.5 s later, by the
+    /// process that then has the minion's id.
     void lose_calls(double share, unsigned seed);
     /// Crashes one of the running minions, selected by the number.
     void crash_one(unsigned choice);
+    /// Crashes a minion that is still to carry out a late start, selected by
+    /// the number among them, which returns under its id after 0.5 s. Returns
+    /// whether there was one.
+    bool restart_one_with_late_start(unsigned choice);
+    /// Writes an entry of another writer about a minion selected by the number.
+    /// The minion's next heartbeat overwrites it; an entry under a new id
+    /// expires.
+    void write_false_entry(false_entry kind, unsigned choice);
     /// Returns how many minions have crashed.
     int crash_count();
     /// Returns how often the task was started.
@@ -88,18 +112,36 @@
         std::unique_ptr<counting_relay> m_relay;
         /// When it starts again after a crash.
         std::optional<instant> m_restarts_at;
+        /// Whether it then has the same id.
+        bool m_keeps_id = false;
         /// The highest fencing token received.
         std::int64_t m_fence = 0;
+        /// When its clock began to count.
+        instant m_started_at;
+        bool m_slow_clock = false;
+        /// On its own clock.
         instant m_lease_end;
         std::vector<run> m_running;
         std::vector<ended_run> m_ended;
         std::int64_t m_last_number = 0;
         std::map<std::string, int> m_highest_ended_run;
+
+        /// Returns the reading of its clock.
+        instant clock(instant now) const;
+    };
+    /// A start that got no answer and is carried out later.
+    struct late_start
+    {
+        instant m_due;
+        std::string m_minion;
+        std::string m_order;
     };
 
     void install(httplib::Server& server);
     nlohmann::json start(minion& target, const nlohmann::json& order,
                          int& status);
+    /// Notes what an accepted order starts, and what it violates.
+    void add_run(minion& target, const nlohmann::json& order);
     nlohmann::json stop(minion& target, const nlohmann::json& order,
                         int& status);
     nlohmann::json renew_lease(std::unique_lock<std::mutex>& lock,
@@ -108,6 +150,10 @@
     /// Starts a minion under its id, if possible at the given address.
     void start_minion(const std::string& id, int rack,
                       const std::string& address);
+    /// Extends the minion's lease to the order's deadline, within the maximum.
+    void extend_lease(minion& target, const nlohmann::json& order) const;
+    /// Returns the ids of the minions that are up.
+    std::vector<std::string> running_minions() const;
     /// Ends the process of a minion with all that it runs and knows.
     void crash(const std::string& id, minion& target);
     /// Crashes the minions with a run that is due to do so.
@@ -131,15 +177,19 @@
     /// the entries that have expired.
     void publish();
     static nlohmann::json entry_of(const minion& target);
+    /// Returns the id and the text of an entry of another writer.
+    std::pair<std::string, std::string> false_entry_of(false_entry kind,
+                                                       unsigned choice);
     void run_update_loop();
 
     memory_store& m_store;
+    const span m_max_hold;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, minion> m_minions;
-    /// When the entries of crashed minions expire, by the minion's id.
+    /// When the entries of crashed minions, and those under false ids, expire.
     std::map<std::string, instant> m_silent_entries;
-    std::int64_t m_last_born;
+    std::int64_t m_last_born = 0;
     crash_record m_crash_record;
     int m_crashes = 0;
     /// Tasks that were done, but whose minion crashed before it was told that
@@ -150,8 +200,10 @@
     std::set<gang> m_broken_gangs;
     std::mt19937 m_random;
     double m_lost_share = 0;
-    std::vector<std::pair<instant, std::pair<std::string, std::string>>>
-        m_late_starts;
+    std::vector<late_start> m_late_starts;
+    int m_false_ids = 0;
+    /// Whether the minion that was started last has a slow clock.
+    bool m_slow_clocks = false;
     bool m_stopping = false;
     std::unique_ptr<http_listener> m_listener;
     std::thread m_update_thread;
--- a/unit_tests/node/simulated_minions_test.cpp
+++ b/unit_tests/node/simulated_minions_test.cpp
@@ -136,4 +136,112 @@
     }
 }
 
+TEST(simulated_minions, a_late_start_reaches_the_next_process_under_the_id)
+{
+    memory_store store;
+    simulated_minions minions(store, 1);
+    const std::string address = entries(store).at("servers/i-0").at("address");
+    minions.lose_calls(1, 1);
+    // Half of the starts are dropped, the others are late by different times.
+    std::vector<std::thread> calls;
+    for (int index = 0; index < 40; ++index)
+    {
+        calls.emplace_back(
+            [&address, index]
+            {
+                post(address, "run-start",
+                     {{"task", "j.0.0." + std::to_string(index)},
+                      {"run", 1},
+                      {"spec", "60000"},
+                      {"deadlineMs", 5000},
+                      {"fencingToken", 1}});
+            });
+    }
+    for (std::thread& each : calls)
+    {
+        each.join();
+    }
+    ASSERT_TRUE(minions.restart_one_with_late_start(0));
+    minions.lose_calls(0, 1);
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            const auto answer =
+                post(entries(store).at("servers/i-0").at("address"), "hold",
+                     {{"fencingToken", 1}, {"lastSeen", 0}});
+            return answer && !json::parse(answer->body).at("running").empty();
+        }));
+}
+
+TEST(simulated_minions, a_restarted_minions_clock_starts_anew)
+{
+    memory_store store;
+    simulated_minions minions(store, 1);
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    const auto clock = [&]
+    { return entries(store).begin()->second.at("clockMs").get<int>(); };
+    const std::int64_t born = entries(store).begin()->second.at("born");
+    ASSERT_TRUE(wait_for([&] { return clock() > 400; }));
+    const instant crashed_at = node::boottime_now();
+    minions.crash_one(0);
+    ASSERT_TRUE(wait_for(
+        [&]
+        {
+            const auto listed = entries(store);
+            return !listed.empty() && listed.begin()->second.at("born") > born;
+        }));
+    EXPECT_LT(clock(), (node::boottime_now() - crashed_at).count());
+}
+
+TEST(simulated_minions, a_lease_ends_after_the_maximum_whatever_its_deadline)
+{
+    memory_store store;
+    simulated_minions minions(store, 1, span(300));
+    const std::string address = entries(store).at("servers/i-0").at("address");
+    ASSERT_EQ(start(address, "60000")->status, 200);
+    const auto answer =
+        post(address, "hold",
+             {{"fencingToken", 1}, {"lastSeen", 0}, {"waitMs", 2000}});
+    EXPECT_EQ(json::parse(answer->body).at("ended").at(0).at(3), "lapsed");
+}
+
+TEST(simulated_minions, a_call_for_another_minion_is_refused)
+{
+    memory_store store;
+    simulated_minions minions(store, 2);
+    const json body{{"fencingToken", 1}, {"lastSeen", 0}};
+    const auto listed = entries(store);
+    EXPECT_EQ(
+        post(listed.at("servers/i-0").at("address"), "hold", body)->status,
+        200);
+    EXPECT_EQ(
+        post(listed.at("servers/i-1").at("address"), "hold", body)->status,
+        421);
+}
+
+TEST(simulated_minions, a_false_entry_lasts_until_the_next_heartbeat)
+{
+    using false_entry = simulated_minions::false_entry;
+    for (const false_entry kind :
+         {false_entry::later_start, false_entry::other_address,
+          false_entry::other_id, false_entry::unreadable})
+    {
+        memory_store store;
+        simulated_minions minions(store, 2);
+        const auto identities = [&]
+        {
+            std::map<std::string, std::pair<json, json>> found;
+            for (const auto& [id, entry] : entries(store))
+            {
+                found[id] = {entry.at("address"), entry.at("born")};
+            }
+            return found;
+        };
+        const auto before = identities();
+        minions.write_false_entry(kind, 0);
+        EXPECT_NE(identities(), before);
+        EXPECT_TRUE(wait_for([&] { return identities() == before; }));
+    }
+}
+
 } // namespace kingcuprudder::stand_ins
