Soak: false entries of the worker list, restarts before late starts

Callers see a task run twice at the same time; the soak played neither of the two causes that the dispatcher's tests show.

Cause: no scenario had another writer in the worker list, or a worker that restarts under its id while a start is still to be carried out there.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -25,6 +25,12 @@
                                         "soak-logs", "path", line);
     TCLAP::SwitchArg crashes("", "crashes",
                              "workers crash, some by their tasks", line);
+    TCLAP::SwitchArg false_entries(
+        "", "false-entries",
+        "another writer puts false entries into the worker list", line);
+    TCLAP::SwitchArg late_starts(
+        "", "late-starts",
+        "workers restart before they carry out starts that are late", line);
     line.parse(argc, argv);
     int failed_seeds = 0;
     for (unsigned seed = first.getValue();
@@ -41,14 +47,18 @@
         std::filesystem::create_directories(options.m_folder);
         options.m_seed = seed;
         options.m_nodes = nodes.getValue();
+        options.m_false_entries = false_entries.getValue();
+        options.m_late_starts = late_starts.getValue();
         options.m_fault_duration =
             kingcuprudder::span::seconds(seconds.getValue());
         const soak::scenario_report report = soak::run_scenario(options);
         std::printf("seed %u: accepted %d refused %d unanswered %d faults %d "
-                    "crashes %d crashing jobs %d given up %d broken %zu\n",
+                    "crashes %d crashing jobs %d given up %d false entries %d "
+                    "late starts %d broken %zu\n",
                     seed, report.m_accepted, report.m_refused,
                     report.m_unanswered, report.m_faults, report.m_crashes,
                     report.m_crashing_jobs, report.m_given_up,
+                    report.m_false_entries, report.m_late_starts,
                     report.m_violations.size());
         for (const std::string& each : report.m_violations)
         {
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -7,6 +7,7 @@
 #include <stand_ins/platform_stand_in.hpp>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <httplib.h>
@@ -33,6 +34,10 @@
 constexpr span recovery_timeout_with_crashes = span::seconds(60);
 constexpr int faults_without_crashes = 8;
 constexpr int faults_with_crashes = 12;
+constexpr int max_false_entries = 4;
+constexpr int max_false_entry_gap_ms = 200;
+constexpr int restarts_per_fault = 2;
+constexpr double lost_share_before_restarts = 0.5;
 // One of so many jobs has a task that crashes its workers.
 constexpr unsigned jobs_per_crashing_job = 60;
 constexpr std::chrono::milliseconds call_timeout(2500);
@@ -94,7 +99,7 @@
 public:
     explicit scenario(const scenario_options& options)
         : m_options(options), m_random(options.m_seed),
-          m_platform(options.m_minions),
+          m_platform(options.m_minions, options.m_worker_lease),
           m_nodes(options.m_program, options.m_folder,
                   m_platform.store_address(), options.m_nodes,
                   options.m_worker_lease)
@@ -221,8 +226,65 @@
         }
     }
 
+    /// Injects a fault that misleads about the workers, if the options have
+    /// one. Otherwise returns false.
+    bool inject_misleading_fault()
+    {
+        if (m_options.m_false_entries &&
+            (!m_options.m_late_starts || draw(2) == 0))
+        {
+            write_false_entries();
+            return true;
+        }
+        if (m_options.m_late_starts)
+        {
+            restart_before_late_start();
+            return true;
+        }
+        return false;
+    }
+
+    void write_false_entries()
+    {
+        using false_entry = stand_ins::simulated_minions::false_entry;
+        constexpr std::array kinds{
+            false_entry::later_start, false_entry::other_address,
+            false_entry::other_id, false_entry::unreadable};
+        const int count = 1 + draw(max_false_entries);
+        for (int index = 0; index < count; ++index)
+        {
+            const false_entry kind = kinds[draw(kinds.size())];
+            m_platform.minions().write_false_entry(
+                kind, static_cast<unsigned>(m_random()));
+            ++m_report.m_false_entries;
+            sleep_for(span(draw(max_false_entry_gap_ms)));
+        }
+    }
+
+    void restart_before_late_start()
+    {
+        m_platform.minions().lose_calls(lost_share_before_restarts,
+                                        static_cast<unsigned>(m_random()));
+        sleep_for(span(200 + draw(600)));
+        for (int index = 0; index < restarts_per_fault; ++index)
+        {
+            m_report.m_late_starts +=
+                m_platform.minions().restart_one_with_late_start(
+                    static_cast<unsigned>(m_random()))
+                    ? 1
+                    : 0;
+        }
+        sleep_for(span(draw(600)));
+        m_platform.minions().lose_calls(0, m_options.m_seed);
+    }
+
     void inject_fault()
     {
+        // Every second fault is of these kinds, if they are played at all.
+        if (m_report.m_faults % 2 == 0 && inject_misleading_fault())
+        {
+            return;
+        }
         const int node = draw(m_nodes.size());
         switch (draw(m_options.m_crashes ? faults_with_crashes
                                          : faults_without_crashes))
@@ -305,8 +367,9 @@
         m_platform.store().set_fault_hook(nullptr);
         m_platform.minions().lose_calls(0, m_options.m_seed);
         const instant end = node::boottime_now() +
-                            (m_options.m_crashes ? recovery_timeout_with_crashes
-                                                 : recovery_timeout);
+                            (m_options.m_crashes || m_options.m_late_starts
+                                 ? recovery_timeout_with_crashes
+                                 : recovery_timeout);
         while (node::boottime_now() < end && !all_accepted_jobs_ended())
         {
             for (int node = 0; node < m_nodes.size(); ++node)
--- a/soak/scenario.hpp
+++ b/soak/scenario.hpp
@@ -23,6 +23,11 @@
     /// Workers crash and return, alone and by tasks that crash each worker.
     /// Also, all processes may be killed at once.
     bool m_crashes = false;
+    /// Another writer puts false entries into the worker list.
+    bool m_false_entries = false;
+    /// Workers restart under their ids while starts are still to be carried out
+    /// there.
+    bool m_late_starts = false;
 };
 
 /// Returns the options of a scenario with crashes, in which there are more
@@ -32,11 +37,13 @@
 /// The results of a scenario.
 struct scenario_report
 {
-    int m_accepted = 0;   ///< Jobs that were accepted.
-    int m_refused = 0;    ///< Jobs that were refused in each attempt.
-    int m_unanswered = 0; ///< Jobs of which the outcome is unknown.
-    int m_faults = 0;     ///< Injected faults.
-    int m_crashes = 0;    ///< Workers that crashed, some of them by a task.
+    int m_accepted = 0;      ///< Jobs that were accepted.
+    int m_refused = 0;       ///< Jobs that were refused in each attempt.
+    int m_unanswered = 0;    ///< Jobs of which the outcome is unknown.
+    int m_faults = 0;        ///< Injected faults.
+    int m_crashes = 0;       ///< Workers that crashed, some of them by a task.
+    int m_false_entries = 0; ///< Entries of the worker list by another writer.
+    int m_late_starts = 0;   ///< Workers that restarted before a late start.
     /// Accepted jobs with a task that crashes its workers.
     int m_crashing_jobs = 0;
     int m_given_up = 0; ///< The ones among them that are reported as failed.
--- a/unit_tests/node/soak_test.cpp
+++ b/unit_tests/node/soak_test.cpp
@@ -58,4 +58,15 @@
     }
 }
 
+TEST(soak, false_entries_of_the_worker_list_cause_no_second_run)
+{
+    scenario_options options;
+    options.m_fault_duration = span::seconds(9);
+    options.m_false_entries = true;
+    const scenario_report report = run_seed(options, 12);
+    EXPECT_GT(report.m_accepted, 40);
+    EXPECT_GT(report.m_false_entries, 3);
+    EXPECT_EQ(report.m_violations, std::vector<std::string>());
+}
+
 } // namespace kingcuprudder::soak
