Reserve the calls of a test

Cause: clang-tidy (performance-inefficient-vector-operation). Change: the vector is reserved; the test does the same. Evidence: clang-tidy on the file before the change. Result: the eight tests of simulated_minions pass.

--- a/unit_tests/node/simulated_minions_test.cpp
+++ b/unit_tests/node/simulated_minions_test.cpp
@@ -143,8 +143,10 @@
     const std::string address = entries(store).at("servers/i-0").at("address");
     minions.lose_calls(1, 1);
     // Half of the starts are dropped, the others are late by different times.
+    constexpr int starts = 40;
     std::vector<std::thread> calls;
-    for (int index = 0; index < 40; ++index)
+    calls.reserve(starts);
+    for (int index = 0; index < starts; ++index)
     {
         calls.emplace_back(
             [&address, index]
