A closed worker session reports the orders it did not send

Callers saw a task that neither ran nor was started again.

Cause: close() dropped the waiting orders, and later ones, without a result. A start that waited stayed in the phase `sent`, as only a result, a report that lists the run or the end of the lease of a silent worker moves it on. A session is closed when its worker is called at another address, which happens by turns while the worker is silent.

Change: a closed session reports each waiting and later order as not sent.

Evidence: worker_session_test.a_closed_session_reports_its_waiting_orders failed before: one result of three came.

--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -80,9 +80,9 @@
         [self = shared_from_this()]
         {
             self->m_closed = true;
-            self->m_orders.clear();
             self->m_renewal_timer = event_loop::timer();
             self->m_calls->cancel();
+            self->execute_next();
         });
 }
 
@@ -236,20 +236,21 @@
 
 void worker_session::execute_next()
 {
-    while (!m_order_in_flight && !m_orders.empty() && !m_closed)
+    while (!m_orders.empty() && (m_closed || !m_order_in_flight))
     {
         if (start_needs_clock())
         {
             consider_renewal();
         }
         const bool needs_clock = start_needs_clock();
-        if (needs_clock && m_renewal_phase == renewal_phase::in_flight)
+        if (!m_closed && needs_clock &&
+            m_renewal_phase == renewal_phase::in_flight)
         {
             return; // The answer to the renewal contains the clock.
         }
         const order next = std::move(m_orders.front());
         m_orders.pop_front();
-        if (needs_clock || !m_term->is_valid())
+        if (m_closed || needs_clock || !m_term->is_valid())
         {
             report_order(next, {dispatch::order_outcome::not_sent,
                                 dispatch::call_failure::given_up});
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -58,7 +58,8 @@
     /// Callable from one thread, like send() and close().
     void update(const dispatch::renewal_request& request);
     void send(order next);
-    /// Ends the session: drops its waiting orders and fails its calls.
+    /// Ends the session: gives up its waiting and later orders, each of which
+    /// is reported as not sent, and fails its calls.
     void close();
 
 private:
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -417,4 +417,26 @@
     m_loop.stop();
 }
 
+// Guards against a task that neither runs nor is started again.
+TEST_F(worker_session_test, a_closed_session_reports_its_waiting_orders)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    m_loop.post(
+        [&]
+        {
+            tested->send(start(0));
+            tested->send(start(1));
+            tested->close();
+            tested->send(start(2));
+        });
+    ASSERT_TRUE(eventually([&] { return finished() == 3; }));
+    m_loop.stop();
+    const dispatch::call_result given_up = {dispatch::order_outcome::not_sent,
+                                            dispatch::call_failure::given_up};
+    EXPECT_EQ(std::count(m_outcomes.begin(), m_outcomes.end(), given_up), 2);
+}
+
 } // namespace kingcuprudder::node
