A renewal after a silence acknowledges nothing

Callers saw a completed task run a second time.

Cause: a worker that restarts under its id numbers its completions anew. The first renewal to the new process acknowledged the last number of the earlier one, so the new process forgot completions that nobody had read.

Change: a renewal acknowledges completions only if the last renewal was answered, and not longer than 1 s ago. Any other acknowledges nothing and asks for an answer at once; the next one acknowledges as usual without the wait for an acknowledgement.

Evidence: worker_session_test.a_renewal_after_a_silence_acknowledges_nothing and .a_renewal_after_an_idle_time_acknowledges_nothing failed before: 4 was acknowledged where 0 is expected.

Result: the tests of worker_session, worker_clock and simulated_minions pass (21).

--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -17,6 +17,9 @@
 // The next renewal waits up to this long until the reported completions are
 // acknowledged, as the worker would otherwise report the same ones at once.
 constexpr span acknowledgement_wait = span(700);
+// A worker that has not answered for longer may have restarted. It then numbers
+// its completions anew, so the last number is no acknowledgement.
+constexpr span acknowledgement_validity = span(1000);
 // The lease that a start order grants; the next renewal extends it. A short
 // lease bounds how late an unanswered start can take effect.
 constexpr span start_lease = span(2000);
@@ -147,11 +150,13 @@
     m_renewal_timer = event_loop::timer();
     renewal_call call;
     call.m_fence = m_term->fence();
-    call.m_acknowledged = m_request.m_acknowledged;
     const instant sent = boottime_now();
-    const bool may_wait = m_last_renewal_answered && m_request.m_needed &&
-                          m_clock.is_recent(sent);
-    call.m_wait = may_wait ? renewal_wait : span(0);
+    const bool answered_recently =
+        m_last_renewal_answered &&
+        sent - m_last_answer <= acknowledgement_validity;
+    call.m_acknowledged = answered_recently ? m_request.m_acknowledged : 0;
+    call.m_wait =
+        answered_recently && m_request.m_needed ? renewal_wait : span(0);
     // A renewal after an unanswered one repeats its lease end. If each attempt
     // extended the lease of an unresponsive worker, its lease would never
     // expire and its tasks could never be assigned to another worker.
@@ -211,7 +216,8 @@
 void worker_session::apply_report(const renewal_call& call, instant sent,
                                   const dispatch::worker_report& report)
 {
-    m_clock.observe(report.m_clock, boottime_now());
+    m_last_answer = boottime_now();
+    m_clock.observe(report.m_clock, m_last_answer);
     m_last_renewal_answered = true;
     m_unanswered_lease_end.reset();
     m_last_acknowledged = std::max(m_last_acknowledged, call.m_acknowledged);
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -117,6 +117,8 @@
     /// The lease end in the last unanswered renewal.
     std::optional<std::int64_t> m_unanswered_lease_end;
     bool m_last_renewal_answered = false;
+    /// When the last answer to a renewal was received.
+    instant m_last_answer;
     renewal_phase m_renewal_phase = renewal_phase::idle;
     event_loop::timer m_renewal_timer;
     std::deque<order> m_orders;
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -439,4 +439,46 @@
     EXPECT_EQ(std::count(m_outcomes.begin(), m_outcomes.end(), given_up), 2);
 }
 
+// Guards against ends of a restarted worker that are forgotten unread, as its
+// earlier process had counted further.
+TEST_F(worker_session_test, a_renewal_after_a_silence_acknowledges_nothing)
+{
+    dispatch::worker_report with_end = report();
+    with_end.m_ended.push_back(
+        {4, "5c0e7a21d94b36f8.0.0.0", 1, dispatch::run_outcome::done, ""});
+    m_record.m_renewal_answers = {with_end,
+                                  dispatch::order_outcome::may_have_arrived,
+                                  with_end, report()};
+    const auto tested = session();
+    dispatch::renewal_request asked = request();
+    asked.m_acknowledged = 4;
+    tested->update(asked);
+    ASSERT_TRUE(eventually([&] { return m_record.renewals() >= 4; }));
+    m_loop.stop();
+    const std::vector<renewal_call>& calls = m_record.m_renewals;
+    EXPECT_EQ(calls[0].m_acknowledged, 0);
+    EXPECT_EQ(calls[1].m_acknowledged, 4);
+    EXPECT_EQ(calls[2].m_acknowledged, 0);
+    EXPECT_EQ(calls[3].m_acknowledged, 4);
+}
+
+// Guards against the same if the worker was not called meanwhile.
+TEST_F(worker_session_test, a_renewal_after_an_idle_time_acknowledges_nothing)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    dispatch::renewal_request asked = request();
+    asked.m_needed = false;
+    tested->update(asked);
+    ASSERT_TRUE(eventually([&] { return m_answered == 1; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    asked.m_acknowledged = 4;
+    tested->update(asked);
+    ASSERT_TRUE(eventually([&] { return m_answered == 3; }));
+    m_loop.stop();
+    EXPECT_EQ(m_record.m_renewals[1].m_acknowledged, 0);
+    EXPECT_EQ(m_record.m_renewals[1].m_wait, span(0));
+    EXPECT_EQ(m_record.m_renewals[2].m_acknowledged, 4);
+}
+
 } // namespace kingcuprudder::node
