--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -58,7 +58,8 @@
     /// Callable from one thread, like send() and close().
     void update(const dispatch::renewal_request& request);
     void send(order next);
-    /// Ends the session: drops its waiting orders and fails its calls.
+    /// Ends the session: gives up its waiting and later orders, each of which
+    /// is reported as not sent, and fails its calls.
     void close();
 
 private:
@@ -116,6 +117,8 @@
     /// The lease end in the last unanswered renewal.
     std::optional<std::int64_t> m_unanswered_lease_end;
     bool m_last_renewal_answered = false;
+    /// When the last answer to a renewal was received.
+    instant m_last_answer;
     renewal_phase m_renewal_phase = renewal_phase::idle;
     event_loop::timer m_renewal_timer;
     std::deque<order> m_orders;
