Keep the first reading of a worker's clock

Callers could see the first start on a worker wait up to 1.5 s behind a poll.

Cause: since leases are computed from answers only, the session forgot the clock in a worker's first answer when the dispatcher then named the incarnation that this answer had shown. Change: the first incarnation that is named keeps the reading. Evidence: worker_session_test.the_clock_of_a_new_incarnation_is_kept failed before (two renewals in place of one).

--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -94,7 +94,10 @@
     if (request.m_incarnation != m_incarnation && request.m_incarnation != 0)
     {
         m_incarnation = request.m_incarnation;
-        m_clock.reset();
+        if (request.m_incarnation != m_answering_incarnation)
+        {
+            m_clock.reset();
+        }
         m_last_acknowledged = 0;
         m_highest_completion = 0;
         m_unanswered_lease_end.reset();
@@ -217,6 +220,7 @@
                                   const dispatch::worker_report& report)
 {
     m_last_answer = boottime_now();
+    m_answering_incarnation = report.m_incarnation;
     m_clock.observe(report.m_clock, m_last_answer);
     m_last_renewal_answered = true;
     m_unanswered_lease_end.reset();
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -112,6 +112,8 @@
     /// The incarnation of the worker to which the clock and the numbers of the
     /// completions belong.
     std::int64_t m_incarnation = 0;
+    /// The incarnation in the last answer to a renewal.
+    std::int64_t m_answering_incarnation = 0;
     std::int64_t m_last_acknowledged = 0;
     std::int64_t m_highest_completion = 0;
     /// The lease end in the last unanswered renewal.
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -481,4 +481,22 @@
     EXPECT_EQ(m_record.m_renewals[2].m_acknowledged, 4);
 }
 
+// Guards against starts that wait as the clock in an answer was forgotten when
+// the dispatcher named the incarnation that this answer had shown.
+TEST_F(worker_session_test, the_clock_of_a_new_incarnation_is_kept)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    dispatch::renewal_request asked = request();
+    asked.m_incarnation = 0;
+    asked.m_needed = false;
+    tested->update(asked);
+    ASSERT_TRUE(eventually([&] { return m_answered == 1; }));
+    asked.m_incarnation = 1;
+    tested->update(asked);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    m_loop.stop();
+    EXPECT_EQ(m_record.renewals(), 1u);
+}
+
 } // namespace kingcuprudder::node
