A start that waited ends with the lease that the dispatcher counts

Callers could see a task run twice at the same time. A start waits in its worker's session behind others, up to 450 ms each; the dispatcher counts the lease from when the start is queued, the session from when it is sent. With a lease of 6 s a start behind ten unanswered ones could outlast it, with 3 s one behind three.

Cause: two instants for one lease. Change: the lease of a start ends at the latest one worker lease after it was queued; a start with less than the timeout of an order left is reported as not sent.

--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -59,22 +59,25 @@
 
 void worker_session::enqueue(const order& next)
 {
-    if (std::find(m_orders.begin(), m_orders.end(), next) != m_orders.end())
+    const bool waits_already = std::any_of(m_orders.begin(), m_orders.end(),
+                                           [&next](const waiting_order& waiting)
+                                           { return waiting.m_order == next; });
+    if (waits_already)
     {
-        return; // It waits already.
+        return;
     }
     if (const auto* stop = std::get_if<dispatch::stop_order>(&next))
     {
-        std::erase_if(m_orders,
-                      [stop](const order& waiting)
-                      {
-                          const auto* start =
-                              std::get_if<dispatch::start_order>(&waiting);
-                          return start != nullptr &&
-                                 start->m_run == stop->m_run;
-                      });
+        std::erase_if(
+            m_orders,
+            [stop](const waiting_order& waiting)
+            {
+                const auto* start =
+                    std::get_if<dispatch::start_order>(&waiting.m_order);
+                return start != nullptr && start->m_run == stop->m_run;
+            });
     }
-    m_orders.push_back(next);
+    m_orders.push_back({next, boottime_now()});
 }
 
 void worker_session::close()
@@ -116,7 +119,8 @@
 bool worker_session::start_needs_clock() const
 {
     return !m_orders.empty() &&
-           std::holds_alternative<dispatch::start_order>(m_orders.front()) &&
+           std::holds_alternative<dispatch::start_order>(
+               m_orders.front().m_order) &&
            !m_clock.is_recent(boottime_now());
 }
 
@@ -258,32 +262,41 @@
         {
             return; // The answer to the renewal contains the clock.
         }
-        const order next = std::move(m_orders.front());
+        const waiting_order next = std::move(m_orders.front());
         m_orders.pop_front();
-        if (m_closed || needs_clock || !m_term->is_valid())
+        const bool outlasts_lease =
+            std::holds_alternative<dispatch::start_order>(next.m_order) &&
+            start_lease_of(next) < order_timeout;
+        if (m_closed || needs_clock || outlasts_lease || !m_term->is_valid())
         {
-            report_order(next, {dispatch::order_outcome::not_sent,
-                                dispatch::call_failure::given_up});
+            report_order(next.m_order, {dispatch::order_outcome::not_sent,
+                                        dispatch::call_failure::given_up});
             continue;
         }
         send_order(next);
     }
 }
 
-void worker_session::send_order(const order& next)
+span worker_session::start_lease_of(const waiting_order& start) const
+{
+    const span waited = boottime_now() - start.m_queued_at;
+    return std::min(start_lease, m_worker_lease - waited);
+}
+
+void worker_session::send_order(const waiting_order& next)
 {
     m_order_in_flight = true;
-    const auto done =
-        [self = shared_from_this(), next](const order_answer& answer)
-    { self->finish_order(next, answer); };
-    if (const auto* start = std::get_if<dispatch::start_order>(&next))
+    const auto done = [self = shared_from_this(),
+                       sent = next.m_order](const order_answer& answer)
+    { self->finish_order(sent, answer); };
+    if (const auto* start = std::get_if<dispatch::start_order>(&next.m_order))
     {
         m_calls->start(*start, m_term->fence(),
-                       *m_clock.lease_end(start_lease, boottime_now()),
+                       *m_clock.lease_end(start_lease_of(next), boottime_now()),
                        order_timeout, done);
         return;
     }
-    m_calls->stop(std::get<dispatch::stop_order>(next), m_term->fence(),
+    m_calls->stop(std::get<dispatch::stop_order>(next.m_order), m_term->fence(),
                   order_timeout, done);
 }
 
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -72,6 +72,13 @@
         pausing,
     };
 
+    /// An order that waits for those before it.
+    struct waiting_order
+    {
+        order m_order;
+        instant m_queued_at;
+    };
+
     // The functions below run on the event loop's thread.
     /// Adds an order to those that wait, unless it waits already. A stop
     /// replaces the start of its run.
@@ -93,7 +100,11 @@
     /// clock waits for the answer to a renewal and is given up if there is
     /// none.
     void execute_next();
-    void send_order(const order& next);
+    void send_order(const waiting_order& next);
+    /// Returns the length of the lease that a start grants if it is sent now.
+    /// It ends with the lease that the dispatcher counts from when the start
+    /// was queued.
+    span start_lease_of(const waiting_order& start) const;
     void finish_order(const order& sent, const order_answer& answer);
     void report_order(const order& sent, const dispatch::call_result& result);
 
@@ -123,7 +134,7 @@
     instant m_last_answer;
     renewal_phase m_renewal_phase = renewal_phase::idle;
     event_loop::timer m_renewal_timer;
-    std::deque<order> m_orders;
+    std::deque<waiting_order> m_orders;
     bool m_order_in_flight = false;
     bool m_closed = false;
 };
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -26,6 +26,7 @@
     std::vector<std::int64_t> m_start_lease_ends;
     std::vector<renewal_call> m_renewals;
     std::vector<renewal_answer> m_renewal_answers;
+    span m_start_delay = span(0);
     dispatch::call_result m_start_result = dispatch::order_outcome::accepted;
 
     std::size_t renewals()
@@ -58,10 +59,11 @@
             std::lock_guard lock(m_record.m_mutex);
             m_record.m_start_lease_ends.push_back(lease_end);
         }
-        m_loop.post(
-            [done, result = m_record.m_start_result] {
-                done({result, shown_clock});
-            });
+        m_start_timer =
+            m_loop.run_after(m_record.m_start_delay,
+                             [done, result = m_record.m_start_result] {
+                                 done({result, shown_clock});
+                             });
     }
 
     void stop(const dispatch::stop_order& order, std::int64_t, span,
@@ -97,6 +99,7 @@
     event_loop& m_loop;
     recorded_calls& m_record;
     event_loop::timer m_timer;
+    event_loop::timer m_start_timer;
 };
 
 class worker_session_test : public ::testing::Test
@@ -104,7 +107,7 @@
 protected:
     ~worker_session_test() override { m_loop.stop(); }
 
-    std::shared_ptr<worker_session> session()
+    std::shared_ptr<worker_session> session(span worker_lease = span(6000))
     {
         worker_session::hooks hooks;
         hooks.m_renewal_sent = [this](const std::string&, instant)
@@ -128,7 +131,7 @@
         return std::make_shared<worker_session>(
             m_loop, "127.0.0.1:1",
             std::make_unique<recording_calls>(m_loop, m_record), m_term,
-            span(6000), hooks);
+            worker_lease, hooks);
     }
 
     void note(const dispatch::call_result& outcome)
@@ -499,4 +502,22 @@
     EXPECT_EQ(m_record.renewals(), 1u);
 }
 
+TEST_F(worker_session_test, a_start_that_waited_does_not_outlast_its_lease)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_start_delay = span(700);
+    const auto tested = session(span(1000));
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->send(start(0));
+    tested->send(start(1));
+    ASSERT_TRUE(eventually([&] { return finished() == 2; }));
+    m_loop.stop();
+    const std::vector<std::string> sent = m_record.orders();
+    EXPECT_EQ(
+        std::count(sent.begin(), sent.end(), "start 5c0e7a21d94b36f8.0.0.1"),
+        0);
+    EXPECT_LE(m_record.m_start_lease_ends.at(0), shown_clock + 1000 + 20);
+}
+
 } // namespace kingcuprudder::node
