--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -69,6 +69,10 @@
     void worker_listed(const worker_description& description, instant now);
     void worker_unlisted(const std::string& id, instant now);
 
+    /// Returns whether the worker is called at this address now. Results of
+    /// renewals at another address must not be applied.
+    bool is_called_at(const std::string& worker,
+                      const std::string& address) const;
     /// Extends the worker's lease for a renewal that was sent.
     void renewal_sent(const std::string& id, instant sent);
     /// Applies the answer to a renewal that was sent at the given time.
@@ -139,6 +143,9 @@
     /// Sets the job's policy to the current policy of its queue.
     void update_policy(job_entry& job) const;
 
+    /// Restores the recorded run of a task unless a later record shows that it
+    /// ended with its worker's process.
+    void restore_run(job_entry& job, const task_ref& ref, instant now);
     void assign(job_entry& job, const task_ref& ref, worker_entry& worker,
                 int run, instant now);
     void add_allocated(worker_entry& worker, const job_step& step);
@@ -194,12 +201,41 @@
                     const std::string& task_name, instant now);
     /// Attributes the workers that an earlier leader lost while it ended.
     void attribute_losses_of_earlier_term();
+    void attribute_earlier_loss(worker_entry& worker, const task_ref& ref,
+                                bool with_others);
     /// Discards the crashes of a task whose run lasts.
     void clear_crashes_of_lasting_run(job_entry& job, const task_ref& ref,
                                       instant now);
     void fail_job(job_entry& job, const decision_fields& cause, instant now);
-    void begin_incarnation(worker_entry& worker, std::int64_t incarnation,
-                           instant now);
+    /// Sets the address to call after the known addresses have changed.
+    static void choose_called_address(worker_entry& worker);
+    /// Calls a silent worker at the other one of its addresses, if the worker
+    /// list names another one than that at which it answered.
+    void call_other_address(worker_entry& worker, instant now);
+    /// Notes which incarnation the worker list names. A later one than the
+    /// worker's must be confirmed by an answer; until then the worker gets no
+    /// new work and keeps its runs.
+    void note_listed_incarnation(worker_entry& worker, std::int64_t listed,
+                                 instant now);
+    /// Settles, by an answer to a call that was sent at the given time, whether
+    /// the worker has restarted as the worker list says.
+    void check_listed_restart(worker_entry& worker, instant sent);
+    /// Applies the first report of the worker's new process, requested at the
+    /// given time.
+    void begin_incarnation(worker_entry& worker, const worker_report& report,
+                           instant sent, instant now);
+    /// Releases the runs that have ended with the worker's earlier process, and
+    /// records the others as runs of the new one.
+    void settle_runs_of_earlier_process(worker_entry& worker,
+                                        const worker_report& report,
+                                        instant sent, instant now);
+    /// Returns whether a run has ended with its process, if it is not in the
+    /// new process's answer to a call of the given time.
+    static bool has_ended_with_process(const active_run& run, instant sent);
+    /// Keeps a run that the new process holds. Stops one of which a start may
+    /// still reach it, so that the process refuses the start.
+    void continue_at_new_process(job_entry& job, const task_ref& ref, bool held,
+                                 instant now);
 
     /// Marks the run, and with it the job, as started.
     void mark_started(job_entry& job, active_run& run, instant now);
@@ -263,7 +299,8 @@
     std::vector<silent_worker> m_silent_workers;
     /// The last unexplained loss by the address of the worker.
     std::map<std::string, instant> m_unexplained_losses;
-    /// The runs that had ended with their worker before this term, by worker.
+    /// The runs that had ended with their worker before this term, by worker;
+    /// some of them only according to the worker list.
     std::map<std::string, std::vector<task_ref>> m_runs_lost_before_term;
     instant m_term_start;
     bool m_changed = true;
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -49,7 +49,7 @@
     {
         return;
     }
-    if (!worker.m_synced)
+    if (!worker.has_answered())
     {
         // When it was lost is not known.
         worker.m_process_ended =
@@ -58,6 +58,8 @@
     }
     worker.m_silent_since = now;
     worker.m_process_ended = result.shows_ended_process();
+    worker.m_found_replaced =
+        result.m_outcome == order_outcome::wrong_incarnation;
     std::vector<task_ref> refs;
     const bool follows_a_start = loss_of(worker, now, refs).follows_a_start();
     std::erase_if(m_silent_workers, [now](const silent_worker& each)
@@ -69,6 +71,7 @@
 void dispatcher::note_answer(worker_entry& worker)
 {
     worker.m_process_ended = false;
+    worker.m_found_replaced = false;
     worker.m_cut_off = false;
     if (worker.m_silent_since)
     {
@@ -83,7 +86,7 @@
                                 const worker_description& description)
 {
     if (!worker.m_silent_since || !worker.m_process_ended ||
-        description.m_incarnation != worker.m_description.m_incarnation ||
+        description.m_incarnation != worker.m_incarnation ||
         description.m_clock == 0 || worker.m_answer_clock == 0)
     {
         return;
@@ -133,9 +136,10 @@
     worker_loss loss;
     loss.m_silent_since = worker.m_silent_since;
     loss.m_process_ended = worker.m_process_ended;
+    loss.m_found_replaced = worker.m_found_replaced;
     loss.m_last_answer = worker.m_last_answer;
     loss.m_unreliable = is_unreliable(worker, now);
-    if (!loss.m_silent_since && worker.m_synced)
+    if (!loss.m_silent_since && worker.has_answered())
     {
         loss.m_silent_since = now; // It restarted between two renewals.
         loss.m_process_ended = true;
@@ -266,7 +270,8 @@
     const bool ended = loss.m_process_ended && !loss.m_with_others;
     for (std::size_t at = 0; at < refs.size(); ++at)
     {
-        const attributed_loss counted{refs[at], loss.suspicion_of(at), ended};
+        const attributed_loss counted{refs[at], loss.suspicion_of(at),
+                                      ended && loss.may_have_started(at)};
         const task_entry& lost = m_jobs.find_task(refs[at])->task(refs[at]);
         const decision_fields evidence =
             run_fields(loss, at, lost.m_active->m_number);
@@ -329,17 +334,35 @@
                {"silent_ms", "before this term"}});
         for (const task_ref& ref : refs)
         {
-            if (!with_others && m_jobs.find_task(ref) != nullptr)
-            {
-                attribute_crash(find_or_add_worker(id),
-                                {ref, crash_suspicion::possible, true},
-                                {{"lost", "before this term"}});
-            }
+            attribute_earlier_loss(find_or_add_worker(id), ref, with_others);
         }
     }
     m_runs_lost_before_term.clear();
 }
 
+void dispatcher::attribute_earlier_loss(worker_entry& worker,
+                                        const task_ref& ref, bool with_others)
+{
+    if (m_jobs.find_task(ref) == nullptr)
+    {
+        return;
+    }
+    // Only the worker list shows the loss of a run that is not released, so the
+    // worker's next answer may withdraw it.
+    const std::int64_t recorded =
+        m_jobs.find_task(ref)->task(ref).m_progress.m_worker_incarnation;
+    const bool unconfirmed =
+        worker.m_tasks.contains(ref) && recorded >= worker.m_incarnation;
+    worker.m_loss_attributed = worker.m_loss_attributed || unconfirmed;
+    const attributed_loss loss{ref, crash_suspicion::possible, true};
+    if (!with_others &&
+        attribute_crash(worker, loss, {{"lost", "before this term"}}) &&
+        unconfirmed)
+    {
+        worker.m_attributed.push_back(loss);
+    }
+}
+
 void dispatcher::clear_crashes_of_lasting_run(job_entry& job,
                                               const task_ref& ref, instant now)
 {
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -36,7 +36,8 @@
     active.m_start_checkpoint = task.m_progress.m_checkpoint;
     task.m_progress.m_last_run = run;
     task.m_progress.m_worker = worker.id();
-    task.m_progress.m_worker_incarnation = worker.m_description.m_incarnation;
+    task.m_progress.m_worker_incarnation = worker.m_incarnation;
+    task.m_progress.m_worker_address = worker.m_answered_address;
     m_jobs.mark_changed(job);
     active.m_required_version = job.m_version;
     task.m_active = active;
@@ -118,6 +119,7 @@
     task.m_active.reset();
     task.m_waiting_since = now;
     task.m_progress.m_worker.clear();
+    task.m_progress.m_worker_address.clear();
     m_jobs.mark_changed(job);
     if (reason != completion_reported) // Logged with the completion.
     {
@@ -125,6 +127,11 @@
               {{"run", number(active.m_number)},
                {"worker", active.m_worker},
                {"reason", reason},
+               {"phase", std::string(to_string(active.m_phase))},
+               {"sends", number(active.m_send_count)},
+               {"unanswered_sends", number(active.m_unanswered_sends)},
+               {"worker_started", number(worker.m_incarnation)},
+               {"lease_left_ms", number((worker.m_lease_end - now).count())},
                {"held_ms", number((now - active.m_assigned_at).count())}});
     }
     if (job.step(ref).m_gang && !task.m_progress.m_done)
@@ -199,6 +206,10 @@
     }
     active_run& active = *job->task(ref).m_active;
     worker_entry& worker = find_or_add_worker(order.m_worker);
+    if (outcome != order_outcome::may_have_arrived)
+    {
+        --active.m_unanswered_sends;
+    }
     switch (outcome)
     {
     case order_outcome::accepted:
@@ -263,7 +274,10 @@
         return;
     }
     active_run& active = *job->task(order.m_run.m_task).m_active;
+    const std::int64_t incarnation =
+        find_or_add_worker(order.m_worker).m_incarnation;
     if (active.m_worker == order.m_worker &&
+        order.m_incarnation == incarnation &&
         active.m_number == order.m_run.m_run &&
         active.m_phase == run_phase::stopping &&
         outcome == order_outcome::accepted && !active.m_listed_from)
@@ -313,7 +327,8 @@
                 due(active.m_stop_sent_at))
             {
                 active.m_stop_sent_at = now;
-                effects.m_stops.push_back({id, {ref, active.m_number}});
+                effects.m_stops.push_back(
+                    {id, {ref, active.m_number}, worker.m_incarnation});
             }
         }
     }
@@ -322,7 +337,9 @@
         if (due(sent))
         {
             sent = now;
-            effects.m_stops.push_back({run.first, run.second});
+            effects.m_stops.push_back(
+                {run.first, run.second,
+                 find_or_add_worker(run.first).m_incarnation});
         }
     }
 }
@@ -403,6 +420,10 @@
 {
     active_run& active = *job.task(ref).m_active;
     worker_entry& worker = find_or_add_worker(active.m_worker);
+    if (!worker.is_called_where_it_answered())
+    {
+        return false;
+    }
     if (active.m_phase == run_phase::assigned)
     {
         if (job.m_stored_version < active.m_required_version ||
@@ -424,6 +445,7 @@
         note_start(worker, job.task(ref), ref.str(), now);
     }
     ++active.m_send_count;
+    ++active.m_unanswered_sends;
     worker.m_lease_end = std::max(worker.m_lease_end, lease_end(now));
     effects.m_starts.push_back({worker.id(),
                                 {ref, active.m_number},
@@ -440,12 +462,10 @@
     {
         return request;
     }
-    request.m_address = worker.m_description.m_address;
-    request.m_incarnation = worker.m_description.m_incarnation;
+    request.m_address = worker.m_called_address;
+    request.m_incarnation = worker.m_incarnation;
     request.m_acknowledged = worker.m_acknowledged;
     request.m_awaits_store = !worker.m_unstored_completions.empty();
-    request.m_clock = worker.m_description.m_clock;
-    request.m_clock_read_at = worker.m_last_heartbeat;
     request.m_needed =
         (worker.m_listed && (!worker.m_synced || !worker.m_reachable)) ||
         !worker.m_tasks.empty() || request.m_awaits_store;
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -22,20 +22,25 @@
                                   instant now)
 {
     worker_entry& worker = find_or_add_worker(id);
-    if (report.m_incarnation != 0 && worker.m_description.m_incarnation != 0 &&
-        report.m_incarnation < worker.m_description.m_incarnation)
+    // Answers may overtake each other. A call that was sent after the last
+    // answer was answered by the present process, though its start time may be
+    // lower than before, as clocks are set back.
+    if (report.m_incarnation != 0 &&
+        report.m_incarnation < worker.m_incarnation &&
+        sent <= worker.m_last_answer)
     {
         return; // An answer of an earlier incarnation.
     }
-    if (report.m_incarnation != worker.m_description.m_incarnation &&
+    if (report.m_incarnation != worker.m_incarnation &&
         report.m_incarnation != 0)
     {
-        if (worker.m_description.m_incarnation != 0)
+        if (worker.m_incarnation != 0)
         {
-            begin_incarnation(worker, report.m_incarnation, now);
+            begin_incarnation(worker, report, sent, now);
         }
-        worker.m_description.m_incarnation = report.m_incarnation;
+        worker.m_incarnation = report.m_incarnation;
     }
+    check_listed_restart(worker, sent);
     if (!worker.m_reachable || !worker.m_synced)
     {
         m_log("worker_answers", id,
@@ -50,6 +55,7 @@
     }
     mark_renewal(id);
     worker.m_reachable = true;
+    worker.m_answered_address = worker.m_called_address;
     worker.m_last_answer = now;
     worker.m_answer_clock = report.m_clock;
     note_answer(worker);
@@ -63,7 +69,7 @@
     }
     release_unlisted_runs(worker, report, sent, now);
     stop_slow_runs(worker, now);
-    worker.m_synced = true;
+    worker.m_synced = !worker.m_restart_listed_at;
     worker.m_replaced = false;
     advance_acknowledged(worker);
 }
@@ -85,35 +91,45 @@
     worker.m_reachable = false;
     mark_renewal(id);
     if (result.m_outcome == order_outcome::wrong_incarnation &&
-        !worker.m_replaced)
+        worker.is_called_where_it_answered() && !worker.m_replaced)
     {
         worker.m_replaced = true;
         m_log("worker_replaced", id,
-              {{"address", worker.m_description.m_address},
+              {{"address", worker.m_called_address},
                {"last_answer_age_ms",
                 number((now - worker.m_last_answer).count())}});
         // Its process is gone, and so are its runs, whatever is left of the
         // lease.
         lose_worker_runs(worker, "worker replaced", now);
     }
+    call_other_address(worker, now);
 }
 
 void dispatcher::begin_incarnation(worker_entry& worker,
-                                   std::int64_t incarnation, instant now)
+                                   const worker_report& report, instant sent,
+                                   instant now)
 {
-    m_log("worker_restarted", worker.id(),
-          {{"started_before", number(worker.m_description.m_incarnation)},
-           {"started", number(incarnation)}});
+    m_log(
+        "worker_restarted", worker.id(),
+        {{"started_before", number(worker.m_incarnation)},
+         {"started", number(report.m_incarnation)},
+         {"address", worker.m_called_address},
+         {"last_answer_age_ms", number((now - worker.m_last_answer).count())},
+         {"tasks", number(static_cast<std::int64_t>(worker.m_tasks.size()))}});
     m_changed = true;
     mark_renewal(worker.id());
     if (!worker.m_silent_since)
     {
         worker.m_process_ended = true; // No call has shown how it was lost.
     }
-    lose_worker_runs(worker, "worker restarted", now);
+    attribute_loss(worker, now);
+    worker.m_incarnation = report.m_incarnation;
+    worker.m_answered_address = worker.m_called_address;
+    settle_runs_of_earlier_process(worker, report, sent, now);
     worker.m_attributed.clear();
     worker.m_silent_since.reset();
     worker.m_process_ended = false;
+    worker.m_found_replaced = false;
     worker.m_cut_off = false;
     worker.m_loss_attributed = false;
     worker.m_last_start_at = instant();
@@ -124,7 +140,6 @@
     worker.m_unstored_completions.clear();
     worker.m_failed_jobs.clear();
     worker.m_quarantined_until = instant();
-    worker.m_description.m_incarnation = incarnation;
     for (auto each = m_unrecorded_runs.begin();
          each != m_unrecorded_runs.end();)
     {
@@ -133,6 +148,84 @@
     }
 }
 
+void dispatcher::settle_runs_of_earlier_process(worker_entry& worker,
+                                                const worker_report& report,
+                                                instant sent, instant now)
+{
+    const std::set<task_ref> tasks = worker.m_tasks;
+    for (const task_ref& ref : tasks)
+    {
+        job_entry& job = *m_jobs.find_task(ref);
+        if (!job.task(ref).m_active ||
+            job.task(ref).m_active->m_worker != worker.id())
+        {
+            continue; // Released with its gang.
+        }
+        const active_run& active = *job.task(ref).m_active;
+        const bool held = report.find(ref.str(), active.m_number) != nullptr;
+        if (!held && has_ended_with_process(active, sent))
+        {
+            release_run(job, ref, "worker restarted", now);
+            continue;
+        }
+        task_progress& recorded = job.task(ref).m_progress;
+        recorded.m_worker_incarnation = worker.m_incarnation;
+        recorded.m_worker_address = worker.m_answered_address;
+        m_jobs.mark_changed(job);
+        if (held || active.m_unanswered_sends > 0)
+        {
+            continue_at_new_process(job, ref, held, now);
+        }
+    }
+}
+
+bool dispatcher::has_ended_with_process(const active_run& run, instant sent)
+{
+    // Orders name the worker only, so its new process executes a start that was
+    // meant for the one before. An answer to a call that was sent before the
+    // start was confirmed does not show whether it has done so.
+    return run.m_unanswered_sends == 0 &&
+           (!run.m_listed_from || *run.m_listed_from < sent);
+}
+
+void dispatcher::continue_at_new_process(job_entry& job, const task_ref& ref,
+                                         bool held, instant now)
+{
+    if (!held)
+    {
+        begin_stopping(job, ref, "worker restarted", now);
+    }
+    active_run& active = *job.task(ref).m_active;
+    // What the earlier process has answered does not hold for the new one.
+    active.m_stop_sent_at.reset();
+    active.m_listed_from.reset();
+    if (held && active.m_phase != run_phase::stopping)
+    {
+        active.m_listed_from = now;
+    }
+}
+
+void dispatcher::check_listed_restart(worker_entry& worker, instant sent)
+{
+    const std::int64_t listed = worker.m_description.m_incarnation;
+    if (!worker.m_restart_listed_at)
+    {
+        return;
+    }
+    if (listed <= worker.m_incarnation)
+    {
+        worker.m_restart_listed_at.reset();
+    }
+    else if (*worker.m_restart_listed_at < sent)
+    {
+        worker.m_refuted_incarnation = listed;
+        worker.m_restart_listed_at.reset();
+        m_log("listed_restart_refuted", worker.id(),
+              {{"started", number(worker.m_incarnation)},
+               {"listed", number(listed)}});
+    }
+}
+
 void dispatcher::release_worker_runs(worker_entry& worker,
                                      const std::string& reason, instant now)
 {
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -38,6 +38,9 @@
 {
     std::string m_worker;
     run_ref m_run;
+    /// The worker's incarnation when the order was made. An earlier process's
+    /// answer says nothing about the run at the present one.
+    std::int64_t m_incarnation = 0;
 
     friend bool operator==(const stop_order&, const stop_order&) = default;
 };
@@ -96,10 +99,6 @@
     std::int64_t m_acknowledged = 0;
     /// Completions that the worker reported are not stored yet.
     bool m_awaits_store = false;
-    /// The worker's clock in its last description, and the local time at which
-    /// that description was read.
-    std::int64_t m_clock = 0;
-    instant m_clock_read_at;
 
     friend bool operator==(const renewal_request&,
                            const renewal_request&) = default;
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -29,7 +29,25 @@
 /// The last reported state of a worker and its allocated runs.
 struct worker_entry
 {
+    /// The worker's entry in the platform's worker list. Other programs can
+    /// write there, so it is no evidence that a run has ended.
     worker_description m_description;
+    /// The incarnation that answered last or, before the first answer, the
+    /// newest one in the stored records; 0 if unknown.
+    std::int64_t m_incarnation = 0;
+    /// When the worker list first named a later incarnation, which no answer
+    /// has confirmed or refuted yet.
+    std::optional<instant> m_restart_listed_at;
+    /// A later incarnation in the worker list that an answer has refuted.
+    std::int64_t m_refuted_incarnation = 0;
+    /// The address at which the worker answered last, to this leader or to the
+    /// one that recorded its runs; empty if neither is known.
+    std::string m_answered_address;
+    /// The address to call: the above, or the listed one if the worker is
+    /// silent there.
+    std::string m_called_address;
+    /// When m_called_address was last exchanged for the other one.
+    instant m_address_tried_at;
     /// The worker is in the platform's worker list.
     bool m_listed = false;
     /// The current incarnation has answered a renewal of this term.
@@ -42,6 +60,9 @@
     std::optional<instant> m_silent_since;
     /// The renewal failed as the worker's process had ended.
     bool m_process_ended = false;
+    /// The first renewal without an answer reached another process, so this one
+    /// may have ended at any time since its last answer.
+    bool m_found_replaced = false;
     /// The worker does not answer, but has written its description since.
     bool m_cut_off = false;
     /// The worker's clock in its last answer, in milliseconds.
@@ -56,8 +77,6 @@
     /// No other run is started before this time, so that a crash of the worker
     /// can be attributed to the suspected task that was started.
     instant m_trial_until;
-    /// The time at which the last description was read.
-    instant m_last_heartbeat;
     /// All runs on the worker have ended by this time unless a later renewal or
     /// start reached it.
     instant m_lease_end;
@@ -83,11 +102,19 @@
     instant m_last_failure;
     /// The worker gets no new work before this time.
     instant m_quarantined_until;
-    /// Since the worker's last answer, another incarnation has answered at its
-    /// address.
+    /// Since the worker's last answer, another process has answered at the
+    /// address where it had answered.
     bool m_replaced = false;
 
     const std::string& id() const { return m_description.m_id; }
+    /// Returns whether the worker has answered this leader.
+    bool has_answered() const { return m_last_answer != instant(); }
+    /// Returns whether the worker is called at the address where it answered
+    /// last. Another address is only polled.
+    bool is_called_where_it_answered() const
+    {
+        return m_called_address == m_answered_address;
+    }
     /// Returns the resources for new assignments. Runs that are being stopped
     /// count as free.
     resources plannable_capacity() const
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -263,41 +263,70 @@
     {
         session = make_session(request);
     }
+    if (!session)
+    {
+        m_sessions.erase(request.m_worker);
+        return;
+    }
     session->update(request);
 }
 
 std::shared_ptr<worker_session>
 scheduler::make_session(const dispatch::renewal_request& request)
 {
-    return std::make_shared<worker_session>(
-        m_worker_loop, request.m_address,
-        m_environment.m_worker_calls(
-            m_worker_loop, request.m_worker, request.m_address,
-            [current = m_term] { return current->is_valid(); }),
-        m_term, m_environment.m_limits.m_worker_lease, session_hooks());
+    try
+    {
+        return std::make_shared<worker_session>(
+            m_worker_loop, request.m_address,
+            m_environment.m_worker_calls(
+                m_worker_loop, request.m_worker, request.m_address,
+                [current = m_term] { return current->is_valid(); }),
+            m_term, m_environment.m_limits.m_worker_lease,
+            session_hooks(request.m_address));
+    }
+    catch (const std::exception& error)
+    {
+        // Records that other programs write hold the address. One that cannot
+        // be used must not end the calls to all other workers.
+        m_environment.m_log.write(
+            "scheduler", "worker_address_not_used", request.m_worker,
+            {{"address", request.m_address}, {"error", error.what()}});
+        return nullptr;
+    }
 }
 
-worker_session::hooks scheduler::session_hooks()
+worker_session::hooks scheduler::session_hooks(const std::string& address)
 {
     worker_session::hooks hooks;
     hooks.m_renewal_sent = [this](const std::string& worker, instant sent) {
         post([this, worker, sent] { m_dispatcher.renewal_sent(worker, sent); });
     };
-    hooks.m_renewal_answered = [this](const std::string& worker,
-                                      const dispatch::worker_report& report,
-                                      instant sent)
+    hooks.m_renewal_answered =
+        [this, address](const std::string& worker,
+                        const dispatch::worker_report& report, instant sent)
     {
         post(
-            [this, worker, report, sent] {
-                m_dispatcher.renewal_answered(worker, report, sent,
-                                              boottime_now());
+            [this, address, worker, report, sent]
+            {
+                if (m_dispatcher.is_called_at(worker, address))
+                {
+                    m_dispatcher.renewal_answered(worker, report, sent,
+                                                  boottime_now());
+                }
             });
     };
     hooks.m_renewal_failed =
-        [this](const std::string& worker, const dispatch::call_result& result)
+        [this, address](const std::string& worker,
+                        const dispatch::call_result& result)
     {
-        post([this, worker, result]
-             { m_dispatcher.renewal_failed(worker, result, boottime_now()); });
+        post(
+            [this, address, worker, result]
+            {
+                if (m_dispatcher.is_called_at(worker, address))
+                {
+                    m_dispatcher.renewal_failed(worker, result, boottime_now());
+                }
+            });
     };
     hooks.m_start_finished = [this](const dispatch::start_order& order,
                                     const dispatch::call_result& result)
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -17,6 +17,9 @@
 // The next renewal waits up to this long until the reported completions are
 // acknowledged, as the worker would otherwise report the same ones at once.
 constexpr span acknowledgement_wait = span(700);
+// A worker that has not answered for longer may have restarted. It then numbers
+// its completions anew, so the last number is no acknowledgement.
+constexpr span acknowledgement_validity = span(1000);
 // The lease that a start order grants; the next renewal extends it. A short
 // lease bounds how late an unanswered start can take effect.
 constexpr span start_lease = span(2000);
@@ -56,22 +59,25 @@
 
 void worker_session::enqueue(const order& next)
 {
-    if (std::find(m_orders.begin(), m_orders.end(), next) != m_orders.end())
+    const bool waits_already = std::any_of(m_orders.begin(), m_orders.end(),
+                                           [&next](const waiting_order& waiting)
+                                           { return waiting.m_order == next; });
+    if (waits_already)
     {
-        return; // It waits already.
+        return;
     }
     if (const auto* stop = std::get_if<dispatch::stop_order>(&next))
     {
-        std::erase_if(m_orders,
-                      [stop](const order& waiting)
-                      {
-                          const auto* start =
-                              std::get_if<dispatch::start_order>(&waiting);
-                          return start != nullptr &&
-                                 start->m_run == stop->m_run;
-                      });
+        std::erase_if(
+            m_orders,
+            [stop](const waiting_order& waiting)
+            {
+                const auto* start =
+                    std::get_if<dispatch::start_order>(&waiting.m_order);
+                return start != nullptr && start->m_run == stop->m_run;
+            });
     }
-    m_orders.push_back(next);
+    m_orders.push_back({next, boottime_now()});
 }
 
 void worker_session::close()
@@ -80,9 +86,9 @@
         [self = shared_from_this()]
         {
             self->m_closed = true;
-            self->m_orders.clear();
             self->m_renewal_timer = event_loop::timer();
             self->m_calls->cancel();
+            self->execute_next();
         });
 }
 
@@ -91,23 +97,31 @@
     if (request.m_incarnation != m_incarnation && request.m_incarnation != 0)
     {
         m_incarnation = request.m_incarnation;
-        m_clock.reset();
+        if (request.m_incarnation != m_answering_incarnation)
+        {
+            m_clock.reset();
+        }
         m_last_acknowledged = 0;
         m_highest_completion = 0;
         m_unanswered_lease_end.reset();
     }
     m_request = request;
-    if (request.m_clock != 0 &&
-        (!m_clock || m_clock->m_read_at < request.m_clock_read_at))
-    {
-        m_clock = clock_reading{request.m_clock, request.m_clock_read_at};
-    }
     consider_renewal();
 }
 
 bool worker_session::is_renewal_due() const
 {
-    return m_request.m_needed || m_request.m_acknowledged > m_last_acknowledged;
+    return m_request.m_needed ||
+           m_request.m_acknowledged > m_last_acknowledged ||
+           !m_clock.is_known() || start_needs_clock();
+}
+
+bool worker_session::start_needs_clock() const
+{
+    return !m_orders.empty() &&
+           std::holds_alternative<dispatch::start_order>(
+               m_orders.front().m_order) &&
+           !m_clock.is_recent(boottime_now());
 }
 
 void worker_session::consider_renewal()
@@ -119,7 +133,7 @@
     {
         return;
     }
-    if (m_request.m_acknowledged >= m_highest_completion)
+    if (m_request.m_acknowledged >= m_highest_completion || start_needs_clock())
     {
         renew();
     }
@@ -143,16 +157,19 @@
     m_renewal_timer = event_loop::timer();
     renewal_call call;
     call.m_fence = m_term->fence();
-    call.m_acknowledged = m_request.m_acknowledged;
+    const instant sent = boottime_now();
+    const bool answered_recently =
+        m_last_renewal_answered &&
+        sent - m_last_answer <= acknowledgement_validity;
+    call.m_acknowledged = answered_recently ? m_request.m_acknowledged : 0;
     call.m_wait =
-        m_last_renewal_answered && m_request.m_needed ? renewal_wait : span(0);
+        answered_recently && m_request.m_needed ? renewal_wait : span(0);
     // A renewal after an unanswered one repeats its lease end. If each attempt
     // extended the lease of an unresponsive worker, its lease would never
     // expire and its tasks could never be assigned to another worker.
     const bool repeats = m_unanswered_lease_end.has_value();
-    call.m_lease_end_clock =
-        repeats ? m_unanswered_lease_end : lease_end_clock(m_worker_lease);
-    const instant sent = boottime_now();
+    call.m_lease_end_clock = repeats ? m_unanswered_lease_end
+                                     : m_clock.lease_end(m_worker_lease, sent);
     if (!repeats && call.m_lease_end_clock)
     {
         m_hooks.m_renewal_sent(m_request.m_worker, sent);
@@ -174,7 +191,7 @@
     if (const auto* report = std::get_if<dispatch::worker_report>(&answer))
     {
         apply_report(call, sent, *report);
-        consider_renewal();
+        continue_after_report();
         return;
     }
     const auto& result = std::get<dispatch::call_result>(answer);
@@ -187,12 +204,28 @@
     m_unanswered_lease_end = call.m_lease_end_clock;
     m_hooks.m_renewal_failed(m_request.m_worker, result);
     pause_renewals();
+    execute_next();
+}
+
+void worker_session::continue_after_report()
+{
+    if (m_clock.is_known())
+    {
+        consider_renewal();
+    }
+    else
+    {
+        pause_renewals();
+    }
+    execute_next();
 }
 
 void worker_session::apply_report(const renewal_call& call, instant sent,
                                   const dispatch::worker_report& report)
 {
-    update_clock(report.m_clock, boottime_now());
+    m_last_answer = boottime_now();
+    m_answering_incarnation = report.m_incarnation;
+    m_clock.observe(report.m_clock, m_last_answer);
     m_last_renewal_answered = true;
     m_unanswered_lease_end.reset();
     m_last_acknowledged = std::max(m_last_acknowledged, call.m_acknowledged);
@@ -217,42 +250,62 @@
 
 void worker_session::execute_next()
 {
-    while (!m_order_in_flight && !m_orders.empty() && !m_closed)
+    while (!m_orders.empty() && (m_closed || !m_order_in_flight))
     {
-        const order next = std::move(m_orders.front());
-        m_orders.pop_front();
-        const auto* start = std::get_if<dispatch::start_order>(&next);
-        const std::optional<std::int64_t> lease_end =
-            lease_end_clock(start_lease);
-        if (!m_term->is_valid() || (start != nullptr && !lease_end))
+        if (start_needs_clock())
         {
-            report_order(next, {dispatch::order_outcome::not_sent,
-                                dispatch::call_failure::given_up});
-            continue;
+            consider_renewal();
         }
-        m_order_in_flight = true;
-        const auto done =
-            [self = shared_from_this(), next](const order_answer& answer)
-        { self->finish_order(next, answer); };
-        if (start != nullptr)
+        const bool needs_clock = start_needs_clock();
+        if (!m_closed && needs_clock &&
+            m_renewal_phase == renewal_phase::in_flight)
         {
-            m_calls->start(*start, m_term->fence(), *lease_end, order_timeout,
-                           done);
+            return; // The answer to the renewal contains the clock.
         }
-        else
+        const waiting_order next = std::move(m_orders.front());
+        m_orders.pop_front();
+        const bool outlasts_lease =
+            std::holds_alternative<dispatch::start_order>(next.m_order) &&
+            start_lease_of(next) < order_timeout;
+        if (m_closed || needs_clock || outlasts_lease || !m_term->is_valid())
         {
-            m_calls->stop(std::get<dispatch::stop_order>(next), m_term->fence(),
-                          order_timeout, done);
+            report_order(next.m_order, {dispatch::order_outcome::not_sent,
+                                        dispatch::call_failure::given_up});
+            continue;
         }
+        send_order(next);
     }
 }
 
+span worker_session::start_lease_of(const waiting_order& start) const
+{
+    const span waited = boottime_now() - start.m_queued_at;
+    return std::min(start_lease, m_worker_lease - waited);
+}
+
+void worker_session::send_order(const waiting_order& next)
+{
+    m_order_in_flight = true;
+    const auto done = [self = shared_from_this(),
+                       sent = next.m_order](const order_answer& answer)
+    { self->finish_order(sent, answer); };
+    if (const auto* start = std::get_if<dispatch::start_order>(&next.m_order))
+    {
+        m_calls->start(*start, m_term->fence(),
+                       *m_clock.lease_end(start_lease_of(next), boottime_now()),
+                       order_timeout, done);
+        return;
+    }
+    m_calls->stop(std::get<dispatch::stop_order>(next.m_order), m_term->fence(),
+                  order_timeout, done);
+}
+
 void worker_session::finish_order(const order& sent, const order_answer& answer)
 {
     m_order_in_flight = false;
     if (answer.m_clock)
     {
-        update_clock(*answer.m_clock, boottime_now());
+        m_clock.observe(*answer.m_clock, boottime_now());
     }
     report_order(sent, answer.m_result);
     execute_next();
@@ -270,22 +323,4 @@
                             result.m_outcome);
 }
 
-std::optional<std::int64_t> worker_session::lease_end_clock(span length) const
-{
-    if (!m_clock)
-    {
-        return std::nullopt;
-    }
-    const span elapsed = boottime_now() - m_clock->m_read_at;
-    return m_clock->m_clock + elapsed.count() + length.count();
-}
-
-void worker_session::update_clock(std::int64_t clock, instant read_at)
-{
-    if (clock != 0)
-    {
-        m_clock = clock_reading{clock, read_at};
-    }
-}
-
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -4,6 +4,7 @@
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/node/leadership.hpp>
 #include <kingcuprudder/node/worker_calls.hpp>
+#include <kingcuprudder/node/worker_clock.hpp>
 #include <kingcuprudder/runtime/event_loop.hpp>
 
 #include <cstdint>
@@ -57,7 +58,8 @@
     /// Callable from one thread, like send() and close().
     void update(const dispatch::renewal_request& request);
     void send(order next);
-    /// Ends the session: drops its waiting orders and fails its calls.
+    /// Ends the session: gives up its waiting and later orders, each of which
+    /// is reported as not sent, and fails its calls.
     void close();
 
 private:
@@ -70,11 +72,11 @@
         pausing,
     };
 
-    /// A reading of the worker's clock and the local time when it was read.
-    struct clock_reading
+    /// An order that waits for those before it.
+    struct waiting_order
     {
-        std::int64_t m_clock = 0;
-        instant m_read_at;
+        order m_order;
+        instant m_queued_at;
     };
 
     // The functions below run on the event loop's thread.
@@ -83,20 +85,28 @@
     void enqueue(const order& next);
     void apply_update(const dispatch::renewal_request& request);
     bool is_renewal_due() const;
+    /// Returns whether the next order is a start whose lease end cannot be
+    /// computed from a recent reading of the worker's clock.
+    bool start_needs_clock() const;
     void consider_renewal();
     void renew();
     void finish_renewal(const renewal_call& call, instant sent,
                         const renewal_answer& answer);
     void apply_report(const renewal_call& call, instant sent,
                       const dispatch::worker_report& report);
+    void continue_after_report();
     void pause_renewals();
+    /// Sends the next order. A start without a recent reading of the worker's
+    /// clock waits for the answer to a renewal and is given up if there is
+    /// none.
     void execute_next();
+    void send_order(const waiting_order& next);
+    /// Returns the length of the lease that a start grants if it is sent now.
+    /// It ends with the lease that the dispatcher counts from when the start
+    /// was queued.
+    span start_lease_of(const waiting_order& start) const;
     void finish_order(const order& sent, const order_answer& answer);
     void report_order(const order& sent, const dispatch::call_result& result);
-    /// Returns the end of a lease of this length from now, on the worker's
-    /// clock; nothing before the first reading of that clock.
-    std::optional<std::int64_t> lease_end_clock(span length) const;
-    void update_clock(std::int64_t clock, instant read_at);
 
     event_loop& m_loop;
     std::string m_address;
@@ -109,18 +119,22 @@
 
     // The members below are used on the event loop's thread only.
     dispatch::renewal_request m_request;
-    std::optional<clock_reading> m_clock;
+    worker_clock m_clock;
     /// The incarnation of the worker to which the clock and the numbers of the
     /// completions belong.
     std::int64_t m_incarnation = 0;
+    /// The incarnation in the last answer to a renewal.
+    std::int64_t m_answering_incarnation = 0;
     std::int64_t m_last_acknowledged = 0;
     std::int64_t m_highest_completion = 0;
     /// The lease end in the last unanswered renewal.
     std::optional<std::int64_t> m_unanswered_lease_end;
     bool m_last_renewal_answered = false;
+    /// When the last answer to a renewal was received.
+    instant m_last_answer;
     renewal_phase m_renewal_phase = renewal_phase::idle;
     event_loop::timer m_renewal_timer;
-    std::deque<order> m_orders;
+    std::deque<waiting_order> m_orders;
     bool m_order_in_flight = false;
     bool m_closed = false;
 };
