--- a/review/stand_ins/lab.py
+++ b/review/stand_ins/lab.py
@@ -29,9 +29,16 @@
 
 
 def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % probe.getsockname()[1]
+    """Returns an address whose port is free, below the ports that systems use
+    for outgoing connections, so that it is still free after a restart."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return "127.0.0.1:%d" % port
 
 
 class Lab:
@@ -69,7 +76,7 @@
             env={"PATH": os.environ.get("PATH", ""),
                  "KINGCUPRUDDER_BOOT": path})
         self.processes.append(process)
-        self.nodes.append((process, caller, ready, name))
+        self.nodes[index:index + 1] = [(process, caller, ready, name)]
 
     def start_minion(self, name, rack, address=None, listen=None):
         """Starts a minion; `listen` is where it listens if `address` is that of
@@ -107,9 +114,15 @@
             self.start_minion(name, rack)
         for index in range(nodes):
             self.start_node(index)
-        end = time.monotonic() + 20
+        end = time.monotonic() + 25
         while time.monotonic() < end:
             time.sleep(0.2)
+            for index in range(nodes):
+                if self.nodes[index][0].poll() is not None:
+                    self.start_node(index)  # another took its port meanwhile
+            for name, (process, _, rack) in list(self.minions.items()):
+                if process.poll() is not None and name in minions:
+                    self.start_minion(name, rack)
             listed = sum(1 for k in self.store.items
                          if k.startswith("servers/"))
             if (listed == len(self.minions) and "kcr/leader" in self.store.items
--- a/review/stand_ins/minion.py
+++ b/review/stand_ins/minion.py
@@ -18,7 +18,6 @@
 from store import JsonHandler, Server
 
 MAX_HOLD_MS = 6000
-STOP_S = 0.05
 STARTUP_S = 0.3
 GANG_WAIT_S = 3.0
 GANG_CALL_S = 0.2
@@ -36,7 +35,7 @@
         self.changed = threading.Condition()
         self.fence = 0
         self.lease_end = 0
-        self.running = {}  # task: {"run", "started", "ends", "stops"}
+        self.running = {}  # task: {"run", "started", "began", "ends", ...}
         self.ended = []  # [number, task, run, how, saved]
         self.last_number = 0
         self.highest_over = {}  # task: highest run that was stopped or ended
@@ -61,9 +60,7 @@
                     for task in list(self.running):
                         self._end(task, "lapsed")
                 for task, run in list(self.running.items()):
-                    if run["stops"] is not None and run["stops"] <= now:
-                        self._end(task, "stopped")
-                    elif run["ends"] is not None and run["ends"] <= now:
+                    if run["ends"] is not None and run["ends"] <= now:
                         self._end(task, "done")
 
     def _watch_gangs(self):
@@ -144,7 +141,7 @@
                 return 409, self._said(reason="old")
             spec = json.loads(order["spec"])
             run = {"run": number, "started": time.monotonic(), "began": None,
-                   "ends": None, "stops": None, "gang": spec.get("gang", 0),
+                   "ends": None, "gang": spec.get("gang", 0),
                    "work_ms": spec.get("work_ms")}
             self.running[task] = run
             if not run["gang"]:
@@ -158,8 +155,7 @@
                 return 409, self._said(reason="fence")
             present = self.running.get(order["task"])
             if present and present["run"] == order["run"]:
-                if present["stops"] is None:
-                    present["stops"] = time.monotonic() + STOP_S
+                self._end(order["task"], "stopped")
             else:
                 self._is_over(order["task"], order["run"])
             return 200, self._said()
