--- a/review/stand_ins/lab.py
+++ b/review/stand_ins/lab.py
@@ -46,7 +46,6 @@
         self.record_path = os.path.join(folder, "record.txt")
         open(self.record_path, "w").close()
         self.record_file = open(self.record_path, "ab", buffering=0)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.temporary = tempfile.mkdtemp(prefix="kcr-review-")
         self.store = Store()
         self.store_address = serve(self.store)
