The leader record names the lease that holds it

Callers: two processes lead at the same time, and both act on the workers. Cause: all attempts of a process to become the leader write the same value. If the write of one attempt is applied late and that of the next one is lost, the process takes the record of the first for its own, renews the lease of the second, and its record ends with the lease of the first. Evidence: a_late_write_of_an_earlier_attempt_makes_no_two_leaders fails without the change (two valid terms at once) and passes with it. Change: the value holds the lease's id, so a record of another attempt is that of a predecessor, which the process replaces.

--- a/kingcuprudder/node/leadership.cpp
+++ b/kingcuprudder/node/leadership.cpp
@@ -78,6 +78,7 @@
 {
     return nlohmann::json{{"node", m_node},
                           {"process", m_process},
+                          {"lease", m_lease},
                           {"processor_share", m_processor_share}}
         .dump();
 }
--- a/unit_tests/node/leadership_test.cpp
+++ b/unit_tests/node/leadership_test.cpp
@@ -1,3 +1,4 @@
+#include "forwarding_store.hpp"
 #include "node_fixture.hpp"
 #include <kingcuprudder/node/leadership.hpp>
 #include <kingcuprudder/node/record_keys.hpp>
@@ -53,6 +54,36 @@
     std::unique_ptr<leadership> m_leadership;
 };
 
+/// Answers the first two writes and all ends of leases not at all. Applies the
+/// first write in place of the second one.
+class late_write_store final : public forwarding_store
+{
+public:
+    using forwarding_store::forwarding_store;
+
+    store_result<commit_answer> commit(const store_transaction& transaction,
+                                       span timeout) override
+    {
+        ++m_commits;
+        if (m_commits == 1)
+        {
+            m_late = transaction;
+            return store_failure::unknown;
+        }
+        if (m_commits == 2)
+        {
+            forwarding_store::commit(m_late, timeout);
+            return store_failure::unknown;
+        }
+        return forwarding_store::commit(transaction, timeout);
+    }
+    void revoke_lease(std::int64_t, span) override {}
+
+private:
+    int m_commits = 0;
+    store_transaction m_late;
+};
+
 class leadership_test : public node_fixture
 {
 };
@@ -137,6 +168,23 @@
     EXPECT_TRUE(eventually([&] { return first.is_leader(); }));
 }
 
+// Guards against a leader whose record is bound to the lease of an earlier
+// attempt, which it does not renew.
+TEST_F(leadership_test, a_late_write_of_an_earlier_attempt_makes_no_two_leaders)
+{
+    late_write_store store(m_store);
+    candidate first(store, m_log, "a");
+    ASSERT_TRUE(eventually([&] { return first.is_leader(); }));
+    candidate second(m_store, m_log, "b");
+    bool both = false;
+    for (int at = 0; at < 400; ++at)
+    {
+        both = both || (first.is_leader() && second.is_leader());
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_FALSE(both);
+}
+
 TEST_F(leadership_test, a_term_that_was_ended_is_not_extended)
 {
     term held(5, boottime_now() + span(10'000));
