A late start of a released run is refused by the worker's next process

Cause: whatever ends a run bars its unanswered starts in the process that answered only. The next process with the worker's id has seen no fencing token and no stop, its clock began anew, and a start may be carried out seconds late. Change: a run that is released with an unanswered start requires a fencing token above the start's. The leader raises its token by writing its record again under the condition that it is still its own, at most every 250 ms for all workers together; each order keeps the token with which it was made. A conflict that shows the leader's own record tells of a write whose answer was lost. The worker is polled for 15 s, also if it is idle, so that its next process sees the token soon. A refusal of an own, earlier token is no sign of another leader; the order is repeated. run_over, worker_restarted, late_start_possible and fence_raised show the tokens. Ruled out: a stop of each unanswered start at the next process, which does not cover calls that extend the lease, has to be repeated for each further process, and comes later than the first call. Why it holds: the first call to a next process carries the raised token, and a process refuses lower ones for ever. What no order of calls excludes: a start that is carried out between the start of that process and the first call to it, at most 0.35 s (the pause between polls) plus the call if the worker is reached. Five tests of restarts now let the next process accept the raised token before they expect work for it.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include <kingcuprudder/dispatch/planner.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcuprudder::dispatch
 {
@@ -27,9 +28,15 @@
 {
 }
 
-void dispatcher::begin_term(instant now)
+void dispatcher::begin_term(instant now, std::int64_t fence)
 {
     m_term_start = now;
+    m_fence = fence;
+}
+
+void dispatcher::fence_raised(std::int64_t fence)
+{
+    m_fence = fence;
 }
 
 void dispatcher::configure(const service_configuration& configuration)
@@ -352,6 +359,7 @@
 {
     dispatch_effects effects;
     expire_leases(now);
+    forget_late_starts(now);
     send_stops(now, effects);
     send_starts(now, effects);
     effects.m_superseded = m_superseded;
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -50,9 +50,17 @@
 public:
     dispatcher(const dispatch_limits& limits, decision_log log);
 
-    /// Begins a term of leadership. Workers may hold the recorded runs of an
-    /// earlier term until their lease has expired.
-    void begin_term(instant now);
+    /// Begins a term of leadership with its fencing token. Workers may hold the
+    /// recorded runs of an earlier term until their lease has expired.
+    void begin_term(instant now, std::int64_t fence);
+    /// Returns the fencing token that this leader must reach. A start that was
+    /// not answered may be carried out late by the worker's next process,
+    /// unless that process has accepted a higher token before.
+    std::int64_t required_fence() const { return m_required_fence; }
+    /// Returns the fencing token of the orders.
+    std::int64_t fence() const { return m_fence; }
+    /// Sets the fencing token of the orders from now on.
+    void fence_raised(std::int64_t fence);
 
     void configure(const service_configuration& configuration);
     /// Adds a job. The progress is empty for a job without a stored record. The
@@ -155,6 +163,12 @@
     /// run unless it is done.
     void release_run(job_entry& job, const task_ref& ref,
                      const std::string& reason, instant now);
+    /// Makes sure that the unanswered starts of a released run are refused if
+    /// the worker's next process is to carry them out.
+    void bar_late_starts(worker_entry& worker, const task_ref& ref,
+                         const active_run& run, instant now);
+    /// Ends the polling of workers whose late starts have become impossible.
+    void forget_late_starts(instant now);
     void stop_gang_members(job_entry& job, const task_ref& ref,
                            const std::string& reason, instant now);
     void stop_job(job_entry& job, const std::string& reason, instant now);
@@ -303,6 +317,9 @@
     /// some of them only according to the worker list.
     std::map<std::string, std::vector<task_ref>> m_runs_lost_before_term;
     instant m_term_start;
+    std::int64_t m_fence = 0;
+    std::int64_t m_required_fence = 0;
+    std::set<std::string> m_workers_with_late_starts;
     bool m_changed = true;
     bool m_superseded = false;
 };
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -14,6 +14,8 @@
 constexpr int max_start_sends = 3;
 constexpr span stop_repeat_interval = span(500);
 constexpr span busy_worker_quarantine = span(1000);
+// A worker may carry out a call without an answer some seconds later.
+constexpr span late_start_time = span(15'000);
 const std::string gang_member_ended = "another member ended: ";
 
 } // namespace
@@ -130,16 +132,52 @@
                {"phase", std::string(to_string(active.m_phase))},
                {"sends", number(active.m_send_count)},
                {"unanswered_sends", number(active.m_unanswered_sends)},
+               {"start_fence", number(active.m_fence)},
                {"worker_started", number(worker.m_incarnation)},
                {"lease_left_ms", number((worker.m_lease_end - now).count())},
                {"held_ms", number((now - active.m_assigned_at).count())}});
     }
+    if (active.m_unanswered_sends > 0)
+    {
+        bar_late_starts(worker, ref, active, now);
+    }
     if (job.step(ref).m_gang && !task.m_progress.m_done)
     {
         stop_gang_members(job, ref, reason, now);
     }
 }
 
+void dispatcher::bar_late_starts(worker_entry& worker, const task_ref& ref,
+                                 const active_run& run, instant now)
+{
+    m_required_fence = std::max(m_required_fence, run.m_fence + 1);
+    worker.m_late_starts_until = now + late_start_time;
+    m_workers_with_late_starts.insert(worker.id());
+    m_log("late_start_possible", ref.str(),
+          {{"run", number(run.m_number)},
+           {"worker", worker.id()},
+           {"worker_started", number(worker.m_incarnation)},
+           {"unanswered_sends", number(run.m_unanswered_sends)},
+           {"start_fence", number(run.m_fence)},
+           {"fence", number(m_fence)}});
+}
+
+void dispatcher::forget_late_starts(instant now)
+{
+    std::erase_if(m_workers_with_late_starts,
+                  [this, now](const std::string& id)
+                  {
+                      worker_entry& worker = find_or_add_worker(id);
+                      if (now < *worker.m_late_starts_until)
+                      {
+                          return false;
+                      }
+                      worker.m_late_starts_until.reset();
+                      mark_renewal(id);
+                      return true;
+                  });
+}
+
 void dispatcher::stop_gang_members(job_entry& job, const task_ref& ref,
                                    const std::string& reason, instant now)
 {
@@ -237,6 +275,14 @@
             m_unsent_starts.insert(ref); // Repeat it without delay.
         }
         return;
+    case order_outcome::refused_own_fence:
+        // Nothing was done; it is repeated with the present token.
+        --active.m_send_count;
+        if (active.m_phase == run_phase::sent)
+        {
+            m_unsent_starts.insert(ref);
+        }
+        return;
     case order_outcome::refused_busy:
     case order_outcome::not_sent:
         worker.m_quarantined_until = now + busy_worker_quarantine;
@@ -446,11 +492,13 @@
     }
     ++active.m_send_count;
     ++active.m_unanswered_sends;
+    active.m_fence = m_fence;
     worker.m_lease_end = std::max(worker.m_lease_end, lease_end(now));
     effects.m_starts.push_back({worker.id(),
                                 {ref, active.m_number},
                                 job.m_submission.m_spec,
-                                active.m_start_checkpoint});
+                                active.m_start_checkpoint,
+                                m_fence});
     return true;
 }
 
@@ -458,7 +506,8 @@
 {
     renewal_request request;
     request.m_worker = worker.id();
-    if (!worker.m_listed && worker.m_tasks.empty())
+    const bool watched = worker.m_late_starts_until.has_value();
+    if (!worker.m_listed && worker.m_tasks.empty() && !watched)
     {
         return request;
     }
@@ -468,7 +517,8 @@
     request.m_awaits_store = !worker.m_unstored_completions.empty();
     request.m_needed =
         (worker.m_listed && (!worker.m_synced || !worker.m_reachable)) ||
-        !worker.m_tasks.empty() || request.m_awaits_store;
+        !worker.m_tasks.empty() || request.m_awaits_store || watched;
+    request.m_min_fence = worker.m_required_fence;
     return request;
 }
 
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -69,7 +69,8 @@
     }
     release_unlisted_runs(worker, report, sent, now);
     stop_slow_runs(worker, now);
-    worker.m_synced = !worker.m_restart_listed_at;
+    worker.m_synced = !worker.m_restart_listed_at &&
+                      report.m_fence >= worker.m_required_fence;
     worker.m_replaced = false;
     advance_acknowledged(worker);
 }
@@ -109,13 +110,13 @@
                                    const worker_report& report, instant sent,
                                    instant now)
 {
-    m_log(
-        "worker_restarted", worker.id(),
-        {{"started_before", number(worker.m_incarnation)},
-         {"started", number(report.m_incarnation)},
-         {"address", worker.m_called_address},
-         {"last_answer_age_ms", number((now - worker.m_last_answer).count())},
-         {"tasks", number(static_cast<std::int64_t>(worker.m_tasks.size()))}});
+    m_log("worker_restarted", worker.id(),
+          {{"started_before", number(worker.m_incarnation)},
+           {"started", number(report.m_incarnation)},
+           {"address", worker.m_called_address},
+           {"last_answer_age_ms", number((now - worker.m_last_answer).count())},
+           {"tasks", number(static_cast<std::int64_t>(worker.m_tasks.size()))},
+           {"call_fence", number(report.m_fence)}});
     m_changed = true;
     mark_renewal(worker.id());
     if (!worker.m_silent_since)
@@ -135,6 +136,10 @@
     worker.m_last_start_at = instant();
     worker.m_trial_until = instant();
     worker.m_synced = false;
+    // Calls to the earlier process may be carried out late. One that extends
+    // the lease has a time of the earlier clock.
+    worker.m_required_fence = m_fence + 1;
+    m_required_fence = std::max(m_required_fence, worker.m_required_fence);
     worker.m_acknowledged = 0;
     worker.m_last_completion = 0;
     worker.m_unstored_completions.clear();
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -44,6 +44,8 @@
     int m_send_count = 0;
     /// The starts without an answer. The worker may still execute them.
     int m_unanswered_sends = 0;
+    /// The fencing token of the last start.
+    std::int64_t m_fence = 0;
     /// Reports that are requested after this time list the run if the worker
     /// has it; an unlisted run has ended.
     std::optional<instant> m_listed_from;
--- a/kingcuprudder/dispatch/worker_description.hpp
+++ b/kingcuprudder/dispatch/worker_description.hpp
@@ -84,6 +84,8 @@
     std::int64_t m_incarnation = 0;
     std::vector<running_report> m_running;
     std::vector<completion_report> m_ended;
+    /// The fencing token of the call that this answers.
+    std::int64_t m_fence = 0;
 
     /// Returns the entry of a run that the worker holds, or null.
     const running_report* find(const std::string& task, int run) const;
--- a/kingcuprudder/dispatch/worker_orders.cpp
+++ b/kingcuprudder/dispatch/worker_orders.cpp
@@ -11,6 +11,8 @@
         return "accepted";
     case order_outcome::refused_fence:
         return "refused_fence";
+    case order_outcome::refused_own_fence:
+        return "refused_own_fence";
     case order_outcome::refused_old:
         return "refused_old";
     case order_outcome::refused_late:
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -29,6 +29,8 @@
     std::string m_spec;
     /// The checkpoint to resume from; empty for none.
     std::string m_checkpoint;
+    /// The fencing token under which the order is sent, however long it waits.
+    std::int64_t m_fence = 0;
 
     friend bool operator==(const start_order&, const start_order&) = default;
 };
@@ -49,7 +51,8 @@
 enum class order_outcome
 {
     accepted,
-    refused_fence,     ///< The worker has accepted a newer fencing token.
+    refused_fence,     ///< The worker has accepted a newer leader's token.
+    refused_own_fence, ///< This leader has raised its token since.
     refused_old,       ///< This run or a newer one has ended on the worker.
     refused_late,      ///< The deadline of the order has passed.
     refused_capacity,  ///< The task does not fit.
@@ -99,6 +102,9 @@
     std::int64_t m_acknowledged = 0;
     /// Completions that the worker reported are not stored yet.
     bool m_awaits_store = false;
+    /// The worker's process must have accepted a fencing token of at least this
+    /// value before it gets work; 0 for any.
+    std::int64_t m_min_fence = 0;
 
     friend bool operator==(const renewal_request&,
                            const renewal_request&) = default;
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -102,6 +102,14 @@
     instant m_last_failure;
     /// The worker gets no new work before this time.
     instant m_quarantined_until;
+    /// The present process must have accepted a fencing token of at least this
+    /// value before it gets work, as calls to the process before it may be
+    /// carried out late; 0 for any.
+    std::int64_t m_required_fence = 0;
+    /// Until when an unanswered start of a released run may be carried out. The
+    /// worker is polled, so that its next process soon learns the token that
+    /// makes it refuse the start.
+    std::optional<instant> m_late_starts_until;
     /// Since the worker's last answer, another process has answered at the
     /// address where it had answered.
     bool m_replaced = false;
--- a/kingcuprudder/node/leader_metrics.cpp
+++ b/kingcuprudder/node/leader_metrics.cpp
@@ -10,7 +10,7 @@
 constexpr const char* counted_events[] = {
     "worker_lost",     "worker_unreliable", "crash_attributed",
     "crash_withdrawn", "crashes_cleared",   "suspected_task_waits",
-    "task_given_up",   "job_failed"};
+    "task_given_up",   "job_failed",        "late_start_possible"};
 
 } // namespace
 
--- a/kingcuprudder/node/leadership.cpp
+++ b/kingcuprudder/node/leadership.cpp
@@ -218,7 +218,9 @@
     {
         return false;
     }
-    m_term = std::make_shared<term>(revision, valid_until);
+    m_term = std::make_shared<term>(
+        revision, valid_until,
+        record_write{record_keys::leader, leader_record_value(), m_lease});
     m_logged_holder = m_node;
     m_log.write("leadership", "term_began", "",
                 {{"fence", std::to_string(revision)}});
--- a/kingcuprudder/node/leadership.hpp
+++ b/kingcuprudder/node/leadership.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace kingcuprudder::node
 {
@@ -21,14 +22,21 @@
 class term
 {
 public:
-    term(std::int64_t fence, instant valid_until)
-        : m_fence(fence), m_valid_until(valid_until.count())
+    /// The record is the one that names this term's leader. Its value is
+    /// different in each term.
+    term(std::int64_t fence, instant valid_until, record_write leader_record)
+        : m_leader_record(std::move(leader_record)), m_fence(fence),
+          m_valid_until(valid_until.count())
     {
     }
 
     /// Returns the fencing token of the term: the revision of the leader
-    /// record, which increases monotonically.
+    /// record, which increases monotonically. It rises when the leader writes
+    /// its record again.
     std::int64_t fence() const { return m_fence; }
+    /// Sets the fencing token after the leader record was written again.
+    void raise_fence(std::int64_t fence) { m_fence = fence; }
+    const record_write& leader_record() const { return m_leader_record; }
     /// Returns whether no other process can have become the leader yet.
     bool is_valid() const;
     void extend(instant valid_until) { m_valid_until = valid_until.count(); }
@@ -37,7 +45,8 @@
     bool ended() const { return m_ended; }
 
 private:
-    std::int64_t m_fence;
+    record_write m_leader_record;
+    std::atomic<std::int64_t> m_fence;
     std::atomic<bool> m_ended = false;
     std::atomic<std::int64_t> m_valid_until;
 };
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -33,6 +33,9 @@
 constexpr span store_timeout = span(1500);
 constexpr span load_retry = span(150);
 constexpr span write_retry = span(80);
+// The fencing token covers the starts to all workers, so one write serves all
+// that became unanswered in this time.
+constexpr span min_raise_interval = span(250);
 constexpr span summary_interval = span(500);
 constexpr span metrics_interval = span(500);
 constexpr span removal_interval = span(5000);
@@ -46,6 +49,18 @@
     return key.substr(prefix.size());
 }
 
+/// Returns the revision of a transaction that was committed.
+std::optional<std::int64_t>
+committed_revision(const store_result<commit_answer>& outcome)
+{
+    if (!is_ok(outcome))
+    {
+        return std::nullopt;
+    }
+    const auto* revision = std::get_if<std::int64_t>(&std::get<0>(outcome));
+    return revision == nullptr ? std::nullopt : std::optional(*revision);
+}
+
 } // namespace
 
 scheduler::scheduler(scheduler_environment environment,
@@ -85,7 +100,7 @@
 
 void scheduler::run()
 {
-    m_dispatcher.begin_term(boottime_now());
+    m_dispatcher.begin_term(boottime_now(), m_term->fence());
     try
     {
         while (!m_stopping && !load())
@@ -175,6 +190,7 @@
 
 void scheduler::step()
 {
+    apply_raised_fence();
     const dispatch::dispatch_effects effects =
         m_dispatcher.collect_orders(boottime_now());
     if (effects.m_superseded)
@@ -186,6 +202,7 @@
     }
     update_sessions(!effects.m_starts.empty() || !effects.m_stops.empty());
     send_orders(effects);
+    raise_fence();
     begin_write();
     publish_summary();
     publish_metrics();
@@ -343,6 +360,36 @@
     return hooks;
 }
 
+void scheduler::raise_fence()
+{
+    const instant now = boottime_now();
+    if (m_raising_fence || now < m_next_raise_at ||
+        m_dispatcher.required_fence() <= m_term->fence())
+    {
+        return;
+    }
+    m_next_raise_at = now + min_raise_interval;
+    queued_write next;
+    next.m_transaction.m_writes.push_back(m_term->leader_record());
+    next.m_raises_fence = true;
+    m_raising_fence = m_write_queue.try_push(std::move(next));
+}
+
+void scheduler::apply_raised_fence()
+{
+    const std::int64_t fence = m_term->fence();
+    if (fence == m_dispatcher.fence())
+    {
+        return;
+    }
+    m_environment.m_log.write(
+        "scheduler", "fence_raised", "",
+        {{"fence_before", std::to_string(m_dispatcher.fence())},
+         {"fence", std::to_string(fence)},
+         {"required", std::to_string(m_dispatcher.required_fence())}});
+    m_dispatcher.fence_raised(fence);
+}
+
 void scheduler::begin_write()
 {
     // No other thread pushes to this queue, so a push succeeds if the queue is
@@ -362,7 +409,6 @@
     const std::vector<dispatch::job_write>& writes) const
 {
     store_transaction transaction;
-    transaction.m_expected.emplace_back(record_keys::leader, m_term->fence());
     for (const dispatch::job_write& write : writes)
     {
         const std::string key = record_keys::progress(write.m_job);
@@ -395,10 +441,15 @@
             continue;
         }
         const store_result<commit_answer> outcome =
-            m_term->is_valid()
-                ? m_environment.m_store.commit(next->m_transaction,
-                                               store_timeout)
-                : store_result<commit_answer>(store_failure::not_done);
+            commit_as_leader(std::move(next->m_transaction));
+        if (next->m_raises_fence)
+        {
+            if (const auto revision = committed_revision(outcome))
+            {
+                m_term->raise_fence(*revision);
+            }
+            post([this] { m_raising_fence = false; });
+        }
         if (!next->m_writes.empty())
         {
             post([this, writes = next->m_writes, outcome]
@@ -407,6 +458,46 @@
     }
 }
 
+store_result<commit_answer>
+scheduler::commit_as_leader(store_transaction transaction)
+{
+    transaction.m_expected.emplace_back(record_keys::leader, 0);
+    std::int64_t& expected_fence = transaction.m_expected.back().second;
+    store_result<commit_answer> outcome = store_failure::not_done;
+    do
+    {
+        if (!m_term->is_valid())
+        {
+            return store_failure::not_done;
+        }
+        expected_fence = m_term->fence();
+        outcome = m_environment.m_store.commit(transaction, store_timeout);
+    } while (adopt_fence(outcome));
+    return outcome;
+}
+
+bool scheduler::adopt_fence(const store_result<commit_answer>& outcome)
+{
+    const store_conflict* conflict =
+        is_ok(outcome) ? std::get_if<store_conflict>(&std::get<0>(outcome))
+                       : nullptr;
+    if (conflict == nullptr)
+    {
+        return false;
+    }
+    for (const record& found : conflict->m_records)
+    {
+        if (found.m_key == record_keys::leader &&
+            found.m_value == m_term->leader_record().m_value &&
+            found.m_revision > m_term->fence())
+        {
+            m_term->raise_fence(found.m_revision);
+            return true;
+        }
+    }
+    return false;
+}
+
 void scheduler::finish_write(const std::vector<dispatch::job_write>& writes,
                              const store_result<commit_answer>& outcome)
 {
@@ -456,7 +547,7 @@
     for (const record& found : conflict.m_records)
     {
         if (found.m_key == record_keys::leader &&
-            found.m_revision != m_term->fence())
+            found.m_value != m_term->leader_record().m_value)
         {
             m_environment.m_log.write(
                 "scheduler", "leader_replaced", "",
@@ -487,8 +578,6 @@
     }
     m_summary_published_at = now;
     queued_write next;
-    next.m_transaction.m_expected.emplace_back(record_keys::leader,
-                                               m_term->fence());
     next.m_transaction.m_writes.push_back(
         {record_keys::summary,
          dispatch::encode_summary(
@@ -527,8 +616,6 @@
     }
     m_last_removal_at = now;
     queued_write next;
-    next.m_transaction.m_expected.emplace_back(record_keys::leader,
-                                               m_term->fence());
     while (!m_removals.empty() && m_removals.begin()->first <= now &&
            next.m_transaction.m_removals.size() < max_record_entries)
     {
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -97,10 +97,22 @@
     void send_orders(const dispatch::dispatch_effects& effects);
     void update_sessions(bool has_orders);
     void update_session(const dispatch::renewal_request& request);
+    /// Writes the leader record again if the dispatcher requires a higher
+    /// fencing token.
+    void raise_fence();
+    /// Lets the dispatcher use the token, if it was raised.
+    void apply_raised_fence();
     void begin_write();
     store_transaction
     make_transaction(const std::vector<dispatch::job_write>& writes) const;
     void run_writer();
+    /// Commits the transaction under the condition that this process is still
+    /// the leader. Runs on the writer's thread.
+    store_result<commit_answer> commit_as_leader(store_transaction transaction);
+    /// Takes over the fencing token from a conflict that shows that a write of
+    /// this term's leader record, whose answer was lost, was applied. Returns
+    /// whether it did.
+    bool adopt_fence(const store_result<commit_answer>& outcome);
     void finish_write(const std::vector<dispatch::job_write>& writes,
                       const store_result<commit_answer>& outcome);
     void resolve_conflict(const std::vector<dispatch::job_write>& writes,
@@ -135,6 +147,8 @@
     /// Ended jobs by the time when their records are removed.
     std::multimap<instant, std::string> m_removals;
     bool m_write_in_flight = false;
+    bool m_raising_fence = false;
+    instant m_next_raise_at;
     instant m_last_step_at;
     instant m_planned_at;
     instant m_next_planning_at;
@@ -153,6 +167,8 @@
     {
         store_transaction m_transaction;
         std::vector<dispatch::job_write> m_writes;
+        /// The transaction writes the leader record.
+        bool m_raises_fence = false;
     };
 
     std::atomic<bool> m_stopping = false;
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -14,6 +14,9 @@
 constexpr span renewal_wait = span(1500);
 constexpr span renewal_timeout = span(600);
 constexpr span failed_renewal_pause = span(350);
+// The store takes some milliseconds to raise the fencing token that a new
+// process of the worker has to accept before it gets work.
+constexpr span fence_pause = span(100);
 // The next renewal waits up to this long until the reported completions are
 // acknowledged, as the worker would otherwise report the same ones at once.
 constexpr span acknowledgement_wait = span(700);
@@ -57,6 +60,17 @@
         });
 }
 
+void worker_session::remove_waiting_start(const dispatch::run_ref& run)
+{
+    std::erase_if(m_orders,
+                  [&run](const waiting_order& waiting)
+                  {
+                      const auto* start =
+                          std::get_if<dispatch::start_order>(&waiting.m_order);
+                      return start != nullptr && start->m_run == run;
+                  });
+}
+
 void worker_session::enqueue(const order& next)
 {
     const bool waits_already = std::any_of(m_orders.begin(), m_orders.end(),
@@ -68,14 +82,7 @@
     }
     if (const auto* stop = std::get_if<dispatch::stop_order>(&next))
     {
-        std::erase_if(
-            m_orders,
-            [stop](const waiting_order& waiting)
-            {
-                const auto* start =
-                    std::get_if<dispatch::start_order>(&waiting.m_order);
-                return start != nullptr && start->m_run == stop->m_run;
-            });
+        remove_waiting_start(stop->m_run);
     }
     m_orders.push_back({next, boottime_now()});
 }
@@ -150,7 +157,7 @@
 {
     if (!m_term->is_valid())
     {
-        pause_renewals();
+        pause_renewals(failed_renewal_pause);
         return;
     }
     m_renewal_phase = renewal_phase::in_flight;
@@ -162,8 +169,9 @@
         m_last_renewal_answered &&
         sent - m_last_answer <= acknowledgement_validity;
     call.m_acknowledged = answered_recently ? m_request.m_acknowledged : 0;
-    call.m_wait =
-        answered_recently && m_request.m_needed ? renewal_wait : span(0);
+    const bool may_wait =
+        answered_recently && m_request.m_needed && !awaits_fence();
+    call.m_wait = may_wait ? renewal_wait : span(0);
     // A renewal after an unanswered one repeats its lease end. If each attempt
     // extended the lease of an unresponsive worker, its lease would never
     // expire and its tasks could never be assigned to another worker.
@@ -197,25 +205,50 @@
     const auto& result = std::get<dispatch::call_result>(answer);
     if (result.m_outcome == dispatch::order_outcome::refused_fence)
     {
-        m_term->end();
+        if (!ends_term(call.m_fence))
+        {
+            consider_renewal();
+        }
         return;
     }
     m_last_renewal_answered = false;
     m_unanswered_lease_end = call.m_lease_end_clock;
     m_hooks.m_renewal_failed(m_request.m_worker, result);
-    pause_renewals();
+    pause_renewals(failed_renewal_pause);
     execute_next();
 }
 
+bool worker_session::ends_term(std::int64_t refused_fence)
+{
+    const bool ends = refused_fence >= m_term->fence();
+    if (ends)
+    {
+        m_term->end();
+    }
+    return ends;
+}
+
+bool worker_session::awaits_fence() const
+{
+    return m_accepted_fence < m_request.m_min_fence;
+}
+
 void worker_session::continue_after_report()
 {
-    if (m_clock.is_known())
+    const bool is_new_process = m_incarnation != 0 &&
+                                m_answering_incarnation != 0 &&
+                                m_answering_incarnation != m_incarnation;
+    if (is_new_process || awaits_fence())
+    {
+        pause_renewals(fence_pause);
+    }
+    else if (m_clock.is_known())
     {
         consider_renewal();
     }
     else
     {
-        pause_renewals();
+        pause_renewals(failed_renewal_pause);
     }
     execute_next();
 }
@@ -225,6 +258,7 @@
 {
     m_last_answer = boottime_now();
     m_answering_incarnation = report.m_incarnation;
+    m_accepted_fence = call.m_fence;
     m_clock.observe(report.m_clock, m_last_answer);
     m_last_renewal_answered = true;
     m_unanswered_lease_end.reset();
@@ -233,13 +267,15 @@
     {
         m_highest_completion = std::max(m_highest_completion, end.m_number);
     }
-    m_hooks.m_renewal_answered(m_request.m_worker, report, sent);
+    dispatch::worker_report answer = report;
+    answer.m_fence = call.m_fence;
+    m_hooks.m_renewal_answered(m_request.m_worker, answer, sent);
 }
 
-void worker_session::pause_renewals()
+void worker_session::pause_renewals(span pause)
 {
     m_renewal_phase = renewal_phase::pausing;
-    m_renewal_timer = m_loop.run_after(failed_renewal_pause,
+    m_renewal_timer = m_loop.run_after(pause,
                                        [self = shared_from_this()]
                                        {
                                            self->m_renewal_phase =
@@ -264,19 +300,48 @@
         }
         const waiting_order next = std::move(m_orders.front());
         m_orders.pop_front();
-        const bool outlasts_lease =
-            std::holds_alternative<dispatch::start_order>(next.m_order) &&
-            start_lease_of(next) < order_timeout;
-        if (m_closed || needs_clock || outlasts_lease || !m_term->is_valid())
+        const dispatch::call_result given_up(dispatch::order_outcome::not_sent,
+                                             dispatch::call_failure::given_up);
+        const auto reason = needs_clock ? given_up : reason_not_to_send(next);
+        if (reason)
         {
-            report_order(next.m_order, {dispatch::order_outcome::not_sent,
-                                        dispatch::call_failure::given_up});
+            report_order(next.m_order, *reason);
             continue;
         }
         send_order(next);
     }
 }
 
+std::optional<dispatch::call_result>
+worker_session::reason_not_to_send(const waiting_order& next) const
+{
+    const dispatch::call_result given_up(dispatch::order_outcome::not_sent,
+                                         dispatch::call_failure::given_up);
+    if (m_closed || !m_term->is_valid())
+    {
+        return given_up;
+    }
+    if (!std::holds_alternative<dispatch::start_order>(next.m_order))
+    {
+        return std::nullopt;
+    }
+    if (start_lease_of(next) < order_timeout)
+    {
+        return given_up;
+    }
+    if (fence_of(next.m_order) < m_term->fence())
+    {
+        return dispatch::order_outcome::refused_own_fence;
+    }
+    return std::nullopt;
+}
+
+std::int64_t worker_session::fence_of(const order& next) const
+{
+    const auto* start = std::get_if<dispatch::start_order>(&next);
+    return start == nullptr ? m_term->fence() : start->m_fence;
+}
+
 span worker_session::start_lease_of(const waiting_order& start) const
 {
     const span waited = boottime_now() - start.m_queued_at;
@@ -286,28 +351,36 @@
 void worker_session::send_order(const waiting_order& next)
 {
     m_order_in_flight = true;
-    const auto done = [self = shared_from_this(),
-                       sent = next.m_order](const order_answer& answer)
-    { self->finish_order(sent, answer); };
+    const std::int64_t fence = fence_of(next.m_order);
+    const auto done = [self = shared_from_this(), sent = next.m_order,
+                       fence](const order_answer& answer)
+    { self->finish_order(sent, fence, answer); };
     if (const auto* start = std::get_if<dispatch::start_order>(&next.m_order))
     {
-        m_calls->start(*start, m_term->fence(),
+        m_calls->start(*start, fence,
                        *m_clock.lease_end(start_lease_of(next), boottime_now()),
                        order_timeout, done);
         return;
     }
-    m_calls->stop(std::get<dispatch::stop_order>(next.m_order), m_term->fence(),
+    m_calls->stop(std::get<dispatch::stop_order>(next.m_order), fence,
                   order_timeout, done);
 }
 
-void worker_session::finish_order(const order& sent, const order_answer& answer)
+void worker_session::finish_order(const order& sent, std::int64_t fence,
+                                  const order_answer& answer)
 {
     m_order_in_flight = false;
     if (answer.m_clock)
     {
         m_clock.observe(*answer.m_clock, boottime_now());
     }
-    report_order(sent, answer.m_result);
+    const bool raised_since =
+        answer.m_result.m_outcome == dispatch::order_outcome::refused_fence &&
+        fence < m_term->fence();
+    report_order(sent, raised_since
+                           ? dispatch::call_result(
+                                 dispatch::order_outcome::refused_own_fence)
+                           : answer.m_result);
     execute_next();
 }
 
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -92,20 +92,34 @@
     void renew();
     void finish_renewal(const renewal_call& call, instant sent,
                         const renewal_answer& answer);
+    /// Ends the term if a worker has refused a token that is still the term's;
+    /// else the token was raised while the call was on its way. Returns whether
+    /// the term ends.
+    bool ends_term(std::int64_t refused_fence);
+    /// Returns whether the worker has to accept a higher fencing token before
+    /// it gets work.
+    bool awaits_fence() const;
+    void remove_waiting_start(const dispatch::run_ref& run);
     void apply_report(const renewal_call& call, instant sent,
                       const dispatch::worker_report& report);
     void continue_after_report();
-    void pause_renewals();
+    void pause_renewals(span pause);
     /// Sends the next order. A start without a recent reading of the worker's
     /// clock waits for the answer to a renewal and is given up if there is
     /// none.
     void execute_next();
     void send_order(const waiting_order& next);
+    /// Returns the fencing token with which the order is sent.
+    std::int64_t fence_of(const order& next) const;
+    /// Returns why the order is not sent now, or nothing if it can be.
+    std::optional<dispatch::call_result>
+    reason_not_to_send(const waiting_order& next) const;
     /// Returns the length of the lease that a start grants if it is sent now.
     /// It ends with the lease that the dispatcher counts from when the start
     /// was queued.
     span start_lease_of(const waiting_order& start) const;
-    void finish_order(const order& sent, const order_answer& answer);
+    void finish_order(const order& sent, std::int64_t fence,
+                      const order_answer& answer);
     void report_order(const order& sent, const dispatch::call_result& result);
 
     event_loop& m_loop;
@@ -123,6 +137,8 @@
     /// The incarnation of the worker to which the clock and the numbers of the
     /// completions belong.
     std::int64_t m_incarnation = 0;
+    /// The fencing token of the last renewal that was answered.
+    std::int64_t m_accepted_fence = 0;
     /// The incarnation in the last answer to a renewal.
     std::int64_t m_answering_incarnation = 0;
     std::int64_t m_last_acknowledged = 0;
--- a/performance_test/dispatch_cost_main.cpp
+++ b/performance_test/dispatch_cost_main.cpp
@@ -32,7 +32,7 @@
         service_configuration configuration;
         configuration.m_queues = {queue("urgent", 0), queue("background", 2)};
         configuration.m_accounts = {{"account", {"key"}, 0}};
-        m_dispatcher.begin_term(m_now);
+        m_dispatcher.begin_term(m_now, 1);
         m_dispatcher.configure(configuration);
         for (int index = 0; index < workers; ++index)
         {
--- a/performance_test/dispatch_load/load_simulation.cpp
+++ b/performance_test/dispatch_load/load_simulation.cpp
@@ -30,7 +30,7 @@
 
 load_outcome load_simulation::run()
 {
-    m_dispatcher.begin_term(m_now);
+    m_dispatcher.begin_term(m_now, 1);
     const instant end = m_now + m_profile.m_duration + drain_time;
     const instant traffic_end = m_now + m_profile.m_duration;
     const instant began = m_now;
@@ -334,6 +334,7 @@
     worker_report report;
     report.m_incarnation = worker.m_description.m_incarnation;
     report.m_clock = m_now.count();
+    report.m_fence = m_dispatcher.fence();
     for (simulated_run& run : worker.m_runs)
     {
         report.m_running.push_back(running_report_of(run));
@@ -394,6 +395,10 @@
 void load_simulation::decide()
 {
     answer_overdue_starts();
+    if (m_dispatcher.fence() < m_dispatcher.required_fence())
+    {
+        m_dispatcher.fence_raised(m_dispatcher.required_fence());
+    }
     const auto began = std::chrono::steady_clock::now();
     m_dispatcher.plan(m_now, m_now);
     const dispatch_effects effects = m_dispatcher.collect_orders(m_now);
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -45,7 +45,7 @@
         worker_description next = this->worker(worker);
         next.m_incarnation = 100 + ++m_restarts;
         m_dispatcher.worker_listed(next, m_now);
-        report(worker, {}, {}, next.m_incarnation);
+        report_restart(worker, next.m_incarnation);
     }
 
     crash_evidence crashes_of(const std::string& job) const
@@ -89,7 +89,7 @@
                                   [](const std::string&, const std::string&,
                                      const decision_fields&) {});
         m_dispatcher.configure(m_configuration);
-        m_dispatcher.begin_term(m_now);
+        m_dispatcher.begin_term(m_now, 1);
         for (const auto& [id, record] : records)
         {
             if (record.m_progress.m_state == job_state::failed)
@@ -486,7 +486,7 @@
     dispatcher next(
         dispatch_limits(),
         [](const std::string&, const std::string&, const decision_fields&) {});
-    next.begin_term(m_now);
+    next.begin_term(m_now, 1);
     next.add_job(submission,
                  decode_progress(encode_progress(writes.at(0).m_progress)), 1,
                  m_now, m_now);
@@ -814,7 +814,7 @@
         dispatch_limits(),
         [](const std::string&, const std::string&, const decision_fields&) {});
     next.configure(m_configuration);
-    next.begin_term(m_now);
+    next.begin_term(m_now, 1);
     for (const std::string& id : ids)
     {
         next.add_job(job(id, 1, 8), stored.at(id), 1, m_now, m_now);
@@ -843,7 +843,7 @@
         m_dispatcher.add_job(job("good" + std::to_string(index), 1, 8),
                              progress, 1, m_now, m_now);
     }
-    m_dispatcher.begin_term(m_now);
+    m_dispatcher.begin_term(m_now, 1);
     pass(after_the_lease);
     step();
     for (int index = 0; index < lost; ++index)
--- a/unit_tests/dispatch/dispatcher_fixture.hpp
+++ b/unit_tests/dispatch/dispatcher_fixture.hpp
@@ -24,7 +24,7 @@
         m_configuration.m_accounts.push_back({"account", {"key"}, 8});
         m_configuration.m_queues = {queue("urgent", 0), queue("normal", 1)};
         m_dispatcher.configure(m_configuration);
-        m_dispatcher.begin_term(m_now);
+        m_dispatcher.begin_term(m_now, 1);
     }
 
     static queue_configuration queue(const std::string& name, int priority)
@@ -95,8 +95,18 @@
         return writes;
     }
 
+    void raise_required_fence()
+    {
+        if (m_dispatcher.fence() < m_dispatcher.required_fence())
+        {
+            m_dispatcher.fence_raised(m_dispatcher.required_fence());
+        }
+    }
+
+    /// Raises the fencing token, if required, plans and returns the orders.
     dispatch_effects step()
     {
+        raise_required_fence();
         m_dispatcher.plan(m_now, m_now);
         return m_dispatcher.collect_orders(m_now);
     }
@@ -139,11 +149,20 @@
         worker_report made;
         made.m_clock = m_now.count();
         made.m_incarnation = started;
+        made.m_fence = m_dispatcher.fence();
         made.m_running = std::move(running);
         made.m_ended = std::move(ended);
         m_dispatcher.renewal_answered(id, made, m_now, m_now);
     }
 
+    /// The worker's next process answers and accepts the raised fencing token.
+    void report_restart(const std::string& id, std::int64_t started)
+    {
+        report(id, {}, {}, started);
+        raise_required_fence();
+        report(id, {}, {}, started);
+    }
+
     /// Reports the run with each completed percentage in turn, at the usual
     /// interval between reports.
     void report_shares(const start_order& order,
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -98,7 +98,7 @@
     m_dispatcher.worker_listed(restarted, m_now);
     EXPECT_TRUE(start_all().empty()) << "the new incarnation has not answered";
     pass(span(1)); // A poll of the same millisecond is inconclusive.
-    report("w1", {}, {}, 200);
+    report_restart("w1", 200);
     ASSERT_EQ(start_all().size(), 1u);
 }
 
@@ -236,8 +236,7 @@
 TEST_F(dispatcher_fixture, an_older_list_does_not_end_an_incarnation)
 {
     add_worker("w1");
-    report("w1", {}, {}, 200);
-    report("w1", {}, {}, 200);
+    report_restart("w1", 200);
     accept(job("j", 1, 8));
     ASSERT_EQ(start_all().size(), 1u);
     m_dispatcher.worker_listed(worker("w1"), m_now);
--- a/unit_tests/dispatch/release_review_test.cpp
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -32,6 +32,7 @@
         worker_report made;
         made.m_clock = m_now.count();
         made.m_incarnation = started;
+        made.m_fence = m_dispatcher.fence();
         made.m_running = std::move(running);
         m_dispatcher.renewal_answered("w1", made, sent, m_now);
     }
--- a/unit_tests/dispatch/restart_evidence_test.cpp
+++ b/unit_tests/dispatch/restart_evidence_test.cpp
@@ -73,7 +73,7 @@
         explicit new_leader(const restart_evidence_test& test) : m_test(test)
         {
             m_dispatcher.configure(test.m_configuration);
-            m_dispatcher.begin_term(test.m_now);
+            m_dispatcher.begin_term(test.m_now, 1);
             m_dispatcher.worker_listed(test.worker("w1"), test.m_now);
             m_dispatcher.worker_listed(test.worker("w2"), test.m_now);
         }
--- a/unit_tests/dispatch/restarted_worker_test.cpp
+++ b/unit_tests/dispatch/restarted_worker_test.cpp
@@ -140,7 +140,7 @@
     recorded_log log;
     dispatcher next(dispatch_limits(), log.recorder());
     next.configure(m_configuration);
-    next.begin_term(m_now);
+    next.begin_term(m_now, 1);
     next.worker_listed(worker("w1"), m_now);
     next.worker_listed(worker("w2"), m_now);
     for (const std::int64_t incarnation : {restarted_at, std::int64_t(100)})
--- a/unit_tests/dispatch/worker_silence_test.cpp
+++ b/unit_tests/dispatch/worker_silence_test.cpp
@@ -25,7 +25,7 @@
         worker.m_id = "w1";
         worker.m_address = "10.0.0.1:1";
         worker.m_incarnation = 100;
-        m_dispatcher.begin_term(m_now);
+        m_dispatcher.begin_term(m_now, 1);
         m_dispatcher.worker_listed(worker, m_now);
         answer();
     }
--- a/unit_tests/node/leadership_test.cpp
+++ b/unit_tests/node/leadership_test.cpp
@@ -187,7 +187,7 @@
 
 TEST_F(leadership_test, a_term_that_was_ended_is_not_extended)
 {
-    term held(5, boottime_now() + span(10'000));
+    term held(5, boottime_now() + span(10'000), record_write());
     EXPECT_TRUE(held.is_valid());
     held.end();
     held.extend(boottime_now() + span(10'000));
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr std::int64_t shown_clock = 5000;
+constexpr std::int64_t fence = 7;
 
 /// What one worker received and how it answers.
 struct recorded_calls
@@ -24,6 +25,9 @@
     std::mutex m_mutex;
     std::vector<std::string> m_orders;
     std::vector<std::int64_t> m_start_lease_ends;
+    std::vector<std::int64_t> m_start_fences;
+    /// Calls with a lower fencing token are refused.
+    std::atomic<std::int64_t> m_lowest_fence = 0;
     std::vector<renewal_call> m_renewals;
     std::vector<renewal_answer> m_renewal_answers;
     span m_start_delay = span(0);
@@ -51,19 +55,24 @@
     {
     }
 
-    void start(const dispatch::start_order& order, std::int64_t,
+    void start(const dispatch::start_order& order, std::int64_t used_fence,
                std::int64_t lease_end, span, order_done done) override
     {
         note("start " + order.m_run.m_task.str());
         {
             std::lock_guard lock(m_record.m_mutex);
             m_record.m_start_lease_ends.push_back(lease_end);
+            m_record.m_start_fences.push_back(used_fence);
         }
-        m_start_timer =
-            m_loop.run_after(m_record.m_start_delay,
-                             [done, result = m_record.m_start_result] {
-                                 done({result, shown_clock});
-                             });
+        m_start_timer = m_loop.run_after(
+            m_record.m_start_delay,
+            [this, done, used_fence, result = m_record.m_start_result]
+            {
+                done({refuses(used_fence)
+                          ? dispatch::order_outcome::refused_fence
+                          : result,
+                      shown_clock});
+            });
     }
 
     void stop(const dispatch::stop_order& order, std::int64_t, span,
@@ -84,12 +93,23 @@
         m_record.m_renewals.push_back(call);
         m_timer = m_loop.run_after(
             span(20),
-            [done, answer = m_record.m_renewal_answers[at]] { done(answer); });
+            [this, done, used_fence = call.m_fence,
+             answer = m_record.m_renewal_answers[at]]
+            {
+                done(refuses(used_fence)
+                         ? renewal_answer(dispatch::call_result(
+                               dispatch::order_outcome::refused_fence))
+                         : answer);
+            });
     }
 
     void cancel() override { note("cancel"); }
 
 private:
+    bool refuses(std::int64_t used_fence) const
+    {
+        return used_fence < m_record.m_lowest_fence;
+    }
     void note(const std::string& text)
     {
         std::lock_guard lock(m_record.m_mutex);
@@ -112,9 +132,16 @@
         worker_session::hooks hooks;
         hooks.m_renewal_sent = [this](const std::string&, instant)
         { ++m_leases_granted; };
-        hooks.m_renewal_answered =
-            [this](const std::string&, const dispatch::worker_report&, instant)
-        { ++m_answered; };
+        hooks.m_renewal_answered = [this](const std::string&,
+                                          const dispatch::worker_report& answer,
+                                          instant)
+        {
+            if (m_on_answer)
+            {
+                m_on_answer(answer);
+            }
+            ++m_answered;
+        };
         hooks.m_renewal_failed =
             [this](const std::string&, const dispatch::call_result& got)
         {
@@ -157,7 +184,7 @@
 
     static dispatch::start_order start(int index)
     {
-        return {"w", {{"5c0e7a21d94b36f8", 0, 0, index}, 1}, "", ""};
+        return {"w", {{"5c0e7a21d94b36f8", 0, 0, index}, 1}, "", "", fence};
     }
 
     template <class Condition>
@@ -175,9 +202,11 @@
     }
 
     event_loop m_loop{[](const std::string&) {}};
-    std::shared_ptr<term> m_term =
-        std::make_shared<term>(7, boottime_now() + span(60'000));
+    std::shared_ptr<term> m_term = std::make_shared<term>(
+        fence, boottime_now() + span(60'000), record_write());
     recorded_calls m_record;
+    /// Called on the loop's thread with each answer to a renewal.
+    std::function<void(const dispatch::worker_report&)> m_on_answer;
     std::vector<dispatch::call_result> m_outcomes;
     std::vector<dispatch::call_result> m_failures;
     std::atomic<int> m_leases_granted = 0;
@@ -305,6 +334,74 @@
     EXPECT_FALSE(has("start 5c0e7a21d94b36f8.0.0.1"));
 }
 
+// Guards against a start that waits until its run was released and is then sent
+// with the token that makes the worker refuse it.
+TEST_F(worker_session_test, a_start_is_sent_with_its_own_token_or_not_at_all)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_start_delay = span(100);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->send(start(0));
+    tested->send(start(1));
+    ASSERT_TRUE(eventually([&] { return m_record.orders().size() == 1; }));
+    m_term->raise_fence(fence + 1);
+    ASSERT_TRUE(eventually([&] { return finished() == 2; }));
+    m_loop.stop();
+    EXPECT_EQ(m_record.m_start_fences, std::vector<std::int64_t>{fence});
+    EXPECT_EQ(m_outcomes[1], dispatch::order_outcome::refused_own_fence);
+}
+
+TEST_F(worker_session_test,
+       a_refusal_of_a_token_that_was_raised_since_does_not_end_the_term)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_start_delay = span(100);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->send(start(0));
+    ASSERT_TRUE(eventually([&] { return m_record.orders().size() == 1; }));
+    m_term->raise_fence(fence + 1);
+    m_record.m_lowest_fence = fence + 1;
+    const int answered = m_answered;
+    ASSERT_TRUE(eventually([&] { return finished() == 1; }));
+    EXPECT_TRUE(eventually([&] { return m_answered > answered + 1; }));
+    m_loop.stop();
+    EXPECT_TRUE(m_term->is_valid());
+    EXPECT_EQ(m_failed, 0);
+    EXPECT_EQ(m_outcomes[0], dispatch::order_outcome::refused_own_fence);
+}
+
+// Guards against a next process that waits for work while a renewal with the
+// earlier token waits for a completion.
+TEST_F(worker_session_test, a_next_process_is_shown_the_raised_token_at_once)
+{
+    dispatch::worker_report restarted = report();
+    restarted.m_incarnation = 2;
+    m_record.m_renewal_answers = {report(), restarted};
+    const auto tested = session();
+    m_on_answer = [&](const dispatch::worker_report& answer)
+    {
+        if (answer.m_incarnation == 2 && m_term->fence() == fence)
+        {
+            m_term->raise_fence(fence + 1);
+            dispatch::renewal_request asked = request();
+            asked.m_incarnation = 2;
+            asked.m_min_fence = fence + 1;
+            tested->update(asked);
+        }
+    };
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_record.renewals() > 3; }));
+    m_loop.stop();
+    const std::vector<renewal_call>& calls = m_record.m_renewals;
+    EXPECT_EQ(calls[2].m_fence, fence + 1);
+    EXPECT_EQ(calls[2].m_wait, span(0));
+    EXPECT_GT(calls[3].m_wait, span(0));
+}
+
 // Guards against a lease that is too long as it was computed from what another
 // program or an earlier process of the worker had written.
 TEST_F(worker_session_test, a_lease_is_computed_from_the_workers_answers_only)
