The waiting start of a released run is not sent

Callers: two runs of a task at the same time (TWICE), if a worker's id answers again soon after its runs were released. Cause: a start waits in the session behind orders without an answer, for up to 6 s. A run whose worker was replaced, or whose lease is over, is released without a stop, so the session keeps the start and sends it to the next process as a new order. Evidence: a_waiting_start_of_a_released_run_is_withdrawn and a_withdrawn_start_is_not_sent (new API; that the session kept the start is from reading). Change: the release of a run with an unanswered start withdraws the one that waits. Result: the tests pass.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -362,6 +362,7 @@
     forget_late_starts(now);
     send_stops(now, effects);
     send_starts(now, effects);
+    effects.m_withdrawn = std::exchange(m_withdrawn, {});
     effects.m_superseded = m_superseded;
     return effects;
 }
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -163,8 +163,8 @@
     /// run unless it is done.
     void release_run(job_entry& job, const task_ref& ref,
                      const std::string& reason, instant now);
-    /// Makes sure that the unanswered starts of a released run are refused if
-    /// the worker's next process is to carry them out.
+    /// Makes sure that the unanswered starts of a released run have no effect:
+    /// one that waits is not sent, and one that is carried out late is refused.
     void bar_late_starts(worker_entry& worker, const task_ref& ref,
                          const active_run& run, instant now);
     /// Ends the polling of workers whose late starts have become impossible.
@@ -320,6 +320,7 @@
     std::int64_t m_fence = 0;
     std::int64_t m_required_fence = 0;
     std::set<std::string> m_workers_with_late_starts;
+    std::vector<withdrawn_start> m_withdrawn;
     bool m_changed = true;
     bool m_superseded = false;
 };
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -153,6 +153,7 @@
     m_required_fence = std::max(m_required_fence, run.m_fence + 1);
     worker.m_late_starts_until = now + late_start_time;
     m_workers_with_late_starts.insert(worker.id());
+    m_withdrawn.push_back({worker.id(), {ref, run.m_number}});
     m_log("late_start_possible", ref.str(),
           {{"run", number(run.m_number)},
            {"worker", worker.id()},
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -47,6 +47,16 @@
     friend bool operator==(const stop_order&, const stop_order&) = default;
 };
 
+/// The start of a run that was released while the order had no answer.
+struct withdrawn_start
+{
+    std::string m_worker;
+    run_ref m_run;
+
+    friend bool operator==(const withdrawn_start&,
+                           const withdrawn_start&) = default;
+};
+
 /// The outcome of an order to a worker.
 enum class order_outcome
 {
@@ -82,6 +92,8 @@
 {
     std::vector<start_order> m_starts;
     std::vector<stop_order> m_stops;
+    /// Starts of released runs that must not be sent any more.
+    std::vector<withdrawn_start> m_withdrawn;
     /// A worker has accepted a newer fencing token, so this scheduler must
     /// resign its leadership.
     bool m_superseded = false;
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -222,6 +222,14 @@
 
 void scheduler::send_orders(const dispatch::dispatch_effects& effects)
 {
+    for (const dispatch::withdrawn_start& start : effects.m_withdrawn)
+    {
+        const auto found = m_sessions.find(start.m_worker);
+        if (found != m_sessions.end())
+        {
+            found->second->withdraw(start.m_run);
+        }
+    }
     for (const dispatch::stop_order& order : effects.m_stops)
     {
         const auto found = m_sessions.find(order.m_worker);
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -60,6 +60,12 @@
         });
 }
 
+void worker_session::withdraw(const dispatch::run_ref& run)
+{
+    m_loop.post([self = shared_from_this(), run]
+                { self->remove_waiting_start(run); });
+}
+
 void worker_session::remove_waiting_start(const dispatch::run_ref& run)
 {
     std::erase_if(m_orders,
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -58,6 +58,8 @@
     /// Callable from one thread, like send() and close().
     void update(const dispatch::renewal_request& request);
     void send(order next);
+    /// Removes the start of this run, if it waits, without a result.
+    void withdraw(const dispatch::run_ref& run);
     /// Ends the session: gives up its waiting and later orders, each of which
     /// is reported as not sent, and fails its calls.
     void close();
--- a/unit_tests/dispatch/late_start_bar_test.cpp
+++ b/unit_tests/dispatch/late_start_bar_test.cpp
@@ -73,6 +73,14 @@
     EXPECT_GT(m_dispatcher.required_fence(), m_run.m_fence);
 }
 
+TEST_F(late_start_bar_test, a_waiting_start_of_a_released_run_is_withdrawn)
+{
+    m_dispatcher.renewal_failed("w1", order_outcome::wrong_incarnation, m_now);
+    const std::vector<withdrawn_start> withdrawn = step().m_withdrawn;
+    ASSERT_EQ(withdrawn.size(), 1u);
+    EXPECT_EQ(withdrawn[0], (withdrawn_start{"w1", m_run.m_run}));
+}
+
 TEST_F(late_start_bar_test, answered_starts_need_no_higher_token)
 {
     add_worker("w2");
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -353,6 +353,27 @@
     EXPECT_EQ(m_outcomes[1], dispatch::order_outcome::refused_own_fence);
 }
 
+TEST_F(worker_session_test, a_withdrawn_start_is_not_sent)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    m_loop.post(
+        [&]
+        {
+            tested->send(start(0));
+            tested->send(start(1));
+            tested->withdraw(start(1).m_run);
+            tested->send(start(2));
+        });
+    ASSERT_TRUE(eventually([&] { return finished() == 2; }));
+    m_loop.stop();
+    EXPECT_EQ(m_record.orders(),
+              (std::vector<std::string>{"start 5c0e7a21d94b36f8.0.0.0",
+                                        "start 5c0e7a21d94b36f8.0.0.2"}));
+}
+
 TEST_F(worker_session_test,
        a_refusal_of_a_token_that_was_raised_since_does_not_end_the_term)
 {
