A lease is over only by a time up to which all events are applied

Cause: the scheduler applies about 200 events, then reads the clock and ends the leases that are over by it, although the event that says that a lease was renewed may still wait in the queue. A renewal is posted before its call goes out, so the order of events alone decides, without any margin. Change: before it takes events the scheduler reads the clock and counts the events that wait; once as many are applied, all earlier ones are. Leases are compared with that time, so they end also if the queue is never empty. worker_lease_over shows how far the events are behind.

--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -62,6 +62,11 @@
     /// Sets the fencing token of the orders from now on.
     void fence_raised(std::int64_t fence);
 
+    /// Tells that all events up to this time have been reported. A lease is
+    /// over only if its end is earlier, as the renewal may not be reported yet.
+    /// If this is never called, events are reported without delay.
+    void events_applied(instant until) { m_events_applied_until = until; }
+
     void configure(const service_configuration& configuration);
     /// Adds a job. The progress is empty for a job without a stored record. The
     /// age of the job is computed from the wall time.
@@ -317,6 +322,7 @@
     /// some of them only according to the worker list.
     std::map<std::string, std::vector<task_ref>> m_runs_lost_before_term;
     instant m_term_start;
+    std::optional<instant> m_events_applied_until;
     std::int64_t m_fence = 0;
     std::int64_t m_required_fence = 0;
     std::set<std::string> m_workers_with_late_starts;
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -337,16 +337,19 @@
 
 void dispatcher::expire_leases(instant now)
 {
+    const instant known_until = m_events_applied_until.value_or(now);
     for (auto& [id, worker] : m_workers)
     {
         const bool unresponsive = !worker.m_reachable || !worker.m_synced;
-        if (unresponsive && worker.m_lease_end < now && !worker.m_tasks.empty())
+        if (unresponsive && worker.m_lease_end < known_until &&
+            !worker.m_tasks.empty())
         {
             m_log("worker_lease_over", id,
                   {{"tasks",
                     number(static_cast<std::int64_t>(worker.m_tasks.size()))},
                    {"last_answer_age_ms",
-                    number((now - worker.m_last_answer).count())}});
+                    number((now - worker.m_last_answer).count())},
+                   {"events_behind_ms", number((now - known_until).count())}});
             lose_worker_runs(worker, "worker lease over", now);
         }
     }
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -121,18 +121,24 @@
 
 void scheduler::handle_events()
 {
+    if (m_horizon.is_reached())
+    {
+        const instant read_at = boottime_now();
+        m_horizon.mark(read_at, m_events.size());
+    }
     std::optional<event> next = m_events.pop(next_wait());
     for (std::size_t handled = 0; next && handled < max_events_per_step;
          ++handled)
     {
         m_step_due = true;
-        (*next)();
+        apply(*next);
         next = m_events.pop(std::chrono::milliseconds(0));
     }
     if (next)
     {
-        (*next)();
+        apply(*next);
     }
+    m_dispatcher.events_applied(m_horizon.applied_until());
     if (!m_stopping && m_term->is_valid() &&
         boottime_now() - m_last_step_at >= min_step_interval)
     {
@@ -143,6 +149,12 @@
     }
 }
 
+void scheduler::apply(const event& next)
+{
+    next();
+    m_horizon.event_applied();
+}
+
 void scheduler::abandon_term(const std::string& error)
 {
     m_environment.m_log.write(
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/dispatch/dispatcher.hpp>
 #include <kingcuprudder/node/configuration_view.hpp>
+#include <kingcuprudder/node/event_horizon.hpp>
 #include <kingcuprudder/node/event_log.hpp>
 #include <kingcuprudder/node/external_records.hpp>
 #include <kingcuprudder/node/leader_metrics.hpp>
@@ -71,6 +72,7 @@
     void run();
     /// Handles the waiting events, then plans and sends orders if it is time.
     void handle_events();
+    void apply(const event& next);
     bool load();
     void load_jobs(const record_list& live, const record_list& progress);
     /// Adds the job of a listed submission, or holds it as unusable.
@@ -173,6 +175,7 @@
 
     std::atomic<bool> m_stopping = false;
     bounded_ring<event> m_events;
+    event_horizon m_horizon;
     bounded_ring<queued_write> m_write_queue;
     std::unique_ptr<record_watcher> m_worker_watcher;
     std::unique_ptr<record_watcher> m_job_watcher;
--- a/kingcuprudder/runtime/bounded_ring.hpp
+++ b/kingcuprudder/runtime/bounded_ring.hpp
@@ -94,6 +94,13 @@
         return m_items.full();
     }
 
+    /// Returns the number of items.
+    std::size_t size() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_items.size();
+    }
+
     bool closed() const
     {
         std::lock_guard lock(m_mutex);
