A lease is counted from one reading of the clock

Callers: two runs of a task at the same time (TWICE), after a process or one of its threads stood still. Cause: renew() asks whether the term is valid and reads the clock again for the lease; a thread that stands still between the two counts a lease from a time at which the term is not known to be valid. A start's lease was counted from when the order reached the session's thread, while the dispatcher counts from when it made the order. Evidence: a_lease_is_counted_from_when_the_start_was_made fails if the session counts from its own queue. The first point is from reading; the check when the connection is open, before a call is written, bounded it. Change: one reading decides about the term and begins the lease; a start carries the time at which it was made.

--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -502,7 +502,8 @@
                                 {ref, active.m_number},
                                 job.m_submission.m_spec,
                                 active.m_start_checkpoint,
-                                m_fence});
+                                m_fence,
+                                now});
     return true;
 }
 
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -31,6 +31,9 @@
     std::string m_checkpoint;
     /// The fencing token under which the order is sent, however long it waits.
     std::int64_t m_fence = 0;
+    /// The time from which the lease that it grants is counted, however long it
+    /// waits.
+    instant m_made_at = {};
 
     friend bool operator==(const start_order&, const start_order&) = default;
 };
--- a/kingcuprudder/node/leadership.cpp
+++ b/kingcuprudder/node/leadership.cpp
@@ -37,7 +37,7 @@
 
 bool term::is_valid() const
 {
-    return !m_ended && boottime_now().count() < m_valid_until;
+    return is_valid_at(boottime_now());
 }
 
 leadership::leadership(record_store& store, event_log& log, std::string node,
--- a/kingcuprudder/node/leadership.hpp
+++ b/kingcuprudder/node/leadership.hpp
@@ -39,6 +39,11 @@
     const record_write& leader_record() const { return m_leader_record; }
     /// Returns whether no other process can have become the leader yet.
     bool is_valid() const;
+    /// Returns whether none can have become the leader by this time.
+    bool is_valid_at(instant time) const
+    {
+        return !m_ended && time.count() < m_valid_until;
+    }
     void extend(instant valid_until) { m_valid_until = valid_until.count(); }
     /// Ends the term; a later extend() does not make it valid again.
     void end() { m_ended = true; }
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -69,20 +69,17 @@
 void worker_session::remove_waiting_start(const dispatch::run_ref& run)
 {
     std::erase_if(m_orders,
-                  [&run](const waiting_order& waiting)
+                  [&run](const order& waiting)
                   {
                       const auto* start =
-                          std::get_if<dispatch::start_order>(&waiting.m_order);
+                          std::get_if<dispatch::start_order>(&waiting);
                       return start != nullptr && start->m_run == run;
                   });
 }
 
 void worker_session::enqueue(const order& next)
 {
-    const bool waits_already = std::any_of(m_orders.begin(), m_orders.end(),
-                                           [&next](const waiting_order& waiting)
-                                           { return waiting.m_order == next; });
-    if (waits_already)
+    if (std::find(m_orders.begin(), m_orders.end(), next) != m_orders.end())
     {
         return;
     }
@@ -90,7 +87,7 @@
     {
         remove_waiting_start(stop->m_run);
     }
-    m_orders.push_back({next, boottime_now()});
+    m_orders.push_back(next);
 }
 
 void worker_session::close()
@@ -126,15 +123,14 @@
 {
     return m_request.m_needed ||
            m_request.m_acknowledged > m_last_acknowledged ||
-           !m_clock.is_known() || start_needs_clock();
+           !m_clock.is_known() || start_needs_clock(boottime_now());
 }
 
-bool worker_session::start_needs_clock() const
+bool worker_session::start_needs_clock(instant now) const
 {
     return !m_orders.empty() &&
-           std::holds_alternative<dispatch::start_order>(
-               m_orders.front().m_order) &&
-           !m_clock.is_recent(boottime_now());
+           std::holds_alternative<dispatch::start_order>(m_orders.front()) &&
+           !m_clock.is_recent(now);
 }
 
 void worker_session::consider_renewal()
@@ -146,7 +142,8 @@
     {
         return;
     }
-    if (m_request.m_acknowledged >= m_highest_completion || start_needs_clock())
+    if (m_request.m_acknowledged >= m_highest_completion ||
+        start_needs_clock(boottime_now()))
     {
         renew();
     }
@@ -161,7 +158,10 @@
 
 void worker_session::renew()
 {
-    if (!m_term->is_valid())
+    // The lease is counted from the time at which the term is known to be
+    // valid: this thread may stand still between two readings.
+    const instant sent = boottime_now();
+    if (!m_term->is_valid_at(sent))
     {
         pause_renewals(failed_renewal_pause);
         return;
@@ -170,7 +170,6 @@
     m_renewal_timer = event_loop::timer();
     renewal_call call;
     call.m_fence = m_term->fence();
-    const instant sent = boottime_now();
     const bool answered_recently =
         m_last_renewal_answered &&
         sent - m_last_answer <= acknowledgement_validity;
@@ -294,48 +293,51 @@
 {
     while (!m_orders.empty() && (m_closed || !m_order_in_flight))
     {
-        if (start_needs_clock())
+        const instant now = boottime_now();
+        const bool needs_clock = start_needs_clock(now);
+        if (needs_clock)
         {
             consider_renewal();
         }
-        const bool needs_clock = start_needs_clock();
         if (!m_closed && needs_clock &&
             m_renewal_phase == renewal_phase::in_flight)
         {
             return; // The answer to the renewal contains the clock.
         }
-        const waiting_order next = std::move(m_orders.front());
+        const order next = std::move(m_orders.front());
         m_orders.pop_front();
         const dispatch::call_result given_up(dispatch::order_outcome::not_sent,
                                              dispatch::call_failure::given_up);
-        const auto reason = needs_clock ? given_up : reason_not_to_send(next);
+        const auto reason =
+            needs_clock ? given_up : reason_not_to_send(next, now);
         if (reason)
         {
-            report_order(next.m_order, *reason);
+            report_order(next, *reason);
             continue;
         }
-        send_order(next);
+        send_order(next, now);
     }
 }
 
 std::optional<dispatch::call_result>
-worker_session::reason_not_to_send(const waiting_order& next) const
+worker_session::reason_not_to_send(const order& next, instant now) const
 {
     const dispatch::call_result given_up(dispatch::order_outcome::not_sent,
                                          dispatch::call_failure::given_up);
-    if (m_closed || !m_term->is_valid())
+    if (m_closed || !m_term->is_valid_at(now))
     {
         return given_up;
     }
-    if (!std::holds_alternative<dispatch::start_order>(next.m_order))
+    const auto* start = std::get_if<dispatch::start_order>(&next);
+    if (start == nullptr)
     {
         return std::nullopt;
     }
-    if (start_lease_of(next) < order_timeout)
+    if (start_lease_of(*start, now) < order_timeout)
     {
         return given_up;
     }
-    if (fence_of(next.m_order) < m_term->fence())
+    if (start->m_fence < m_term->fence())
     {
         return dispatch::order_outcome::refused_own_fence;
     }
@@ -348,28 +350,29 @@
     return start == nullptr ? m_term->fence() : start->m_fence;
 }
 
-span worker_session::start_lease_of(const waiting_order& start) const
+span worker_session::start_lease_of(const dispatch::start_order& start,
+                                    instant now) const
 {
-    const span waited = boottime_now() - start.m_queued_at;
+    const span waited = now - start.m_made_at;
     return std::min(start_lease, m_worker_lease - waited);
 }
 
-void worker_session::send_order(const waiting_order& next)
+void worker_session::send_order(const order& next, instant now)
 {
     m_order_in_flight = true;
-    const std::int64_t fence = fence_of(next.m_order);
-    const auto done = [self = shared_from_this(), sent = next.m_order,
-                       fence](const order_answer& answer)
-    { self->finish_order(sent, fence, answer); };
-    if (const auto* start = std::get_if<dispatch::start_order>(&next.m_order))
+    const std::int64_t fence = fence_of(next);
+    const auto done =
+        [self = shared_from_this(), next, fence](const order_answer& answer)
+    { self->finish_order(next, fence, answer); };
+    if (const auto* start = std::get_if<dispatch::start_order>(&next))
     {
         m_calls->start(*start, fence,
-                       *m_clock.lease_end(start_lease_of(next), boottime_now()),
+                       *m_clock.lease_end(start_lease_of(*start, now), now),
                        order_timeout, done);
         return;
     }
-    m_calls->stop(std::get<dispatch::stop_order>(next.m_order), fence,
-                  order_timeout, done);
+    m_calls->stop(std::get<dispatch::stop_order>(next), fence, order_timeout,
+                  done);
 }
 
 void worker_session::finish_order(const order& sent, std::int64_t fence,
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -74,13 +74,6 @@
         pausing,
     };
 
-    /// An order that waits for those before it.
-    struct waiting_order
-    {
-        order m_order;
-        instant m_queued_at;
-    };
-
     // The functions below run on the event loop's thread.
     /// Adds an order to those that wait, unless it waits already. A stop
     /// replaces the start of its run.
@@ -89,7 +82,7 @@
     bool is_renewal_due() const;
     /// Returns whether the next order is a start whose lease end cannot be
     /// computed from a recent reading of the worker's clock.
-    bool start_needs_clock() const;
+    bool start_needs_clock(instant now) const;
     void consider_renewal();
     void renew();
     void finish_renewal(const renewal_call& call, instant sent,
@@ -110,16 +103,16 @@
     /// clock waits for the answer to a renewal and is given up if there is
     /// none.
     void execute_next();
-    void send_order(const waiting_order& next);
+    void send_order(const order& next, instant now);
     /// Returns the fencing token with which the order is sent.
     std::int64_t fence_of(const order& next) const;
     /// Returns why the order is not sent now, or nothing if it can be.
-    std::optional<dispatch::call_result>
-    reason_not_to_send(const waiting_order& next) const;
+    std::optional<dispatch::call_result> reason_not_to_send(const order& next,
+                                                            instant now) const;
     /// Returns the length of the lease that a start grants if it is sent now.
-    /// It ends with the lease that the dispatcher counts from when the start
-    /// was queued.
-    span start_lease_of(const waiting_order& start) const;
+    /// It ends with the lease that the dispatcher counts from when it made the
+    /// start.
+    span start_lease_of(const dispatch::start_order& start, instant now) const;
     void finish_order(const order& sent, std::int64_t fence,
                       const order_answer& answer);
     void report_order(const order& sent, const dispatch::call_result& result);
@@ -152,7 +145,7 @@
     instant m_last_answer;
     renewal_phase m_renewal_phase = renewal_phase::idle;
     event_loop::timer m_renewal_timer;
-    std::deque<waiting_order> m_orders;
+    std::deque<order> m_orders;
     bool m_order_in_flight = false;
     bool m_closed = false;
 };
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -184,7 +184,9 @@
 
     static dispatch::start_order start(int index)
     {
-        return {"w", {{"5c0e7a21d94b36f8", 0, 0, index}, 1}, "", "", fence};
+        return {"w",   {{"5c0e7a21d94b36f8", 0, 0, index}, 1},
+                "",    "",
+                fence, boottime_now()};
     }
 
     template <class Condition>
@@ -638,4 +640,23 @@
     EXPECT_LE(m_record.m_start_lease_ends.at(0), shown_clock + 1000 + 20);
 }
 
+// Guards against a lease that outlasts what the dispatcher assumes, as the
+// order reached the session late.
+TEST_F(worker_session_test, a_lease_is_counted_from_when_the_start_was_made)
+{
+    const instant began = boottime_now();
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session(span(1000));
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    dispatch::start_order made_earlier = start(0);
+    made_earlier.m_made_at = boottime_now() - span(400);
+    tested->send(made_earlier);
+    ASSERT_TRUE(eventually([&] { return finished() == 1; }));
+    m_loop.stop();
+    ASSERT_EQ(m_record.m_start_lease_ends.size(), 1u);
+    EXPECT_LE(m_record.m_start_lease_ends[0],
+              shown_clock + 1000 + (made_earlier.m_made_at - began).count());
+}
+
 } // namespace kingcuprudder::node
