A run is released by typed evidence of its end

Change: release_run takes a run_end_evidence and nothing else: never sent, refused, reported, unlisted, lease over, process ended, process replaced. Each kind is made from what it rests on and refuses what does not suffice: a list that was requested before the run was accepted, a lease that may have been renewed, a start without an answer. run_over shows the process that gave it and its age. release_run is also the one place that bars the unanswered starts.

--- a/kingcuprudder/dispatch/decision_log.hpp
+++ b/kingcuprudder/dispatch/decision_log.hpp
@@ -24,10 +24,6 @@
     return std::to_string(value);
 }
 
-/// The reason of a released run whose completion the worker reported. The
-/// completion has its own log line, so the release is not logged again.
-inline const std::string completion_reported = "ended";
-
 } // namespace kingcuprudder::dispatch
 
 #endif
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <kingcuprudder/dispatch/decision_log.hpp>
 #include <kingcuprudder/dispatch/duration_model.hpp>
 #include <kingcuprudder/dispatch/job_table.hpp>
+#include <kingcuprudder/dispatch/run_end_evidence.hpp>
 #include <kingcuprudder/dispatch/service_configuration.hpp>
 #include <kingcuprudder/dispatch/urgent_headroom.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
@@ -167,7 +168,9 @@
     /// Releases the resources of a run that has ended. The task waits for a new
     /// run unless it is done.
     void release_run(job_entry& job, const task_ref& ref,
-                     const std::string& reason, instant now);
+                     const run_end_evidence& evidence, instant now);
+    void log_release(const task_ref& ref, const active_run& run,
+                     const run_end_evidence& evidence, instant now);
     /// Makes sure that the unanswered starts of a released run have no effect:
     /// one that waits is not sent, and one that is carried out late is refused.
     void bar_late_starts(worker_entry& worker, const task_ref& ref,
@@ -178,12 +181,12 @@
                            const std::string& reason, instant now);
     void stop_job(job_entry& job, const std::string& reason, instant now);
     void complete_if_done(job_entry& job, instant now);
-    void release_worker_runs(worker_entry& worker, const std::string& reason,
-                             instant now);
+    void release_worker_runs(worker_entry& worker,
+                             const run_end_evidence& evidence, instant now);
     /// Releases the runs of a worker that was lost, and attributes the loss to
     /// the tasks that may have caused it.
-    void lose_worker_runs(worker_entry& worker, const std::string& reason,
-                          instant now);
+    void lose_worker_runs(worker_entry& worker,
+                          const run_end_evidence& evidence, instant now);
     void attribute_loss(worker_entry& worker, instant now);
     /// Attributes the workers whose process has ended, before their lease is
     /// over, so that a later leader knows of it.
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -305,10 +305,10 @@
 }
 
 void dispatcher::lose_worker_runs(worker_entry& worker,
-                                  const std::string& reason, instant now)
+                                  const run_end_evidence& evidence, instant now)
 {
     attribute_loss(worker, now);
-    release_worker_runs(worker, reason, now);
+    release_worker_runs(worker, evidence, now);
 }
 
 void dispatcher::give_up(job_entry& job, const task_ref& ref, instant now)
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -1,3 +1,5 @@
+#include <kingcuprudder/base/assert.hpp>
+#include <kingcuprudder/dispatch/crash_log.hpp>
 #include <kingcuprudder/dispatch/dispatcher.hpp>
 
 #include <algorithm>
@@ -74,7 +76,7 @@
     }
     if (task.m_active->m_phase == run_phase::assigned)
     {
-        release_run(job, ref, reason, now);
+        release_run(job, ref, run_end_evidence::never_sent(reason, now), now);
         return;
     }
     if (task.m_active->m_phase == run_phase::unverified)
@@ -96,10 +98,12 @@
 }
 
 void dispatcher::release_run(job_entry& job, const task_ref& ref,
-                             const std::string& reason, instant now)
+                             const run_end_evidence& evidence, instant now)
 {
     task_entry& task = job.task(ref);
     const active_run active = *task.m_active;
+    KCR_ASSERT(evidence.what() != run_end_evidence::kind::never_sent ||
+               active.m_phase == run_phase::assigned);
     worker_entry& worker = find_or_add_worker(active.m_worker);
     const resources demand = job.step(ref).occupied();
     if (active.m_phase == run_phase::assigned)
@@ -123,30 +127,39 @@
     task.m_progress.m_worker.clear();
     task.m_progress.m_worker_address.clear();
     m_jobs.mark_changed(job);
-    if (reason != completion_reported) // Logged with the completion.
-    {
-        m_log("run_over", ref.str(),
-              {{"run", number(active.m_number)},
-               {"worker", active.m_worker},
-               {"reason", reason},
-               {"phase", std::string(to_string(active.m_phase))},
-               {"sends", number(active.m_send_count)},
-               {"unanswered_sends", number(active.m_unanswered_sends)},
-               {"start_fence", number(active.m_fence)},
-               {"worker_started", number(worker.m_incarnation)},
-               {"lease_left_ms", number((worker.m_lease_end - now).count())},
-               {"held_ms", number((now - active.m_assigned_at).count())}});
-    }
+    log_release(ref, active, evidence, now);
     if (active.m_unanswered_sends > 0)
     {
         bar_late_starts(worker, ref, active, now);
     }
     if (job.step(ref).m_gang && !task.m_progress.m_done)
     {
-        stop_gang_members(job, ref, reason, now);
+        stop_gang_members(job, ref, evidence.reason(), now);
     }
 }
 
+void dispatcher::log_release(const task_ref& ref, const active_run& run,
+                             const run_end_evidence& evidence, instant now)
+{
+    if (evidence.what() == run_end_evidence::kind::reported)
+    {
+        return; // Logged with the completion.
+    }
+    const worker_entry& worker = find_or_add_worker(run.m_worker);
+    decision_fields fields{
+        {"run", number(run.m_number)},
+        {"worker", run.m_worker},
+        {"phase", std::string(to_string(run.m_phase))},
+        {"sends", number(run.m_send_count)},
+        {"unanswered_sends", number(run.m_unanswered_sends)},
+        {"start_fence", number(run.m_fence)},
+        {"worker_started", number(worker.m_incarnation)},
+        {"lease_left_ms", number((worker.m_lease_end - now).count())},
+        {"held_ms", number((now - run.m_assigned_at).count())}};
+    append(fields, evidence.fields(now));
+    m_log("run_over", ref.str(), std::move(fields));
+}
+
 void dispatcher::bar_late_starts(worker_entry& worker, const task_ref& ref,
                                  const active_run& run, instant now)
 {
@@ -297,7 +310,9 @@
         begin_stopping(*job, ref, "start refused after an unanswered one", now);
         return;
     }
-    release_run(*job, ref, std::string(to_string(outcome)), now);
+    release_run(*job, ref,
+                run_end_evidence::refused(outcome, worker.m_incarnation, now),
+                now);
 }
 
 void dispatcher::stop_finished(const stop_order& order, order_outcome outcome,
@@ -350,7 +365,11 @@
                    {"last_answer_age_ms",
                     number((now - worker.m_last_answer).count())},
                    {"events_behind_ms", number((now - known_until).count())}});
-            lose_worker_runs(worker, "worker lease over", now);
+            lose_worker_runs(worker,
+                             run_end_evidence::lease_over(worker.m_incarnation,
+                                                          worker.m_lease_end,
+                                                          known_until),
+                             now);
         }
     }
 }
@@ -418,7 +437,10 @@
         if (unusable || (active.m_ready_at &&
                          now - *active.m_ready_at > capacity_wait_limit))
         {
-            release_run(job, ref, "no room on the worker", now);
+            release_run(
+                job, ref,
+                run_end_evidence::never_sent("no room on the worker", now),
+                now);
         }
     }
 }
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -101,7 +101,9 @@
                 number((now - worker.m_last_answer).count())}});
         // Its process is gone, and so are its runs, whatever is left of the
         // lease.
-        lose_worker_runs(worker, "worker replaced", now);
+        lose_worker_runs(
+            worker,
+            run_end_evidence::process_replaced(worker.m_incarnation, now), now);
     }
     call_other_address(worker, now);
 }
@@ -170,7 +172,10 @@
         const bool held = report.find(ref.str(), active.m_number) != nullptr;
         if (!held && has_ended_with_process(active, sent))
         {
-            release_run(job, ref, "worker restarted", now);
+            release_run(
+                job, ref,
+                run_end_evidence::process_ended(worker.m_incarnation, sent),
+                now);
             continue;
         }
         task_progress& recorded = job.task(ref).m_progress;
@@ -232,7 +237,8 @@
 }
 
 void dispatcher::release_worker_runs(worker_entry& worker,
-                                     const std::string& reason, instant now)
+                                     const run_end_evidence& evidence,
+                                     instant now)
 {
     const std::set<task_ref> tasks = worker.m_tasks;
     for (const task_ref& ref : tasks)
@@ -241,7 +247,7 @@
         if (job != nullptr && job->task(ref).m_active &&
             job->task(ref).m_active->m_worker == worker.id())
         {
-            release_run(*job, ref, reason, now);
+            release_run(*job, ref, evidence, now);
         }
     }
 }
@@ -425,7 +431,8 @@
     }
     if (was_active && job->task(*ref).m_active)
     {
-        release_run(*job, *ref, completion_reported, now);
+        release_run(*job, *ref,
+                    run_end_evidence::reported(worker.m_incarnation, now), now);
     }
     m_jobs.mark_changed(*job);
     worker.m_unstored_completions[report.m_number] = {job->m_submission.m_id,
@@ -568,7 +575,11 @@
             (active.m_listed_from && *active.m_listed_from < sent);
         if (gone && !listed.contains({ref.str(), active.m_number}))
         {
-            release_run(*job, ref, "not on the worker", now);
+            release_run(*job, ref,
+                        run_end_evidence::unlisted(
+                            worker.m_incarnation,
+                            active.m_listed_from.value_or(instant()), sent),
+                        now);
         }
     }
     for (auto each = m_unrecorded_runs.begin();
