--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -34,8 +34,8 @@
 constexpr span load_retry = span(150);
 constexpr span write_retry = span(80);
 // The fencing token covers the starts to all workers, so one write serves all
-// that became unanswered in this time.
-constexpr span min_raise_interval = span(250);
+// that became unanswered in this time. Each write wakes all followers.
+constexpr span min_raise_interval = span(1000);
 constexpr span summary_interval = span(500);
 constexpr span metrics_interval = span(500);
 constexpr span removal_interval = span(5000);
