A persistent task does not wait for the rack of its data

Meanwhile runs in other racks were stopped for room that the waiting task did not take. Cause: best_worker found no worker outside the data's rack before the step was late, whether the rack had a worker or not, and a persistent step is never late. reclaim_for_task took victims in any rack. Evidence: before the change five of the six tests in persistent_placement_test fail: a_lost_data_rack_stops_no_persistent_task, a_full_data_rack_stops_no_persistent_task, a_task_does_not_wait_for_a_rack_of_no_worker, a_task_does_not_wait_long_for_a_silent_rack, no_run_is_stopped_outside_the_rack_waited_for. The sixth, a_task_waits_for_a_busy_worker_near_its_data, holds before and after. Change: waits_for_data_rack: a step waits only for workers that may become usable and are large enough; a worker that was silent for 5 s is not one. A persistent step waits for 2 s at most. While a step waits, runs are preempted only in that rack.

--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -14,6 +14,9 @@
 // A suspected task waits this long for a worker without other new runs. On a
 // busy pool there may be none.
 constexpr span max_wait_for_quiet_worker = span(2000);
+// A persistent task waits this long for a worker that suits it best. It must
+// run within 6 s of its last run.
+constexpr span max_wait_of_persistent_task = span(2000);
 
 // The weight of capacity for jobs of priority 0 and of 2 and above, relative to
 // priority 1, and the factor by which it drops once a job is late.
@@ -233,6 +236,11 @@
                     const bool suspected =
                         tasks[task].m_progress.m_crashes.any();
                     step.m_suspected = step.m_suspected || suspected;
+                    step.m_overdue =
+                        step.m_overdue ||
+                        (job.m_submission.m_steps[index].m_persistent &&
+                         m_now - tasks[task].m_waiting_since >=
+                             max_wait_of_persistent_task);
                     step.m_lost_addresses.insert(
                         tasks[task].m_lost_addresses.begin(),
                         tasks[task].m_lost_addresses.end());
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -35,6 +35,9 @@
     std::set<std::string> m_lost_addresses;
     /// The step waits for a worker without other new runs.
     bool m_wants_quiet_worker = false;
+    /// A persistent task has waited so long that the step takes any worker with
+    /// room, even one that suits it less.
+    bool m_overdue = false;
     /// The time by which the job must end to meet its objective.
     instant m_objective;
 };
@@ -107,6 +110,13 @@
     int tasks_on_worker(const worker_entry& worker,
                         const waiting_step& step) const;
     worker_entry* best_worker(const waiting_step& step);
+    /// Returns whether the worker is outside the rack of the step's data.
+    static bool is_far(const worker_entry& worker, const waiting_step& step);
+    /// Returns whether the step is not placed outside the rack of its data yet,
+    /// as a worker there can still become free for it.
+    bool waits_for_data_rack(const waiting_step& step) const;
+    /// Returns whether the worker can run new tasks now or probably will soon.
+    bool may_become_usable(const worker_entry& worker) const;
 
     /// A worker and the number of gang members on it.
     using gang_share = std::pair<worker_entry*, int>;
--- a/kingcuprudder/dispatch/planner_reclaim.cpp
+++ b/kingcuprudder/dispatch/planner_reclaim.cpp
@@ -185,10 +185,11 @@
 bool planner::reclaim_for_task(waiting_step& step)
 {
     const job_step& wanted = step.m_job->step(step.m_step);
+    const bool only_near = waits_for_data_rack(step);
     std::optional<std::pair<std::vector<victim>, double>> best;
     for (const worker_entry* worker : m_index.pool(step.m_policy.m_pool))
     {
-        if (!is_eligible(*worker, step))
+        if (!is_eligible(*worker, step) || (only_near && is_far(*worker, step)))
         {
             continue;
         }
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -11,6 +11,8 @@
 
 // Workers with a failure within this time are used after all others.
 constexpr span recent_failure_period = span(8000);
+// A worker that is silent for longer is probably lost.
+constexpr span max_wait_for_silent_worker = span(5000);
 
 bool has_label(const worker_description& worker, const std::string& label)
 {
@@ -135,6 +137,42 @@
     return static_cast<int>(std::max<std::int64_t>(0, fitting));
 }
 
+bool planner::is_far(const worker_entry& worker, const waiting_step& step)
+{
+    const std::string& rack = step.m_job->step(step.m_step).m_data_rack;
+    return !rack.empty() && worker.m_description.m_rack != rack;
+}
+
+bool planner::may_become_usable(const worker_entry& worker) const
+{
+    const bool silent_shortly =
+        worker.m_silent_since &&
+        m_now - *worker.m_silent_since < max_wait_for_silent_worker;
+    return worker.m_listed && !worker.m_description.m_draining &&
+           (worker.m_reachable || silent_shortly);
+}
+
+bool planner::waits_for_data_rack(const waiting_step& step) const
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    if (wanted.m_data_rack.empty() || step.m_late || step.m_overdue)
+    {
+        return false;
+    }
+    // Outside the rack of its data a task takes several times as long.
+    return std::any_of(
+        m_state.m_workers.begin(), m_state.m_workers.end(),
+        [&](const auto& each)
+        {
+            const worker_description& described = each.second.m_description;
+            return described.m_rack == wanted.m_data_rack &&
+                   described.m_pool == step.m_policy.m_pool &&
+                   has_label(described, wanted.m_required_label) &&
+                   described.m_capacity.covers(wanted.occupied()) &&
+                   may_become_usable(each.second);
+        });
+}
+
 worker_entry* planner::best_worker(const waiting_step& step)
 {
     const capacity_request request = capacity_request_of(step, 1, false);
@@ -143,11 +181,6 @@
         return nullptr;
     }
     const job_step& wanted = step.m_job->step(step.m_step);
-    const auto is_far = [&wanted](const worker_entry& worker)
-    {
-        return !wanted.m_data_rack.empty() &&
-               worker.m_description.m_rack != wanted.m_data_rack;
-    };
     using rank = std::tuple<bool, bool, std::int64_t, std::int64_t>;
     worker_entry* best = nullptr;
     rank best_rank;
@@ -174,7 +207,8 @@
             }
             const resources left =
                 worker->plannable_capacity() - wanted.occupied();
-            const rank found(is_far(*worker), is_last_choice(*worker, step),
+            const rank found(is_far(*worker, step),
+                             is_last_choice(*worker, step),
                              packing_rank(step, left.m_gpus),
                              packing_rank(step, left.m_cpu_millis));
             if (best == nullptr || found < best_rank)
@@ -188,9 +222,8 @@
     {
         m_index.record_failure(request);
     }
-    // Outside the rack of its data a task takes several times as long, so it
-    // waits for capacity in that rack until it is late.
-    const bool waits = best != nullptr && is_far(*best) && !step.m_late;
+    const bool waits =
+        best != nullptr && is_far(*best, step) && waits_for_data_rack(step);
     return waits ? nullptr : best;
 }
 
--- /dev/null
+++ b/unit_tests/dispatch/persistent_placement_test.cpp
@@ -0,0 +1,136 @@
+#include "dispatcher_fixture.hpp"
+
+namespace kingcuprudder::dispatch
+{
+
+/// Persistent tasks whose best workers are lost or used by others.
+class persistent_placement_test : public dispatcher_fixture
+{
+protected:
+    /// A persistent task is down for less than 6 s, of which the detection of
+    /// the loss takes a part.
+    static constexpr span max_wait = span(3000);
+    static constexpr span lease_margin = span(2000);
+    static constexpr span planning_interval = span(100);
+
+    void add_worker_in(const std::string& rack, const std::string& id)
+    {
+        worker_description added = worker(id);
+        added.m_rack = rack;
+        m_dispatcher.worker_listed(added, m_now);
+        report(id, {});
+    }
+
+    static job_submission persistent(const std::string& id, int tasks, int gpus)
+    {
+        job_submission made = job(id, tasks, gpus);
+        made.m_steps[0].m_persistent = true;
+        return made;
+    }
+
+    /// The worker, which stays in the list, is silent until its lease is over.
+    void lose(const std::string& id)
+    {
+        m_dispatcher.renewal_failed(id, order_outcome::may_have_arrived, m_now);
+        pass(dispatch_limits().m_worker_lease + lease_margin);
+    }
+
+    /// Plans until something is started, or for the given time.
+    std::vector<start_order> start_within(span time)
+    {
+        const instant until = m_now + time;
+        std::vector<start_order> starts = start_all();
+        while (starts.empty() && m_now < until)
+        {
+            pass(planning_interval);
+            starts = start_all();
+        }
+        return starts;
+    }
+
+    /// Submits the job and confirms its starts.
+    std::vector<start_order> run(const job_submission& submission)
+    {
+        accept(submission);
+        const std::vector<start_order> starts = start_within(max_wait);
+        confirm(starts);
+        return starts;
+    }
+};
+
+TEST_F(persistent_placement_test, a_lost_data_rack_stops_no_persistent_task)
+{
+    add_worker_in("rack-1", "w1");
+    add_worker_in("rack-2", "w2");
+    job_submission lasting = persistent("l", 1, 1);
+    lasting.m_steps[0].m_data_rack = "rack-1";
+    const auto first = run(lasting);
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_EQ(first[0].m_worker, "w1");
+    lose("w1");
+    const auto again = start_within(max_wait);
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_EQ(again[0].m_worker, "w2");
+}
+
+TEST_F(persistent_placement_test, a_full_data_rack_stops_no_persistent_task)
+{
+    add_worker_in("rack-1", "w1");
+    add_worker_in("rack-2", "w2");
+    ASSERT_EQ(run(persistent("other", 1, 8)).size(), 1u);
+    job_submission lasting = persistent("l", 1, 1);
+    lasting.m_steps[0].m_data_rack = "rack-1";
+    EXPECT_EQ(run(lasting).size(), 1u);
+}
+
+TEST_F(persistent_placement_test, a_task_does_not_wait_for_a_rack_of_no_worker)
+{
+    add_worker_in("rack-1", "w1");
+    add_worker_in("rack-2", "w2");
+    lose("w1");
+    job_submission near = job("j", 1, 1);
+    near.m_steps[0].m_data_rack = "rack-1";
+    accept(near);
+    EXPECT_EQ(start_all().size(), 1u);
+}
+
+TEST_F(persistent_placement_test, a_task_does_not_wait_long_for_a_silent_rack)
+{
+    add_worker_in("rack-1", "w1");
+    add_worker_in("rack-2", "w2");
+    m_dispatcher.renewal_failed("w1", order_outcome::may_have_arrived, m_now);
+    job_submission near = job("j", 1, 1);
+    near.m_steps[0].m_data_rack = "rack-1";
+    near.m_steps[0].m_estimate = span(60'000);
+    accept(near);
+    EXPECT_TRUE(start_all().empty());
+    EXPECT_EQ(start_within(span(6000)).size(), 1u);
+}
+
+TEST_F(persistent_placement_test, a_task_waits_for_a_busy_worker_near_its_data)
+{
+    add_worker_in("rack-1", "w1");
+    ASSERT_EQ(run(job("b", 1, 8)).size(), 1u);
+    add_worker_in("rack-2", "w2");
+    job_submission near = job("j", 1, 1);
+    near.m_steps[0].m_data_rack = "rack-1";
+    near.m_steps[0].m_estimate = span(60'000);
+    accept(near);
+    EXPECT_TRUE(start_within(span(6000)).empty());
+}
+
+// Runs in other racks were stopped for a task that did not take their place.
+TEST_F(persistent_placement_test, no_run_is_stopped_outside_the_rack_waited_for)
+{
+    add_worker_in("rack-1", "w1");
+    ASSERT_EQ(run(persistent("other", 1, 8)).size(), 1u);
+    add_worker_in("rack-2", "w2");
+    ASSERT_EQ(run(job("b", 1, 8)).size(), 1u);
+    job_submission urgent = job("u", 1, 1, "urgent");
+    urgent.m_steps[0].m_data_rack = "rack-1";
+    urgent.m_steps[0].m_estimate = span(60'000);
+    accept(urgent);
+    EXPECT_TRUE(step().m_stops.empty());
+}
+
+} // namespace kingcuprudder::dispatch
