Tasks that fill do not keep a persistent serving task from running

Cause: has_interference ruled out such workers without a limit of time, also for preemption. Evidence: five tests of persistent_placement_test fail before the change: tasks_that_fill_keep_out_no_serving_task, a_filling_task_runs_beside_serving_tasks, a_filling_task_that_ends_makes_way, a_persistent_filling_task_moves_apart, a_filling_task_without_another_place_stays. an_overdue_task_prefers_a_worker_apart holds before and after. Change: best-effort runs are stopped for a serving task that may preempt, if they end or if they have another place apart from serving tasks; not those of steps with maxUnavailable, of gangs or of priority 0. A persistent task that has waited for 2 s takes the worker with the fewest tasks that interfere. Ordinary tasks still wait. Runs that are being stopped no longer count as interference. Without pacing, HARM is not proved where the two share a worker.

--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -76,9 +76,16 @@
     void index_workers();
     bool is_eligible(const worker_entry& worker,
                      const waiting_step& step) const;
-    /// Returns whether the step and tasks on the worker would interfere: tasks
-    /// with a latency target and tasks that use idle CPU are kept apart.
-    bool has_interference(const worker_entry& worker,
+    /// Returns whether the worker is eligible once nothing there interferes
+    /// with the step.
+    bool is_eligible_alone(const worker_entry& worker,
+                           const waiting_step& step) const;
+    /// Returns whether tasks of the two steps would interfere: tasks with a
+    /// latency target and tasks that use idle CPU are kept apart.
+    static bool interfere(const job_step& left, const job_step& right);
+    /// Returns how many tasks on the worker would interfere with the step, but
+    /// for those that are being stopped.
+    int interfering_tasks(const worker_entry& worker,
                           const job_step& wanted) const;
     bool recently_failed(const worker_entry& worker) const;
     /// Returns whether the step uses the worker only if no other one fits.
@@ -158,10 +165,28 @@
     /// capacity for the step.
     double max_lost_work(const waiting_step& step) const;
     double lost_work_of(const job_entry& job, const task_ref& ref) const;
-    /// Returns the cheapest victims that free the missing resources, and their
-    /// lost work; nothing if there are not enough victims.
-    std::optional<std::pair<std::vector<victim>, double>>
-    cheapest_victims(const worker_entry& worker, resources missing);
+    /// Victims, and their lost work.
+    using priced_victims = std::pair<std::vector<victim>, double>;
+    /// Returns the cheapest victims that free the missing resources, among them
+    /// those that are required; nothing if there are not enough victims.
+    std::optional<priced_victims>
+    cheapest_victims(const worker_entry& worker, resources missing,
+                     const std::vector<victim>& required = {});
+    /// Returns the cheapest victims that make room for a task of the step on
+    /// the worker, and remove what would interfere with it there.
+    std::optional<priced_victims> victims_for_task(const worker_entry& worker,
+                                                   const waiting_step& step);
+    /// Returns the runs on the worker that use idle CPU and would interfere
+    /// with the step; nothing if not all of them can be stopped.
+    std::optional<std::vector<victim>>
+    interfering_victims(const worker_entry& worker,
+                        const waiting_step& step) const;
+    /// Returns whether the task, of a step that uses idle CPU, has a place on
+    /// another worker where it interferes with nothing. Members of gangs end
+    /// together and are not moved.
+    bool can_move(job_entry& job, const task_ref& ref) const;
+    /// Returns whether the run may be stopped now for work of a higher rank.
+    static bool is_stoppable(const job_entry& job, const task_ref& ref);
     void preempt(const std::vector<victim>& victims, const waiting_step& step);
     /// Returns the workers whose runs change when this one is preempted.
     static std::set<std::string> workers_changed_by(const victim& preempted);
--- a/kingcuprudder/dispatch/planner_gangs.cpp
+++ b/kingcuprudder/dispatch/planner_gangs.cpp
@@ -75,7 +75,8 @@
                      const worker_index::workers& candidates)
 {
     const job_step& wanted = step.m_job->step(step.m_step);
-    std::vector<std::tuple<bool, std::int64_t, worker_entry*, int>> ranked;
+    using rank = std::tuple<int, bool, std::int64_t>;
+    std::vector<std::tuple<rank, worker_entry*, int>> ranked;
     int total = 0;
     for (worker_entry* worker : candidates)
     {
@@ -84,9 +85,10 @@
         if (fitting > 0 && is_eligible(*worker, step))
         {
             ranked.emplace_back(
-                is_last_choice(*worker, step),
-                packing_rank(step, worker->plannable_capacity().m_gpus), worker,
-                fitting);
+                rank(interfering_tasks(*worker, wanted),
+                     is_last_choice(*worker, step),
+                     packing_rank(step, worker->plannable_capacity().m_gpus)),
+                worker, fitting);
             total += fitting;
         }
     }
@@ -94,17 +96,16 @@
     {
         return {};
     }
-    std::sort(ranked.begin(), ranked.end(),
-              [](const auto& left, const auto& right)
-              {
-                  return std::tuple(std::get<0>(left), std::get<1>(left),
-                                    std::get<2>(left)->id()) <
-                         std::tuple(std::get<0>(right), std::get<1>(right),
-                                    std::get<2>(right)->id());
-              });
+    std::sort(
+        ranked.begin(), ranked.end(),
+        [](const auto& left, const auto& right)
+        {
+            return std::tuple(std::get<0>(left), std::get<1>(left)->id()) <
+                   std::tuple(std::get<0>(right), std::get<1>(right)->id());
+        });
     std::vector<gang_share> shares;
     int missing = wanted.m_count;
-    for (const auto& [failing, free, worker, fitting] : ranked)
+    for (const auto& [order, worker, fitting] : ranked)
     {
         if (missing == 0)
         {
--- a/kingcuprudder/dispatch/planner_reclaim.cpp
+++ b/kingcuprudder/dispatch/planner_reclaim.cpp
@@ -90,6 +90,15 @@
     return already_counted ? 0 : next.m_lost_work;
 }
 
+bool planner::is_stoppable(const job_entry& job, const task_ref& ref)
+{
+    const task_entry& task = job.m_tasks[ref.m_repeat][ref.m_step][ref.m_index];
+    const run_phase phase = task.m_active->m_phase;
+    return (phase == run_phase::confirmed || phase == run_phase::assigned) &&
+           job.m_policy.m_priority > highest_priority &&
+           job.step(ref).m_max_unavailable == 0;
+}
+
 const std::vector<planner::victim>&
 planner::victims_on(const worker_entry& worker)
 {
@@ -106,12 +115,7 @@
         {
             continue;
         }
-        const run_phase phase = job->task(ref).m_active->m_phase;
-        const bool stoppable =
-            phase == run_phase::confirmed || phase == run_phase::assigned;
-        if (stoppable && job->m_policy.m_priority > highest_priority &&
-            job->step(ref).m_max_unavailable == 0 &&
-            !job->step(ref).m_persistent)
+        if (is_stoppable(*job, ref) && !job->step(ref).m_persistent)
         {
             victims.push_back({job, ref, lost_work_of(*job, ref)});
         }
@@ -125,20 +129,33 @@
     return victims;
 }
 
-std::optional<std::pair<std::vector<planner::victim>, double>>
-planner::cheapest_victims(const worker_entry& worker, resources missing)
+std::optional<planner::priced_victims>
+planner::cheapest_victims(const worker_entry& worker, resources missing,
+                          const std::vector<victim>& required)
 {
     std::vector<victim> chosen;
     double lost_work = 0;
+    const auto choose = [&](const victim& each)
+    {
+        missing -= each.m_job->step(each.m_task).occupied();
+        lost_work += added_lost_work(chosen, each);
+        chosen.push_back(each);
+    };
+    std::for_each(required.begin(), required.end(), choose);
     for (const victim& each : victims_on(worker))
     {
         if (resources().covers(missing))
         {
             break;
         }
-        missing -= each.m_job->step(each.m_task).occupied();
-        lost_work += added_lost_work(chosen, each);
-        chosen.push_back(each);
+        const bool is_required =
+            std::any_of(required.begin(), required.end(),
+                        [&each](const victim& other)
+                        { return other.m_task == each.m_task; });
+        if (!is_required)
+        {
+            choose(each);
+        }
     }
     if (!resources().covers(missing))
     {
@@ -147,6 +164,74 @@
     return std::pair(chosen, lost_work);
 }
 
+bool planner::can_move(job_entry& job, const task_ref& ref) const
+{
+    if (job.step(ref).m_gang)
+    {
+        return false;
+    }
+    waiting_step moved;
+    moved.m_job = &job;
+    moved.m_step = ref;
+    moved.m_policy = job.m_policy;
+    const std::string& present = job.task(ref).m_active->m_worker;
+    const worker_index::workers& workers = m_index.pool(moved.m_policy.m_pool);
+    return std::any_of(workers.begin(), workers.end(),
+                       [&](const worker_entry* other)
+                       {
+                           return other->id() != present &&
+                                  fitting_tasks(*other, moved,
+                                                other->plannable_capacity()) >
+                                      0 &&
+                                  is_eligible(*other, moved);
+                       });
+}
+
+std::optional<std::vector<planner::victim>>
+planner::interfering_victims(const worker_entry& worker,
+                             const waiting_step& step) const
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    std::vector<victim> victims;
+    if (interfering_tasks(worker, wanted) == 0)
+    {
+        return victims;
+    }
+    for (const task_ref& ref : worker.m_tasks)
+    {
+        job_entry* job = m_state.m_jobs.find_task(ref);
+        if (job == nullptr || !job->task(ref).m_active ||
+            !interfere(job->step(ref), wanted) ||
+            job->task(ref).m_active->m_phase == run_phase::stopping)
+        {
+            continue;
+        }
+        const job_step& other = job->step(ref);
+        if (!other.m_uses_idle_cpu || !is_stoppable(*job, ref) ||
+            (other.m_persistent && !can_move(*job, ref)))
+        {
+            return std::nullopt;
+        }
+        victims.push_back({job, ref, lost_work_of(*job, ref)});
+    }
+    return victims;
+}
+
+std::optional<planner::priced_victims>
+planner::victims_for_task(const worker_entry& worker, const waiting_step& step)
+{
+    const std::optional<std::vector<victim>> interfering =
+        interfering_victims(worker, step);
+    if (!interfering && !step.m_overdue)
+    {
+        return std::nullopt;
+    }
+    const job_step& wanted = step.m_job->step(step.m_step);
+    return cheapest_victims(
+        worker, worker.plannable_capacity().missing_for(wanted.occupied()),
+        interfering.value_or(std::vector<victim>()));
+}
+
 void planner::preempt(const std::vector<victim>& victims,
                       const waiting_step& step)
 {
@@ -184,18 +269,16 @@
 
 bool planner::reclaim_for_task(waiting_step& step)
 {
-    const job_step& wanted = step.m_job->step(step.m_step);
     const bool only_near = waits_for_data_rack(step);
-    std::optional<std::pair<std::vector<victim>, double>> best;
+    std::optional<priced_victims> best;
     for (const worker_entry* worker : m_index.pool(step.m_policy.m_pool))
     {
-        if (!is_eligible(*worker, step) || (only_near && is_far(*worker, step)))
+        if (!is_eligible_alone(*worker, step) ||
+            (only_near && is_far(*worker, step)))
         {
             continue;
         }
-        auto found = cheapest_victims(
-            *worker,
-            worker->plannable_capacity().missing_for(wanted.occupied()));
+        auto found = victims_for_task(*worker, step);
         if (found && (!best || found->second < best->second))
         {
             best = std::move(found);
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -27,11 +27,18 @@
 
 bool planner::is_eligible(const worker_entry& worker,
                           const waiting_step& step) const
+{
+    return is_eligible_alone(worker, step) &&
+           (step.m_overdue ||
+            interfering_tasks(worker, step.m_job->step(step.m_step)) == 0);
+}
+
+bool planner::is_eligible_alone(const worker_entry& worker,
+                                const waiting_step& step) const
 {
     const job_step& wanted = step.m_job->step(step.m_step);
     return has_label(worker.m_description, wanted.m_required_label) &&
-           is_apart_from_suspects(worker, step) &&
-           !has_interference(worker, wanted);
+           is_apart_from_suspects(worker, step);
 }
 
 bool planner::is_apart_from_suspects(const worker_entry& worker,
@@ -68,20 +75,29 @@
     return step.m_suspected ? -free_gpus : free_gpus;
 }
 
-bool planner::has_interference(const worker_entry& worker,
+bool planner::interfere(const job_step& left, const job_step& right)
+{
+    const span none = span(0);
+    return (left.m_uses_idle_cpu && right.m_target_latency > none) ||
+           (right.m_uses_idle_cpu && left.m_target_latency > none);
+}
+
+int planner::interfering_tasks(const worker_entry& worker,
                                const job_step& wanted) const
 {
-    const bool serves = wanted.m_target_latency > span(0);
-    return (wanted.m_uses_idle_cpu || serves) &&
-           std::any_of(
-               worker.m_tasks.begin(), worker.m_tasks.end(),
-               [&](const task_ref& ref)
-               {
-                   const job_entry* job = m_state.m_jobs.find(ref.m_job);
-                   return job != nullptr &&
-                          (serves ? job->step(ref).m_uses_idle_cpu
-                                  : job->step(ref).m_target_latency > span(0));
-               });
+    if (!wanted.m_uses_idle_cpu && wanted.m_target_latency == span(0))
+    {
+        return 0;
+    }
+    return static_cast<int>(std::count_if(
+        worker.m_tasks.begin(), worker.m_tasks.end(),
+        [&](const task_ref& ref)
+        {
+            job_entry* job = m_state.m_jobs.find_task(ref);
+            return job != nullptr && interfere(job->step(ref), wanted) &&
+                   !(job->task(ref).m_active &&
+                     job->task(ref).m_active->m_phase == run_phase::stopping);
+        }));
 }
 
 bool planner::recently_failed(const worker_entry& worker) const
@@ -181,7 +197,7 @@
         return nullptr;
     }
     const job_step& wanted = step.m_job->step(step.m_step);
-    using rank = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+    using rank = std::tuple<int, bool, bool, std::int64_t, std::int64_t>;
     worker_entry* best = nullptr;
     rank best_rank;
     const worker_index::workers_by_gpus& by_gpus =
@@ -191,9 +207,10 @@
          group != by_gpus.end(); ++group)
     {
         // A worker with more free GPUs ranks after one that is neither far nor
-        // failing.
-        if (best != nullptr && !step.m_suspected && !std::get<0>(best_rank) &&
-            !std::get<1>(best_rank))
+        // failing, and on which nothing interferes.
+        if (best != nullptr && !step.m_suspected &&
+            std::get<0>(best_rank) == 0 && !std::get<1>(best_rank) &&
+            !std::get<2>(best_rank))
         {
             break;
         }
@@ -207,10 +224,10 @@
             }
             const resources left =
                 worker->plannable_capacity() - wanted.occupied();
-            const rank found(is_far(*worker, step),
-                             is_last_choice(*worker, step),
-                             packing_rank(step, left.m_gpus),
-                             packing_rank(step, left.m_cpu_millis));
+            const rank found(
+                interfering_tasks(*worker, wanted), is_far(*worker, step),
+                is_last_choice(*worker, step), packing_rank(step, left.m_gpus),
+                packing_rank(step, left.m_cpu_millis));
             if (best == nullptr || found < best_rank)
             {
                 best = worker;
--- a/unit_tests/dispatch/persistent_placement_test.cpp
+++ b/unit_tests/dispatch/persistent_placement_test.cpp
@@ -28,6 +28,21 @@
         return made;
     }
 
+    static job_submission serving(const std::string& id)
+    {
+        job_submission made = persistent(id, 1, 1);
+        made.m_steps[0].m_target_latency = span(200);
+        return made;
+    }
+
+    static job_submission filling(const std::string& id, bool is_persistent)
+    {
+        job_submission made = job(id, 1, 0);
+        made.m_steps[0].m_uses_idle_cpu = true;
+        made.m_steps[0].m_persistent = is_persistent;
+        return made;
+    }
+
     /// The worker, which stays in the list, is silent until its lease is over.
     void lose(const std::string& id)
     {
@@ -133,4 +148,74 @@
     EXPECT_TRUE(step().m_stops.empty());
 }
 
+TEST_F(persistent_placement_test, tasks_that_fill_keep_out_no_serving_task)
+{
+    add_worker("w1");
+    add_worker("w2");
+    const auto served = run(serving("s"));
+    ASSERT_EQ(served.size(), 1u);
+    ASSERT_EQ(run(filling("f", true)).size(), 1u);
+    lose(served[0].m_worker);
+    EXPECT_EQ(start_within(max_wait).size(), 1u);
+}
+
+TEST_F(persistent_placement_test, a_filling_task_runs_beside_serving_tasks)
+{
+    add_worker("w1");
+    ASSERT_EQ(run(serving("s")).size(), 1u);
+    EXPECT_EQ(run(filling("f", true)).size(), 1u);
+}
+
+// Serving beside tasks that fill breaks HARM, so those that end make way.
+TEST_F(persistent_placement_test, a_filling_task_that_ends_makes_way)
+{
+    add_worker("w1");
+    ASSERT_EQ(run(filling("f", false)).size(), 1u);
+    accept(serving("s"));
+    EXPECT_EQ(step().m_stops.size(), 1u);
+}
+
+TEST_F(persistent_placement_test, a_persistent_filling_task_moves_apart)
+{
+    add_worker("w1");
+    const auto filled = run(filling("f", true));
+    ASSERT_EQ(filled.size(), 1u);
+    worker_description other = worker("w2");
+    other.m_labels = {};
+    m_dispatcher.worker_listed(other, m_now);
+    report("w2", {});
+    job_submission labelled = serving("s");
+    labelled.m_steps[0].m_required_label = "a";
+    accept(labelled);
+    ASSERT_EQ(step().m_stops.size(), 1u);
+    report("w1", {}, {ended(1, filled[0], run_outcome::stopped)});
+    const auto starts = start_within(max_wait);
+    ASSERT_EQ(starts.size(), 2u);
+    EXPECT_NE(starts[0].m_worker, starts[1].m_worker);
+}
+
+TEST_F(persistent_placement_test, a_filling_task_without_another_place_stays)
+{
+    add_worker("w1");
+    ASSERT_EQ(run(filling("f", true)).size(), 1u);
+    accept(serving("s"));
+    EXPECT_TRUE(step().m_stops.empty());
+    EXPECT_TRUE(start_within(span(1000)).empty());
+    EXPECT_EQ(start_within(max_wait).size(), 1u);
+    EXPECT_TRUE(step().m_stops.empty());
+}
+
+TEST_F(persistent_placement_test, an_overdue_task_prefers_a_worker_apart)
+{
+    add_worker("w1");
+    ASSERT_EQ(run(filling("f", true)).size(), 1u);
+    accept(serving("s"));
+    EXPECT_TRUE(start_all().empty());
+    add_worker("w2");
+    pass(max_wait);
+    const auto starts = start_all();
+    ASSERT_EQ(starts.size(), 1u);
+    EXPECT_EQ(starts[0].m_worker, "w2");
+}
+
 } // namespace kingcuprudder::dispatch
