--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -35,6 +35,9 @@
     std::set<std::string> m_lost_addresses;
     /// The step waits for a worker without other new runs.
     bool m_wants_quiet_worker = false;
+    /// A persistent task has waited so long that the step takes any worker with
+    /// room, even one that suits it less.
+    bool m_overdue = false;
     /// The time by which the job must end to meet its objective.
     instant m_objective;
 };
@@ -73,9 +76,16 @@
     void index_workers();
     bool is_eligible(const worker_entry& worker,
                      const waiting_step& step) const;
-    /// Returns whether the step and tasks on the worker would interfere: tasks
-    /// with a latency target and tasks that use idle CPU are kept apart.
-    bool has_interference(const worker_entry& worker,
+    /// Returns whether the worker is eligible once nothing there interferes
+    /// with the step.
+    bool is_eligible_alone(const worker_entry& worker,
+                           const waiting_step& step) const;
+    /// Returns whether tasks of the two steps would interfere: tasks with a
+    /// latency target and tasks that use idle CPU are kept apart.
+    static bool interfere(const job_step& left, const job_step& right);
+    /// Returns how many tasks on the worker would interfere with the step, but
+    /// for those that are being stopped.
+    int interfering_tasks(const worker_entry& worker,
                           const job_step& wanted) const;
     bool recently_failed(const worker_entry& worker) const;
     /// Returns whether the step uses the worker only if no other one fits.
@@ -107,6 +117,13 @@
     int tasks_on_worker(const worker_entry& worker,
                         const waiting_step& step) const;
     worker_entry* best_worker(const waiting_step& step);
+    /// Returns whether the worker is outside the rack of the step's data.
+    static bool is_far(const worker_entry& worker, const waiting_step& step);
+    /// Returns whether the step is not placed outside the rack of its data yet,
+    /// as a worker there can still become free for it.
+    bool waits_for_data_rack(const waiting_step& step) const;
+    /// Returns whether the worker can run new tasks now or probably will soon.
+    bool may_become_usable(const worker_entry& worker) const;
 
     /// A worker and the number of gang members on it.
     using gang_share = std::pair<worker_entry*, int>;
@@ -148,10 +165,28 @@
     /// capacity for the step.
     double max_lost_work(const waiting_step& step) const;
     double lost_work_of(const job_entry& job, const task_ref& ref) const;
-    /// Returns the cheapest victims that free the missing resources, and their
-    /// lost work; nothing if there are not enough victims.
-    std::optional<std::pair<std::vector<victim>, double>>
-    cheapest_victims(const worker_entry& worker, resources missing);
+    /// Victims, and their lost work.
+    using priced_victims = std::pair<std::vector<victim>, double>;
+    /// Returns the cheapest victims that free the missing resources, among them
+    /// those that are required; nothing if there are not enough victims.
+    std::optional<priced_victims>
+    cheapest_victims(const worker_entry& worker, resources missing,
+                     const std::vector<victim>& required = {});
+    /// Returns the cheapest victims that make room for a task of the step on
+    /// the worker, and remove what would interfere with it there.
+    std::optional<priced_victims> victims_for_task(const worker_entry& worker,
+                                                   const waiting_step& step);
+    /// Returns the runs on the worker that use idle CPU and would interfere
+    /// with the step; nothing if not all of them can be stopped.
+    std::optional<std::vector<victim>>
+    interfering_victims(const worker_entry& worker,
+                        const waiting_step& step) const;
+    /// Returns whether the task, of a step that uses idle CPU, has a place on
+    /// another worker where it interferes with nothing. Members of gangs end
+    /// together and are not moved.
+    bool can_move(job_entry& job, const task_ref& ref) const;
+    /// Returns whether the run may be stopped now for work of a higher rank.
+    static bool is_stoppable(const job_entry& job, const task_ref& ref);
     void preempt(const std::vector<victim>& victims, const waiting_step& step);
     /// Returns the workers whose runs change when this one is preempted.
     static std::set<std::string> workers_changed_by(const victim& preempted);
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -11,6 +11,8 @@
 
 // Workers with a failure within this time are used after all others.
 constexpr span recent_failure_period = span(8000);
+// A worker that is silent for longer is probably lost.
+constexpr span max_wait_for_silent_worker = span(5000);
 
 bool has_label(const worker_description& worker, const std::string& label)
 {
@@ -25,11 +27,18 @@
 
 bool planner::is_eligible(const worker_entry& worker,
                           const waiting_step& step) const
+{
+    return is_eligible_alone(worker, step) &&
+           (step.m_overdue ||
+            interfering_tasks(worker, step.m_job->step(step.m_step)) == 0);
+}
+
+bool planner::is_eligible_alone(const worker_entry& worker,
+                                const waiting_step& step) const
 {
     const job_step& wanted = step.m_job->step(step.m_step);
     return has_label(worker.m_description, wanted.m_required_label) &&
-           is_apart_from_suspects(worker, step) &&
-           !has_interference(worker, wanted);
+           is_apart_from_suspects(worker, step);
 }
 
 bool planner::is_apart_from_suspects(const worker_entry& worker,
@@ -66,20 +75,29 @@
     return step.m_suspected ? -free_gpus : free_gpus;
 }
 
-bool planner::has_interference(const worker_entry& worker,
+bool planner::interfere(const job_step& left, const job_step& right)
+{
+    const span none = span(0);
+    return (left.m_uses_idle_cpu && right.m_target_latency > none) ||
+           (right.m_uses_idle_cpu && left.m_target_latency > none);
+}
+
+int planner::interfering_tasks(const worker_entry& worker,
                                const job_step& wanted) const
 {
-    const bool serves = wanted.m_target_latency > span(0);
-    return (wanted.m_uses_idle_cpu || serves) &&
-           std::any_of(
-               worker.m_tasks.begin(), worker.m_tasks.end(),
-               [&](const task_ref& ref)
-               {
-                   const job_entry* job = m_state.m_jobs.find(ref.m_job);
-                   return job != nullptr &&
-                          (serves ? job->step(ref).m_uses_idle_cpu
-                                  : job->step(ref).m_target_latency > span(0));
-               });
+    if (!wanted.m_uses_idle_cpu && wanted.m_target_latency == span(0))
+    {
+        return 0;
+    }
+    return static_cast<int>(std::count_if(
+        worker.m_tasks.begin(), worker.m_tasks.end(),
+        [&](const task_ref& ref)
+        {
+            job_entry* job = m_state.m_jobs.find_task(ref);
+            return job != nullptr && interfere(job->step(ref), wanted) &&
+                   !(job->task(ref).m_active &&
+                     job->task(ref).m_active->m_phase == run_phase::stopping);
+        }));
 }
 
 bool planner::recently_failed(const worker_entry& worker) const
@@ -135,6 +153,42 @@
     return static_cast<int>(std::max<std::int64_t>(0, fitting));
 }
 
+bool planner::is_far(const worker_entry& worker, const waiting_step& step)
+{
+    const std::string& rack = step.m_job->step(step.m_step).m_data_rack;
+    return !rack.empty() && worker.m_description.m_rack != rack;
+}
+
+bool planner::may_become_usable(const worker_entry& worker) const
+{
+    const bool silent_shortly =
+        worker.m_silent_since &&
+        m_now - *worker.m_silent_since < max_wait_for_silent_worker;
+    return worker.m_listed && !worker.m_description.m_draining &&
+           (worker.m_reachable || silent_shortly);
+}
+
+bool planner::waits_for_data_rack(const waiting_step& step) const
+{
+    const job_step& wanted = step.m_job->step(step.m_step);
+    if (wanted.m_data_rack.empty() || step.m_late || step.m_overdue)
+    {
+        return false;
+    }
+    // Outside the rack of its data a task takes several times as long.
+    return std::any_of(
+        m_state.m_workers.begin(), m_state.m_workers.end(),
+        [&](const auto& each)
+        {
+            const worker_description& described = each.second.m_description;
+            return described.m_rack == wanted.m_data_rack &&
+                   described.m_pool == step.m_policy.m_pool &&
+                   has_label(described, wanted.m_required_label) &&
+                   described.m_capacity.covers(wanted.occupied()) &&
+                   may_become_usable(each.second);
+        });
+}
+
 worker_entry* planner::best_worker(const waiting_step& step)
 {
     const capacity_request request = capacity_request_of(step, 1, false);
@@ -143,12 +197,7 @@
         return nullptr;
     }
     const job_step& wanted = step.m_job->step(step.m_step);
-    const auto is_far = [&wanted](const worker_entry& worker)
-    {
-        return !wanted.m_data_rack.empty() &&
-               worker.m_description.m_rack != wanted.m_data_rack;
-    };
-    using rank = std::tuple<bool, bool, std::int64_t, std::int64_t>;
+    using rank = std::tuple<int, bool, bool, std::int64_t, std::int64_t>;
     worker_entry* best = nullptr;
     rank best_rank;
     const worker_index::workers_by_gpus& by_gpus =
@@ -158,9 +207,10 @@
          group != by_gpus.end(); ++group)
     {
         // A worker with more free GPUs ranks after one that is neither far nor
-        // failing.
-        if (best != nullptr && !step.m_suspected && !std::get<0>(best_rank) &&
-            !std::get<1>(best_rank))
+        // failing, and on which nothing interferes.
+        if (best != nullptr && !step.m_suspected &&
+            std::get<0>(best_rank) == 0 && !std::get<1>(best_rank) &&
+            !std::get<2>(best_rank))
         {
             break;
         }
@@ -174,9 +224,10 @@
             }
             const resources left =
                 worker->plannable_capacity() - wanted.occupied();
-            const rank found(is_far(*worker), is_last_choice(*worker, step),
-                             packing_rank(step, left.m_gpus),
-                             packing_rank(step, left.m_cpu_millis));
+            const rank found(
+                interfering_tasks(*worker, wanted), is_far(*worker, step),
+                is_last_choice(*worker, step), packing_rank(step, left.m_gpus),
+                packing_rank(step, left.m_cpu_millis));
             if (best == nullptr || found < best_rank)
             {
                 best = worker;
@@ -188,9 +239,8 @@
     {
         m_index.record_failure(request);
     }
-    // Outside the rack of its data a task takes several times as long, so it
-    // waits for capacity in that rack until it is late.
-    const bool waits = best != nullptr && is_far(*best) && !step.m_late;
+    const bool waits =
+        best != nullptr && is_far(*best, step) && waits_for_data_rack(step);
     return waits ? nullptr : best;
 }
 
