A new leader watches for the late starts of the earlier one

Callers: a completed or released task runs again (TWICE), if the leader changes between the unanswered start and the restart of its worker. Cause: a new leader does not know which starts of the earlier one had no answer and took them all for answered, so it polled no worker whose runs it released. And it did not call an unlisted worker at the address in the run's record. No higher token is needed, that of the term is. A recorded address is called if none is listed. Runs that the earlier leader had released itself are not watched for by the new one.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -228,7 +228,8 @@
     {
         worker.m_called_address = listed;
     }
-    else if (worker.m_called_address != listed)
+    else if (worker.m_called_address.empty() ||
+             worker.m_called_address != listed)
     {
         worker.m_called_address = worker.m_answered_address;
     }
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -171,6 +171,9 @@
                      const run_end_evidence& evidence, instant now);
     void log_release(const task_ref& ref, const active_run& run,
                      const run_end_evidence& evidence, instant now);
+    /// Returns whether the worker may carry out a start of the run later. What
+    /// the earlier leader's starts were answered is not known.
+    bool may_start_late(const active_run& run, instant now) const;
     /// Makes sure that the unanswered starts of a released run have no effect:
     /// one that waits is not sent, and one that is carried out late is refused.
     void bar_late_starts(worker_entry& worker, const task_ref& ref,
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -128,7 +128,7 @@
     task.m_progress.m_worker_address.clear();
     m_jobs.mark_changed(job);
     log_release(ref, active, evidence, now);
-    if (active.m_unanswered_sends > 0)
+    if (may_start_late(active, now))
     {
         bar_late_starts(worker, ref, active, now);
     }
@@ -160,6 +160,14 @@
     m_log("run_over", ref.str(), std::move(fields));
 }
 
+bool dispatcher::may_start_late(const active_run& run, instant now) const
+{
+    const bool sent_by_earlier_leader =
+        !run.m_first_sent_at && run.m_phase != run_phase::assigned;
+    return run.m_unanswered_sends > 0 ||
+           (sent_by_earlier_leader && now - m_term_start < late_start_time);
+}
+
 void dispatcher::bar_late_starts(worker_entry& worker, const task_ref& ref,
                                  const active_run& run, instant now)
 {
