The first answer of a next process extends the lease that is assumed

Callers: two runs of a task at the same time (TWICE). A next process that reports a run shortly before the assumed lease of the process before ends counts as unresponsive until it has accepted the raised token, and the run was released as lease over while the process had just reported it. Also, the token required of it was computed from the dispatcher's token, which the calls may have outrun. Change: the answer renews the assumed lease to the maximum, which is what calls that are carried out before it can have granted; the required token is above the one that the answered call carried.

--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -139,8 +139,10 @@
     worker.m_trial_until = instant();
     worker.m_synced = false;
     // Calls to the earlier process may be carried out late. One that extends
-    // the lease has a time of the earlier clock.
-    worker.m_required_fence = m_fence + 1;
+    // the lease has a time of the earlier clock. Until now they may have
+    // extended the new process's lease to the maximum.
+    worker.m_required_fence = std::max(m_fence, report.m_fence) + 1;
+    worker.m_lease_end = std::max(worker.m_lease_end, lease_end(now));
     m_required_fence = std::max(m_required_fence, worker.m_required_fence);
     worker.m_acknowledged = 0;
     worker.m_last_completion = 0;
