Every lease that a next process may count is counted

Callers: two runs of a task at the same time (TWICE): the leader takes a lease for over that a worker's next process still counts. Cause: lease ends are times of the earlier process's clock, which lie far ahead on the next one's, so it grants the maximum from the arrival of each call. Three calls were not counted so: renewals that repeat an unanswered one, a start that waited in the session, and calls whose lease is computed from the answer to an order of the process before, received after the next one's answer. Change: a renewal after an unanswered one extends no lease; a start reports the lease that it grants when it goes out; the clock in the answer to an order counts only if no other process has answered since it was sent. Tests changed: an_unanswered_renewal_is_repeated_with_its_lease demanded the repeated lease end; a_repeated_renewal_extends_no_lease demands none, which is stricter. a_worker_that_needs_no_lease_is_asked_for_its_clock counted all leases as none; it now checks both renewals for none and one lease for the start.

--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -335,7 +335,7 @@
 worker_session::hooks scheduler::session_hooks(const std::string& address)
 {
     worker_session::hooks hooks;
-    hooks.m_renewal_sent = [this](const std::string& worker, instant sent) {
+    hooks.m_lease_sent = [this](const std::string& worker, instant sent) {
         post([this, worker, sent] { m_dispatcher.renewal_sent(worker, sent); });
     };
     hooks.m_renewal_answered =
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -113,7 +113,7 @@
         }
         m_last_acknowledged = 0;
         m_highest_completion = 0;
-        m_unanswered_lease_end.reset();
+        m_lease_unanswered = false;
     }
     m_request = request;
     consider_renewal();
@@ -177,15 +177,18 @@
     const bool may_wait =
         answered_recently && m_request.m_needed && !awaits_fence();
     call.m_wait = may_wait ? renewal_wait : span(0);
-    // A renewal after an unanswered one repeats its lease end. If each attempt
-    // extended the lease of an unresponsive worker, its lease would never
-    // expire and its tasks could never be assigned to another worker.
-    const bool repeats = m_unanswered_lease_end.has_value();
-    call.m_lease_end_clock = repeats ? m_unanswered_lease_end
-                                     : m_clock.lease_end(m_worker_lease, sent);
-    if (!repeats && call.m_lease_end_clock)
+    // A renewal after an unanswered one extends no lease. Else the lease of an
+    // unresponsive worker would never end, and its tasks could never be
+    // assigned to another one. A time of the earlier process's clock extends
+    // the lease of the next one from each arrival, so that it is not repeated
+    // either.
+    if (!m_lease_unanswered)
     {
-        m_hooks.m_renewal_sent(m_request.m_worker, sent);
+        call.m_lease_end_clock = m_clock.lease_end(m_worker_lease, sent);
+    }
+    if (call.m_lease_end_clock)
+    {
+        m_hooks.m_lease_sent(m_request.m_worker, sent);
     }
     m_calls->renew(
         call, call.m_wait + renewal_timeout,
@@ -217,7 +220,8 @@
         return;
     }
     m_last_renewal_answered = false;
-    m_unanswered_lease_end = call.m_lease_end_clock;
+    m_lease_unanswered =
+        m_lease_unanswered || call.m_lease_end_clock.has_value();
     m_hooks.m_renewal_failed(m_request.m_worker, result);
     pause_renewals(failed_renewal_pause);
     execute_next();
@@ -266,7 +270,7 @@
     m_accepted_fence = call.m_fence;
     m_clock.observe(report.m_clock, m_last_answer);
     m_last_renewal_answered = true;
-    m_unanswered_lease_end.reset();
+    m_lease_unanswered = false;
     m_last_acknowledged = std::max(m_last_acknowledged, call.m_acknowledged);
     for (const dispatch::completion_report& end : report.m_ended)
     {
@@ -362,10 +366,13 @@
     m_order_in_flight = true;
     const std::int64_t fence = fence_of(next);
     const auto done =
-        [self = shared_from_this(), next, fence](const order_answer& answer)
-    { self->finish_order(next, fence, answer); };
+        [self = shared_from_this(), next, fence,
+         incarnation = m_answering_incarnation](const order_answer& answer)
+    { self->finish_order(next, fence, incarnation, answer); };
     if (const auto* start = std::get_if<dispatch::start_order>(&next))
     {
+        // A next process counts the lease from the arrival of the start.
+        m_hooks.m_lease_sent(start->m_worker, now);
         m_calls->start(*start, fence,
                        *m_clock.lease_end(start_lease_of(*start, now), now),
                        order_timeout, done);
@@ -376,10 +383,11 @@
 }
 
 void worker_session::finish_order(const order& sent, std::int64_t fence,
+                                  std::int64_t incarnation,
                                   const order_answer& answer)
 {
     m_order_in_flight = false;
-    if (answer.m_clock)
+    if (answer.m_clock && incarnation == m_answering_incarnation)
     {
         m_clock.observe(*answer.m_clock, boottime_now());
     }
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -30,8 +30,9 @@
     /// Called on the event loop's thread.
     struct hooks
     {
+        /// A call that extends the worker's lease goes out.
         std::function<void(const std::string& worker, instant sent)>
-            m_renewal_sent;
+            m_lease_sent;
         std::function<void(const std::string& worker,
                            const dispatch::worker_report& report, instant sent)>
             m_renewal_answered;
@@ -113,8 +114,9 @@
     /// It ends with the lease that the dispatcher counts from when it made the
     /// start.
     span start_lease_of(const dispatch::start_order& start, instant now) const;
+    /// The incarnation is the one that had answered last when it was sent.
     void finish_order(const order& sent, std::int64_t fence,
-                      const order_answer& answer);
+                      std::int64_t incarnation, const order_answer& answer);
     void report_order(const order& sent, const dispatch::call_result& result);
 
     event_loop& m_loop;
@@ -138,8 +140,8 @@
     std::int64_t m_answering_incarnation = 0;
     std::int64_t m_last_acknowledged = 0;
     std::int64_t m_highest_completion = 0;
-    /// The lease end in the last unanswered renewal.
-    std::optional<std::int64_t> m_unanswered_lease_end;
+    /// A renewal that extends the lease has had no answer.
+    bool m_lease_unanswered = false;
     bool m_last_renewal_answered = false;
     /// When the last answer to a renewal was received.
     instant m_last_answer;
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -29,6 +29,7 @@
     /// Calls with a lower fencing token are refused.
     std::atomic<std::int64_t> m_lowest_fence = 0;
     std::vector<renewal_call> m_renewals;
+    std::vector<instant> m_renewal_times;
     std::vector<renewal_answer> m_renewal_answers;
     span m_start_delay = span(0);
     dispatch::call_result m_start_result = dispatch::order_outcome::accepted;
@@ -91,6 +92,7 @@
         const std::size_t at = std::min(m_record.m_renewals.size(),
                                         m_record.m_renewal_answers.size() - 1);
         m_record.m_renewals.push_back(call);
+        m_record.m_renewal_times.push_back(boottime_now());
         m_timer = m_loop.run_after(
             span(20),
             [this, done, used_fence = call.m_fence,
@@ -130,8 +132,11 @@
     std::shared_ptr<worker_session> session(span worker_lease = span(6000))
     {
         worker_session::hooks hooks;
-        hooks.m_renewal_sent = [this](const std::string&, instant)
-        { ++m_leases_granted; };
+        hooks.m_lease_sent = [this](const std::string&, instant sent)
+        {
+            m_last_lease_sent = sent;
+            ++m_leases_granted;
+        };
         hooks.m_renewal_answered = [this](const std::string&,
                                           const dispatch::worker_report& answer,
                                           instant)
@@ -212,6 +217,7 @@
     std::vector<dispatch::call_result> m_outcomes;
     std::vector<dispatch::call_result> m_failures;
     std::atomic<int> m_leases_granted = 0;
+    instant m_last_lease_sent;
     std::atomic<int> m_answered = 0;
     std::atomic<int> m_failed = 0;
 };
@@ -267,7 +273,7 @@
 
 // Guards against a worker that is only slow to answer and whose lease would be
 // extended by each attempt, so that its tasks could never be assigned anew.
-TEST_F(worker_session_test, an_unanswered_renewal_is_repeated_with_its_lease)
+TEST_F(worker_session_test, a_repeated_renewal_extends_no_lease)
 {
     m_record.m_renewal_answers = {report(),
                                   dispatch::order_outcome::may_have_arrived};
@@ -281,7 +287,7 @@
     ASSERT_TRUE(calls[1].m_lease_end_clock);
     for (std::size_t at = 2; at < calls.size(); ++at)
     {
-        EXPECT_EQ(calls[at].m_lease_end_clock, calls[1].m_lease_end_clock);
+        EXPECT_EQ(calls[at].m_lease_end_clock, std::nullopt);
         EXPECT_EQ(calls[at].m_wait, span(0));
     }
 }
@@ -461,8 +467,10 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     m_loop.stop();
     EXPECT_EQ(m_outcomes[0], dispatch::order_outcome::accepted);
-    EXPECT_EQ(m_record.m_renewals.size(), 2u);
-    EXPECT_EQ(m_leases_granted, 0);
+    ASSERT_EQ(m_record.m_renewals.size(), 2u);
+    EXPECT_EQ(m_record.m_renewals[0].m_lease_end_clock, std::nullopt);
+    EXPECT_EQ(m_record.m_renewals[1].m_lease_end_clock, std::nullopt);
+    EXPECT_EQ(m_leases_granted, 1); // That of the start.
 }
 
 // Guards against a task that waits for a worker that does not answer.
@@ -659,4 +667,92 @@
               shown_clock + 1000 + (made_earlier.m_made_at - began).count());
 }
 
+// The answer of the process before is received after that of the next one.
+TEST_F(worker_session_test,
+       the_clock_of_the_process_before_is_not_used_for_the_next_one)
+{
+    dispatch::worker_report next = report();
+    next.m_incarnation = 2;
+    next.m_clock = 50;
+    m_record.m_renewal_answers = {report(), next};
+    m_record.m_start_delay = span(70); // Received after the next process's.
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered == 1; }));
+    tested->send(start(0));
+    ASSERT_TRUE(eventually([&] { return m_record.renewals() >= 3; }));
+    m_loop.stop();
+    ASSERT_EQ(finished(), 1u);
+    EXPECT_LT(*m_record.m_renewals[2].m_lease_end_clock,
+              next.m_clock + 6000 + 500);
+}
+
+// The worker restarts under its id while its answers are lost. The calls reach
+// the next process, whose clock began anew, and it shortens each lease to the
+// maximum. No call is late.
+TEST_F(worker_session_test, repeated_renewals_extend_no_lease_of_a_next_process)
+{
+    constexpr span max_hold(6000);
+    constexpr span lease_end_margin(400); // As dispatcher::lease_end().
+    dispatch::worker_report first = report();
+    first.m_clock = 482'000;
+    m_record.m_renewal_answers = {
+        first, dispatch::call_result(dispatch::order_outcome::may_have_arrived,
+                                     dispatch::call_failure::timed_out)};
+    const auto tested = session();
+    tested->update(request());
+    const instant next_process_began = boottime_now();
+    ASSERT_TRUE(eventually([&] { return m_record.renewals() == 6; }));
+    m_loop.stop();
+    instant held_until;
+    for (std::size_t at = 1; at < m_record.m_renewals.size(); ++at)
+    {
+        const instant arrived = m_record.m_renewal_times[at];
+        if (m_record.m_renewals[at].m_lease_end_clock)
+        {
+            const span asked =
+                span(*m_record.m_renewals[at].m_lease_end_clock) -
+                (arrived - next_process_began);
+            held_until =
+                std::max(held_until, arrived + std::min(asked, max_hold));
+        }
+    }
+    EXPECT_LE(held_until, m_last_lease_sent + max_hold + lease_end_margin)
+        << (held_until - m_last_lease_sent).count() << " ms after the renewal "
+        << "from which the dispatcher counts the lease";
+}
+
+// The worker restarted unnoticed while it was idle, so its clock began anew and
+// it shortens the start's lease to the maximum, counted from the arrival.
+TEST_F(worker_session_test,
+       the_lease_that_a_waiting_start_grants_a_next_process_is_counted)
+{
+    constexpr span max_hold(6000);
+    constexpr span lease_end_margin(400); // As dispatcher::lease_end().
+    dispatch::worker_report first = report();
+    first.m_clock = 482'000;
+    m_record.m_renewal_answers = {first};
+    const auto tested = session();
+    dispatch::renewal_request asked = request();
+    asked.m_needed = false;
+    tested->update(asked);
+    ASSERT_TRUE(eventually([&] { return m_answered == 1; }));
+    const instant next_process_began = boottime_now();
+    dispatch::start_order waited = start(0);
+    waited.m_made_at = boottime_now() - span(3000);
+    const int granted_before = m_leases_granted;
+    tested->send(waited);
+    ASSERT_TRUE(eventually([&] { return finished() == 1; }));
+    m_loop.stop();
+    ASSERT_EQ(m_record.m_start_lease_ends.size(), 1u);
+    const instant arrived = next_process_began;
+    const instant held_until =
+        arrived + std::min(span(m_record.m_start_lease_ends[0]), max_hold);
+    const instant counted_from = m_leases_granted > granted_before
+                                     ? m_last_lease_sent
+                                     : waited.m_made_at;
+    EXPECT_LE(held_until, counted_from + max_hold + lease_end_margin)
+        << (held_until - counted_from).count() << " ms after made_at";
+}
+
 } // namespace kingcuprudder::node
