Lasting tasks are restarted however often their workers crash

What callers saw: a sound lasting job whose label one machine has was shown as failed after that machine had crashed five times, though none of its runs had ended as failed. It was never started again.

Cause: each end of a worker's process counted against all tasks on it, even if the machine had been lost just before without a start to explain it, and five of them, or conclusive evidence of a crash, failed the job. Lasting tasks were not excepted, although their starts have no limit.

Change: the planner gives up no lasting task. The end of a process does not count against a run older than 5 s on a machine that was lost in the last minute without a start to explain it. Starts right before a loss, other machines, runs of up to 5 s and losses before the term count as before. A job that crashes one machine more than 5 s after each of its starts is therefore no longer given up; on five machines it is, as before.

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -271,7 +271,7 @@
     for (std::size_t at = 0; at < refs.size(); ++at)
     {
         const attributed_loss counted{refs[at], loss.suspicion_of(at),
-                                      ended && loss.may_have_started(at)};
+                                      ended && loss.counts_as_ended(at)};
         const task_entry& lost = m_jobs.find_task(refs[at])->task(refs[at]);
         const decision_fields evidence =
             run_fields(loss, at, lost.m_active->m_number);
--- a/kingcuprudder/dispatch/job_progress.hpp
+++ b/kingcuprudder/dispatch/job_progress.hpp
@@ -44,7 +44,8 @@
     std::string m_checkpoint;
     /// The lost workers that are attributed to the task.
     crash_evidence m_crashes = {};
-    /// The workers whose process ended under the task, whatever the reason.
+    /// The workers whose process ended under the task, whatever the reason,
+    /// except for repeated losses of one machine while the task was at work.
     int m_workers_ended = 0;
     /// The last run that ended with its worker and was counted.
     int m_lost_run = 0;
@@ -53,7 +54,8 @@
     std::string m_worker_address = {};
 
     /// Returns whether the task must not be started again, as it crashes its
-    /// workers. It may crash five of them at most.
+    /// workers. It may crash five of them at most. Tasks that last are started
+    /// again nevertheless.
     bool crashes_workers() const;
 
     friend bool operator==(const task_progress&,
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -216,7 +216,9 @@
             const auto& tasks = job.m_tasks[repeat][index];
             for (std::size_t task = 0; task < tasks.size(); ++task)
             {
-                if (tasks[task].is_waiting() &&
+                // Tasks that last are restarted however they end.
+                if (!job.m_submission.m_steps[index].m_persistent &&
+                    tasks[task].is_waiting() &&
                     tasks[task].m_progress.crashes_workers())
                 {
                     m_state.give_up(job,
--- a/kingcuprudder/dispatch/worker_loss.cpp
+++ b/kingcuprudder/dispatch/worker_loss.cpp
@@ -27,9 +27,16 @@
     return m_found_replaced && run.m_first_sent_at && !run.m_accepted;
 }
 
-bool worker_loss::may_have_started(std::size_t position) const
+bool worker_loss::counts_as_ended(std::size_t position) const
 {
-    return !may_precede(m_runs[position]);
+    const lost_run& run = m_runs[position];
+    return !may_precede(run) && !(m_unreliable && is_old(run));
+}
+
+bool worker_loss::is_old(const lost_run& run) const
+{
+    const instant started = run.m_first_sent_at.value_or(run.m_started_before);
+    return m_silent_since && *m_silent_since - started > new_run_age;
 }
 
 bool worker_loss::is_new(const lost_run& run) const
@@ -86,9 +93,7 @@
     }
     if (!run.m_first_sent_at)
     {
-        const bool old = m_silent_since &&
-                         *m_silent_since - run.m_started_before > new_run_age;
-        return old ? crash_suspicion::none : crash_suspicion::possible;
+        return is_old(run) ? crash_suspicion::none : crash_suspicion::possible;
     }
     if (!m_process_ended)
     {
--- a/kingcuprudder/dispatch/worker_loss.hpp
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -51,14 +51,19 @@
     /// Returns how strongly this loss, taken alone, points to the run with this
     /// position in m_runs.
     crash_suspicion suspicion_of(std::size_t position) const;
-    /// Returns whether the worker may have ended under this run. A start that
-    /// it did not accept may have been sent after its end.
-    bool may_have_started(std::size_t position) const;
+    /// Returns whether the end of the worker's process counts against this run,
+    /// however long it was at work. It doesn't if the worker ended before the
+    /// run's start may have reached it, or if the run was old and the machine
+    /// had been lost before, which explains the loss without the run.
+    bool counts_as_ended(std::size_t position) const;
 
 private:
     /// Returns whether the worker may have been lost before it received the
     /// run's start.
     bool may_precede(const lost_run& run) const;
+    /// Returns whether the run was started too long before the loss to be its
+    /// cause by its start.
+    bool is_old(const lost_run& run) const;
     /// Returns whether the worker was lost right after the run's start.
     bool is_new(const lost_run& run) const;
     /// The same without regard to the worker's other losses.
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -82,6 +82,36 @@
         return starts;
     }
 
+    /// Lets the job run for the given time on one machine, which crashes then
+    /// and is back with a new id, again and again. Returns the number of starts
+    /// before the job was given up.
+    int crash_machine_under(const std::string& id, span time_at_work)
+    {
+        int starts = 0;
+        for (int life = 0; life < 2 * starts_allowed; ++life)
+        {
+            worker_description machine = worker("life" + std::to_string(life));
+            machine.m_address = "machine";
+            m_dispatcher.worker_listed(machine, m_now);
+            report(machine.m_id, {});
+            pass(span(2000));
+            const std::vector<start_order> orders = start_all();
+            confirm(orders);
+            starts += static_cast<int>(orders.size());
+            pass(time_at_work);
+            for (const start_order& order : orders)
+            {
+                report(order.m_worker, {running(order)});
+            }
+            lose(machine.m_id);
+            pass(after_the_lease);
+            step();
+            store();
+        }
+        EXPECT_EQ(m_dispatcher.has_job(id), starts == 2 * starts_allowed);
+        return starts;
+    }
+
     /// The leader fails, and the next one loads these records.
     void change_leader(const std::map<std::string, job_write>& records)
     {
@@ -1082,4 +1112,33 @@
     EXPECT_FALSE(m_dispatcher.has_job("deadly"));
 }
 
+// Guards against lasting jobs that are shown as failed without a failed run.
+TEST_F(crash_fixture, a_lasting_task_is_restarted_however_often_its_worker_ends)
+{
+    for (const span time_at_work : {span(10), span(3000), span(6000)})
+    {
+        const std::string id = "lasting" + std::to_string(time_at_work.count());
+        job_submission lasting = job(id, 1, 8);
+        lasting.m_steps[0].m_persistent = true;
+        accept(lasting);
+        EXPECT_EQ(crash_machine_under(id, time_at_work), 2 * starts_allowed);
+        m_dispatcher.cancel_job(id, m_now);
+        step();
+        store();
+    }
+}
+
+// Guards against sound jobs that are failed for the faults of one machine.
+TEST_F(crash_fixture, a_machine_that_crashes_repeatedly_fails_no_job_at_work)
+{
+    accept(job("good", 1, 8));
+    EXPECT_EQ(crash_machine_under("good", span(6000)), 2 * starts_allowed);
+}
+
+TEST_F(crash_fixture, a_machine_that_crashes_under_new_runs_is_left_in_the_end)
+{
+    accept(job("deadly", 1, 8));
+    EXPECT_LE(crash_machine_under("deadly", span(3000)), starts_allowed);
+}
+
 } // namespace kingcuprudder::dispatch
