A sound run is not stopped as too slow without end

A wrong or absent estimate alone has the same effect.

Cause: a run was compared with the prediction only, which is the mean of the queue as soon as that predicts better than the estimates. Nothing counted the stops, so that each run was judged as if it were the first.

Change: a run is compared with the longer one of estimate and prediction.

--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -314,7 +314,8 @@
         run.m_progress.reset();
         return;
     }
-    run.m_progress.observe(percent, job.m_predicted_durations[ref.m_step], now);
+    run.m_progress.observe(percent, job.longest_expected(ref),
+                           job.task(ref).m_slow_stops, now);
 }
 
 void dispatcher::stop_slow_runs(worker_entry& worker, instant now)
@@ -356,9 +357,10 @@
         }
         const active_run& run = *job->task(ref).m_active;
         if (run.m_progress.is_faster_elsewhere(
-                job->m_predicted_durations[ref.m_step],
+                job->longest_expected(ref),
                 job->step(ref).m_writes_checkpoints))
         {
+            ++job->task(ref).m_slow_stops;
             begin_stopping(*job, ref, "too slow on this worker", now);
         }
     }
--- a/kingcuprudder/dispatch/job_table.cpp
+++ b/kingcuprudder/dispatch/job_table.cpp
@@ -77,6 +77,11 @@
     return "unknown";
 }
 
+span job_entry::longest_expected(const task_ref& ref) const
+{
+    return std::max(step(ref).m_estimate, m_predicted_durations[ref.m_step]);
+}
+
 bool job_entry::has_task(const task_ref& ref) const
 {
     return ref.m_repeat < static_cast<int>(m_tasks.size()) &&
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -64,6 +64,8 @@
     std::optional<active_run> m_active;
     /// The addresses of the lost workers that this leader attributed to it.
     std::set<std::string> m_lost_addresses;
+    /// How many of its runs this leader stopped as too slow.
+    int m_slow_stops = 0;
     /// When the task's last run ended, or when this leader read the task.
     instant m_waiting_since;
     /// When it was last logged that the suspected task waits.
@@ -112,6 +114,8 @@
     {
         return m_submission.m_steps[ref.m_step];
     }
+    /// Returns the longer one of the task's declared and predicted durations.
+    span longest_expected(const task_ref& ref) const;
     bool has_task(const task_ref& ref) const;
 };
 
