A persistent gang does not wait for a rack that persistent tasks use

An ordinary gang waited until it was late. Cause: may_span_racks let a gang span racks only if it is late, which a persistent one never is, or if no rack is large enough. It compared the gang with the racks' whole capacity, including what persistent tasks hold for good and workers without the gang's label. Evidence: before the change four tests of persistent_placement_test fail: racks_in_use_stop_no_persistent_gang, racks_of_busy_workers_stop_no_persistent_gang, a_gang_does_not_wait_for_persistent_tasks, a_gang_does_not_wait_for_racks_without_label. an_overdue_gang_prefers_one_rack holds before, and fails with the change if the rack is not preferred. Change: a rack counts with what persistent tasks leave on workers with the label.

--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -74,6 +74,9 @@
     bool may_reclaim(const waiting_step& step) const;
 
     void index_workers();
+    /// Returns whether the worker has the label; an empty one stands for none.
+    static bool has_label(const worker_description& worker,
+                          const std::string& label);
     bool is_eligible(const worker_entry& worker,
                      const waiting_step& step) const;
     /// Returns whether the worker is eligible once nothing there interferes
@@ -140,10 +143,16 @@
     std::vector<const worker_index::workers*>
     gang_domains(const waiting_step& step, bool across);
     /// Returns whether the usable workers of some rack would hold the gang if
-    /// they ran nothing else.
-    bool fits_some_usable_rack(const waiting_step& step) const;
+    /// they ran nothing else but persistent tasks, which do not end.
+    bool fits_some_usable_rack(const waiting_step& step);
     /// The same for all listed workers, as others may become usable soon.
-    bool fits_some_rack(const waiting_step& step) const;
+    bool fits_some_rack(const waiting_step& step);
+    /// Returns how many tasks of the step the worker holds beside the
+    /// persistent tasks that run there.
+    int fitting_beside_persistent(const worker_entry& worker,
+                                  const waiting_step& step);
+    /// Returns the resources of persistent runs, by worker.
+    const std::map<std::string, resources>& held_by_persistent();
     void assign_gang(waiting_step& step, const std::vector<gang_share>& shares);
 
     struct victim
@@ -200,6 +209,8 @@
     /// The number of free GPUs, by pool.
     std::map<std::string, std::int64_t> m_free_gpus;
     worker_index m_index;
+    /// The result of held_by_persistent() in this pass.
+    std::optional<std::map<std::string, resources>> m_held_by_persistent;
     /// The results of victims_on() in this pass, by worker.
     std::map<std::string, std::vector<victim>> m_victims;
 };
--- a/kingcuprudder/dispatch/planner_gangs.cpp
+++ b/kingcuprudder/dispatch/planner_gangs.cpp
@@ -6,12 +6,37 @@
 namespace kingcuprudder::dispatch
 {
 
+namespace
+{
+
+/// Adds the resources of the job's persistent runs, by worker.
+void add_persistent_runs(const job_entry& job,
+                         std::map<std::string, resources>& held)
+{
+    for (const auto& repeat : job.m_tasks)
+    {
+        for (std::size_t index = 0; index < repeat.size(); ++index)
+        {
+            const job_step& step = job.m_submission.m_steps[index];
+            for (const task_entry& task : repeat[index])
+            {
+                if (step.m_persistent && task.m_active)
+                {
+                    held[task.m_active->m_worker] += step.occupied();
+                }
+            }
+        }
+    }
+}
+
+} // namespace
+
 // The placement of gangs, whose tasks start together.
 
 bool planner::may_span_racks(const waiting_step& step)
 {
     return !step.m_job->step(step.m_step).m_same_rack || step.m_late ||
-           guarantee_is_due(step) ||
+           step.m_overdue || guarantee_is_due(step) ||
            (!fits_some_usable_rack(step) && !fits_some_rack(step));
 }
 
@@ -33,7 +58,34 @@
     return domains;
 }
 
-bool planner::fits_some_usable_rack(const waiting_step& step) const
+const std::map<std::string, resources>& planner::held_by_persistent()
+{
+    if (!m_held_by_persistent)
+    {
+        m_held_by_persistent.emplace();
+        for (const auto& [id, job] : m_state.m_jobs.jobs())
+        {
+            add_persistent_runs(job, *m_held_by_persistent);
+        }
+    }
+    return *m_held_by_persistent;
+}
+
+int planner::fitting_beside_persistent(const worker_entry& worker,
+                                       const waiting_step& step)
+{
+    const std::string& label = step.m_job->step(step.m_step).m_required_label;
+    if (!has_label(worker.m_description, label))
+    {
+        return 0;
+    }
+    const std::map<std::string, resources>& held = held_by_persistent();
+    const auto found = held.find(worker.id());
+    const resources taken = found == held.end() ? resources() : found->second;
+    return fitting_tasks(worker, step, worker.m_description.m_capacity - taken);
+}
+
+bool planner::fits_some_usable_rack(const waiting_step& step)
 {
     const int wanted = step.m_job->step(step.m_step).m_count;
     for (const auto& [rack, workers] : m_index.racks(step.m_policy.m_pool))
@@ -41,8 +93,7 @@
         int fitting = 0;
         for (const worker_entry* worker : workers)
         {
-            fitting +=
-                fitting_tasks(*worker, step, worker->m_description.m_capacity);
+            fitting += fitting_beside_persistent(*worker, step);
             if (fitting >= wanted)
             {
                 return true;
@@ -52,7 +103,7 @@
     return false;
 }
 
-bool planner::fits_some_rack(const waiting_step& step) const
+bool planner::fits_some_rack(const waiting_step& step)
 {
     std::map<std::string, int> capacity_by_rack;
     for (const auto& [id, worker] : m_state.m_workers)
@@ -61,7 +112,7 @@
             worker.m_description.m_pool == step.m_policy.m_pool)
         {
             capacity_by_rack[worker.m_description.m_rack] +=
-                fitting_tasks(worker, step, worker.m_description.m_capacity);
+                fitting_beside_persistent(worker, step);
         }
     }
     return std::any_of(
@@ -187,7 +238,15 @@
         return;
     }
     const bool across = may_span_racks(step);
-    const std::vector<gang_share> best = best_gang_shares(step, across);
+    std::vector<gang_share> best;
+    if (step.m_overdue && step.m_job->step(step.m_step).m_same_rack)
+    {
+        best = best_gang_shares(step, false);
+    }
+    if (best.empty())
+    {
+        best = best_gang_shares(step, across);
+    }
     if (!best.empty())
     {
         assign_gang(step, best);
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -14,17 +14,18 @@
 // A worker that is silent for longer is probably lost.
 constexpr span max_wait_for_silent_worker = span(5000);
 
-bool has_label(const worker_description& worker, const std::string& label)
+} // namespace
+
+// Which workers suit a step, and the placement of single tasks.
+
+bool planner::has_label(const worker_description& worker,
+                        const std::string& label)
 {
     return label.empty() ||
            std::find(worker.m_labels.begin(), worker.m_labels.end(), label) !=
                worker.m_labels.end();
 }
 
-} // namespace
-
-// Which workers suit a step, and the placement of single tasks.
-
 bool planner::is_eligible(const worker_entry& worker,
                           const waiting_step& step) const
 {
--- a/unit_tests/dispatch/persistent_placement_test.cpp
+++ b/unit_tests/dispatch/persistent_placement_test.cpp
@@ -43,6 +43,15 @@
         return made;
     }
 
+    static job_submission one_rack_gang(const std::string& id, int tasks)
+    {
+        job_submission made = persistent(id, tasks, 8);
+        made.m_steps[0].m_gang = true;
+        made.m_steps[0].m_same_rack = true;
+        made.m_steps[0].m_estimate = span(60'000);
+        return made;
+    }
+
     /// The worker, which stays in the list, is silent until its lease is over.
     void lose(const std::string& id)
     {
@@ -218,4 +227,107 @@
     EXPECT_EQ(starts[0].m_worker, "w2");
 }
 
+TEST_F(persistent_placement_test, racks_in_use_stop_no_persistent_gang)
+{
+    add_worker_in("rack-1", "w1");
+    add_worker_in("rack-1", "w2");
+    add_worker_in("rack-2", "w3");
+    add_worker_in("rack-2", "w4");
+    add_worker_in("rack-3", "w5");
+    add_worker_in("rack-3", "w6");
+    for (const std::string rack : {"rack-2", "rack-3"})
+    {
+        job_submission other = persistent("other-" + rack, 1, 8);
+        other.m_steps[0].m_data_rack = rack;
+        ASSERT_EQ(run(other).size(), 1u);
+    }
+    const auto first = run(one_rack_gang("g", 2));
+    ASSERT_EQ(first.size(), 2u);
+    EXPECT_EQ(first[0].m_worker, "w1");
+    EXPECT_EQ(first[1].m_worker, "w2");
+    lose("w1");
+    start_all();
+    report("w2", {}, {ended(1, first[1], run_outcome::stopped)});
+    EXPECT_EQ(start_within(max_wait).size(), 2u);
+}
+
+TEST_F(persistent_placement_test, racks_of_busy_workers_stop_no_persistent_gang)
+{
+    add_worker_in("rack-1", "w1");
+    add_worker_in("rack-1", "w2");
+    ASSERT_EQ(run(job("u", 1, 8, "urgent")).size(), 1u);
+    add_worker_in("rack-2", "w3");
+    EXPECT_EQ(run(one_rack_gang("g", 2)).size(), 2u);
+}
+
+TEST_F(persistent_placement_test, a_gang_does_not_wait_for_persistent_tasks)
+{
+    add_worker_in("rack-1", "w1");
+    add_worker_in("rack-1", "w2");
+    ASSERT_EQ(run(persistent("other", 1, 8)).size(), 1u);
+    add_worker_in("rack-2", "w3");
+    job_submission gang = one_rack_gang("g", 2);
+    gang.m_steps[0].m_persistent = false;
+    accept(gang);
+    EXPECT_EQ(start_all().size(), 2u);
+}
+
+TEST_F(persistent_placement_test, a_gang_does_not_wait_for_racks_without_label)
+{
+    add_worker_in("rack-1", "w1");
+    add_worker_in("rack-1", "w2");
+    for (const std::string id : {"w3", "w4"})
+    {
+        worker_description labelled = worker(id);
+        labelled.m_rack = "rack-of-" + id;
+        labelled.m_labels = {"special"};
+        m_dispatcher.worker_listed(labelled, m_now);
+        report(id, {});
+    }
+    job_submission gang = one_rack_gang("g", 2);
+    gang.m_steps[0].m_persistent = false;
+    gang.m_steps[0].m_required_label = "special";
+    accept(gang);
+    EXPECT_EQ(start_all().size(), 2u);
+}
+
+TEST_F(persistent_placement_test, an_overdue_gang_prefers_one_rack)
+{
+    constexpr std::int64_t half_of_cpu = 32'000;
+    const auto add_sized = [this](const std::string& rack,
+                                  const std::string& id, resources capacity)
+    {
+        worker_description added = worker(id);
+        added.m_rack = rack;
+        added.m_capacity = capacity;
+        m_dispatcher.worker_listed(added, m_now);
+        report(id, {});
+    };
+    const std::vector<std::string> small = {"w1", "w2", "w3"};
+    for (const std::string& id : small)
+    {
+        add_sized("rack-1", id, {half_of_cpu, 256'000, 8});
+    }
+    job_submission urgent = job("u", 3, 1, "urgent");
+    urgent.m_steps[0].m_demand.m_cpu_millis = half_of_cpu;
+    const auto held = run(urgent);
+    ASSERT_EQ(held.size(), 3u);
+    job_submission gang = one_rack_gang("g", 3);
+    gang.m_steps[0].m_demand = {half_of_cpu, 1000, 1};
+    EXPECT_TRUE(run(gang).empty());
+    for (const start_order& order : held)
+    {
+        report(order.m_worker, {}, {ended(1, order, run_outcome::done)});
+    }
+    // Two of these hold the gang, but in two racks.
+    add_sized("rack-2", "w4", {2 * half_of_cpu, 256'000, 2});
+    add_sized("rack-3", "w5", {2 * half_of_cpu, 256'000, 2});
+    const auto starts = start_all();
+    ASSERT_EQ(starts.size(), 3u);
+    for (const start_order& order : starts)
+    {
+        EXPECT_LE(order.m_worker, "w3");
+    }
+}
+
 } // namespace kingcuprudder::dispatch
