A limit for one worker does not keep a persistent task from preempting

Callers: none has reported it; found while reading reclaim_for_task. A persistent or urgent task with antiAffinity waited on a busy pool although runs could be preempted for it (LOST). Cause: a worker that already had as many tasks of the step as it may have, and room for more, counted as a place that costs nothing, so no run was stopped. Evidence: a_limit_for_one_worker_hinders_no_preemption fails before the change. Change: reclaim_for_task skips workers that would hold no further task of the step if they were empty. Result: the test passes.

--- a/kingcuprudder/dispatch/planner_reclaim.cpp
+++ b/kingcuprudder/dispatch/planner_reclaim.cpp
@@ -273,7 +273,9 @@
     std::optional<priced_victims> best;
     for (const worker_entry* worker : m_index.pool(step.m_policy.m_pool))
     {
-        if (!is_eligible_alone(*worker, step) ||
+        if (fitting_tasks(*worker, step, worker->m_description.m_capacity) ==
+                0 ||
+            !is_eligible_alone(*worker, step) ||
             (only_near && is_far(*worker, step)))
         {
             continue;
--- a/unit_tests/dispatch/persistent_placement_test.cpp
+++ b/unit_tests/dispatch/persistent_placement_test.cpp
@@ -330,4 +330,17 @@
     }
 }
 
+// Room on a worker that has its share of the tasks was taken for a place.
+TEST_F(persistent_placement_test, a_limit_for_one_worker_hinders_no_preemption)
+{
+    add_worker("w1");
+    add_worker("w2");
+    ASSERT_EQ(run(job("b", 1, 8)).size(), 1u);
+    job_submission spread = persistent("l", 2, 1);
+    spread.m_steps[0].m_max_per_worker = 1;
+    pass(span(5000)); // The preemption loses work.
+    accept(spread);
+    EXPECT_EQ(step().m_stops.size(), 1u);
+}
+
 } // namespace kingcuprudder::dispatch
