No start is sent to a worker that is known to drain

Cause: the dispatcher assigns nothing new to a draining worker, but a start that it had made before waited in the worker's session behind unanswered orders (up to 0.45 s each) and was sent all the same. A start without an answer was repeated too, and an assigned task could be sent between the worker's entry and the next planning.

Change: the renewal request says that the worker drains. The session then reports the starts that wait as not sent, so that the dispatcher releases the runs and assigns the tasks anew; only the session knows whether a start was sent, so a silent withdrawal would not do. Stops are sent as before. A run of which an earlier attempt has no answer is stopped instead of repeated.

--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -492,7 +492,14 @@
 {
     active_run& active = *job.task(ref).m_active;
     worker_entry& worker = find_or_add_worker(active.m_worker);
-    if (!worker.is_called_where_it_answered())
+    if (worker.m_description.m_draining && active.m_phase == run_phase::sent)
+    {
+        // An earlier attempt may have arrived.
+        begin_stopping(job, ref, "worker drains", now);
+        return true;
+    }
+    if (worker.m_description.m_draining ||
+        !worker.is_called_where_it_answered())
     {
         return false;
     }
@@ -546,6 +553,7 @@
         (worker.m_listed && (!worker.m_synced || !worker.m_reachable)) ||
         !worker.m_tasks.empty() || request.m_awaits_store || watched;
     request.m_min_fence = worker.m_required_fence;
+    request.m_draining = worker.m_description.m_draining;
     return request;
 }
 
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -120,6 +120,8 @@
     /// The worker's process must have accepted a fencing token of at least this
     /// value before it gets work; 0 for any.
     std::int64_t m_min_fence = 0;
+    /// The worker list says that the worker drains, so it is sent no starts.
+    bool m_draining = false;
 
     friend bool operator==(const renewal_request&,
                            const renewal_request&) = default;
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace kingcuprudder::node
 {
@@ -26,6 +27,13 @@
 // The lease that a start order grants; the next renewal extends it. A short
 // lease bounds how late an unanswered start can take effect.
 constexpr span start_lease = span(2000);
+const dispatch::call_result given_up{dispatch::order_outcome::not_sent,
+                                     dispatch::call_failure::given_up};
+
+bool is_stop(const worker_session::order& checked)
+{
+    return std::holds_alternative<dispatch::stop_order>(checked);
+}
 
 } // namespace
 
@@ -77,8 +85,26 @@
                   });
 }
 
+void worker_session::give_up_waiting_starts()
+{
+    const auto first =
+        std::stable_partition(m_orders.begin(), m_orders.end(), is_stop);
+    const std::vector<order> starts(first, m_orders.end());
+    m_orders.erase(first, m_orders.end());
+    for (const order& start : starts)
+    {
+        report_order(start, given_up);
+    }
+    execute_next();
+}
+
 void worker_session::enqueue(const order& next)
 {
+    if (m_request.m_draining && !is_stop(next))
+    {
+        report_order(next, given_up);
+        return;
+    }
     if (std::find(m_orders.begin(), m_orders.end(), next) != m_orders.end())
     {
         return;
@@ -116,6 +142,10 @@
         m_unanswered_lease_end.reset();
     }
     m_request = request;
+    if (m_request.m_draining)
+    {
+        give_up_waiting_starts();
+    }
     consider_renewal();
 }
 
@@ -306,8 +336,6 @@
         }
         const order next = std::move(m_orders.front());
         m_orders.pop_front();
-        const dispatch::call_result given_up(dispatch::order_outcome::not_sent,
-                                             dispatch::call_failure::given_up);
         const auto reason =
             needs_clock ? given_up : reason_not_to_send(next, now);
         if (reason)
@@ -322,8 +350,6 @@
 std::optional<dispatch::call_result>
 worker_session::reason_not_to_send(const order& next, instant now) const
 {
-    const dispatch::call_result given_up(dispatch::order_outcome::not_sent,
-                                         dispatch::call_failure::given_up);
     if (m_closed || !m_term->is_valid_at(now))
     {
         return given_up;
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -20,8 +20,9 @@
 
 /// Sends orders to one worker and renews its lease. Orders and renewals are
 /// independent, so that a slow order delays no renewal. Sends nothing after the
-/// term has become invalid. All sessions share one event loop; the calls that
-/// are pending on the loop share the ownership of their session.
+/// term has become invalid, and no start to a worker that drains. All sessions
+/// share one event loop; the calls that are pending on the loop share the
+/// ownership of their session.
 class worker_session : public std::enable_shared_from_this<worker_session>
 {
 public:
@@ -95,6 +96,9 @@
     /// it gets work.
     bool awaits_fence() const;
     void remove_waiting_start(const dispatch::run_ref& run);
+    /// Reports all starts that wait as not sent, so that their tasks can start
+    /// elsewhere at once.
+    void give_up_waiting_starts();
     void apply_report(const renewal_call& call, instant sent,
                       const dispatch::worker_report& report);
     void continue_after_report();
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::int64_t shown_clock = 5000;
 constexpr std::int64_t fence = 7;
+const dispatch::call_result given_up{dispatch::order_outcome::not_sent,
+                                     dispatch::call_failure::given_up};
 
 /// What one worker received and how it answers.
 struct recorded_calls
@@ -182,6 +184,13 @@
         return made;
     }
 
+    static dispatch::renewal_request draining_request()
+    {
+        dispatch::renewal_request made = request();
+        made.m_draining = true;
+        return made;
+    }
+
     static dispatch::start_order start(int index)
     {
         return {"w",   {{"5c0e7a21d94b36f8", 0, 0, index}, 1},
@@ -376,6 +385,60 @@
                                         "start 5c0e7a21d94b36f8.0.0.2"}));
 }
 
+TEST_F(worker_session_test,
+       a_start_that_waits_is_refused_once_its_worker_drains)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_start_delay = span(300);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->send(start(0));
+    tested->send(start(1));
+    tested->send(start(2));
+    ASSERT_TRUE(eventually([&] { return m_record.orders().size() == 1; }));
+    tested->update(draining_request());
+    ASSERT_TRUE(eventually([&] { return finished() == 3; }));
+    m_loop.stop();
+    EXPECT_EQ(m_record.orders(),
+              std::vector<std::string>{"start 5c0e7a21d94b36f8.0.0.0"});
+    EXPECT_EQ(m_outcomes,
+              (std::vector<dispatch::call_result>{
+                  given_up, given_up, dispatch::order_outcome::accepted}));
+}
+
+TEST_F(worker_session_test,
+       a_start_that_comes_late_to_a_draining_worker_is_refused)
+{
+    m_record.m_renewal_answers = {report()};
+    const auto tested = session();
+    tested->update(draining_request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->send(start(0));
+    ASSERT_TRUE(eventually([&] { return finished() == 1; }));
+    m_loop.stop();
+    EXPECT_TRUE(m_record.orders().empty());
+    EXPECT_EQ(m_outcomes, std::vector<dispatch::call_result>{given_up});
+}
+
+TEST_F(worker_session_test, a_draining_worker_is_still_sent_its_stops)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_start_delay = span(100);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->send(start(0));
+    tested->send(dispatch::stop_order{"w", start(3).m_run});
+    ASSERT_TRUE(eventually([&] { return m_record.orders().size() == 1; }));
+    tested->update(draining_request());
+    ASSERT_TRUE(eventually([&] { return finished() == 2; }));
+    m_loop.stop();
+    EXPECT_EQ(m_record.orders(),
+              (std::vector<std::string>{"start 5c0e7a21d94b36f8.0.0.0",
+                                        "stop 5c0e7a21d94b36f8.0.0.3"}));
+}
+
 TEST_F(worker_session_test,
        a_refusal_of_a_token_that_was_raised_since_does_not_end_the_term)
 {
