A worker is not described by another process's entry

Cause: capacity, pool, labels and rack were taken from each entry at once. After an answer had refuted the start time that it named, they were used until the worker's next entry.

Change: the newest entry is kept beside the description that planning uses. An entry of another process than the one that answers changes only what does not describe the process (address, draining, clock, start time). The rest is taken over when that process answers.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -54,6 +54,7 @@
     const auto [found, added] = m_workers.try_emplace(id);
     if (added)
     {
+        found->second.m_entry.m_id = id;
         found->second.m_description.m_id = id;
         found->second.m_lease_end = lease_end(m_term_start);
     }
@@ -210,13 +211,14 @@
     }
     note_heartbeat(worker, description);
     // Every entry has another clock reading, which alone changes nothing.
-    worker.m_description.m_clock = description.m_clock;
-    if (!worker.m_listed || worker.m_description != description)
+    worker.m_entry.m_clock = description.m_clock;
+    if (!worker.m_listed || worker.m_entry != description)
     {
         m_changed = true;
         mark_renewal(description.m_id);
     }
-    worker.m_description = description;
+    worker.m_entry = description;
+    worker.use_entry();
     choose_called_address(worker);
     worker.m_listed = true;
 }
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -39,6 +39,10 @@
             begin_incarnation(worker, report, sent, now);
         }
         worker.m_incarnation = report.m_incarnation;
+        if (worker.m_listed)
+        {
+            worker.use_entry();
+        }
     }
     check_listed_restart(worker, sent);
     if (!worker.m_reachable || !worker.m_synced)
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -29,9 +29,16 @@
 /// The last reported state of a worker and its allocated runs.
 struct worker_entry
 {
-    /// The worker's entry in the platform's worker list. Other programs can
-    /// write there, so it is no evidence that a run has ended.
+    /// The worker's newest entry in the platform's worker list. Other programs
+    /// can write there, so it is no evidence that a run has ended.
+    worker_description m_entry;
+    /// The newest entry, but with the pool, zone, rack, labels and capacity of
+    /// the present process if an earlier entry was of that process and the
+    /// newest one is of another.
     worker_description m_description;
+    /// The process whose pool, zone, rack, labels and capacity m_description
+    /// contains; 0 if its entry does not name it, empty if there is none.
+    std::optional<std::int64_t> m_described_process;
     /// The incarnation that answered last or, before the first answer, the
     /// newest one in the stored records; 0 if unknown.
     std::int64_t m_incarnation = 0;
@@ -115,6 +122,11 @@
     bool m_replaced = false;
 
     const std::string& id() const { return m_description.m_id; }
+    /// Sets m_description after m_entry or m_incarnation has changed.
+    void use_entry();
+    /// Returns whether m_description is that of the present process. The next
+    /// process may have other labels and less capacity.
+    bool is_described() const;
     /// Returns whether the worker has answered this leader.
     bool has_answered() const { return m_last_answer != instant(); }
     /// Returns whether the worker is called at the address where it answered
--- a/unit_tests/dispatch/release_review_test.cpp
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -276,6 +276,18 @@
     }
 }
 
+TEST_F(release_review_test, an_entry_is_used_once_its_process_answers)
+{
+    worker_description entry = entry_of_restart();
+    entry.m_capacity.m_gpus = 4;
+    m_dispatcher.worker_listed(entry, m_now);
+    const worker_entry& listed = m_dispatcher.workers().at("w1");
+    EXPECT_EQ(listed.m_description.m_capacity.m_gpus, 8);
+    pass(span(10));
+    answer(second_start, m_now);
+    EXPECT_EQ(listed.m_description.m_capacity.m_gpus, 4);
+}
+
 TEST_F(release_review_test,
        a_new_process_gets_no_work_by_the_entry_of_the_earlier_one)
 {
