A new process gets no work by the entry of the one before

Cause: an answer of the new process made the worker usable again, while capacity, pool and labels were still those of the earlier process.

Change: planning leaves out a worker whose description belongs to another process than the one that answers, until an entry of that process comes.

Tests: a_new_process_gets_no_work_by_the_entry_of_the_earlier_one passed only as a next process must first accept a raised fencing token. The process now accepts the token in the test, which failed with it before the change. a_new_process_gets_work_by_its_own_entry is new. Three tests expected work on a restarted worker without an entry of its new process; the entry is now listed in them, and what they check is as it was: dispatcher_fixture.an_older_list_ does_not_end_an_incarnation, late_start_bar_test.a_next_process_gets_work_only_ with_a_higher_token, restarted_worker_test.a_later_record_of_the_worker_ends_ no_run_of_an_earlier_leader.

--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -277,8 +277,8 @@
 {
     for (auto& [id, worker] : m_state.m_workers)
     {
-        const bool usable = worker.m_listed && worker.m_synced &&
-                            worker.m_reachable &&
+        const bool usable = worker.m_listed && worker.is_described() &&
+                            worker.m_synced && worker.m_reachable &&
                             !worker.m_description.m_draining &&
                             worker.m_quarantined_until <= m_now &&
                             !m_state.has_unrecorded_runs(id);
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -237,6 +237,9 @@
 {
     add_worker("w1");
     report_restart("w1", 200);
+    worker_description restarted = worker("w1");
+    restarted.m_incarnation = 200;
+    m_dispatcher.worker_listed(restarted, m_now);
     accept(job("j", 1, 8));
     ASSERT_EQ(start_all().size(), 1u);
     m_dispatcher.worker_listed(worker("w1"), m_now);
--- a/unit_tests/dispatch/late_start_bar_test.cpp
+++ b/unit_tests/dispatch/late_start_bar_test.cpp
@@ -113,6 +113,9 @@
     accept(job("next", 1, 8));
     pass(span(10));
     report("w1", {}, {}, restarted_at);
+    worker_description restarted = worker("w1");
+    restarted.m_incarnation = restarted_at;
+    m_dispatcher.worker_listed(restarted, m_now);
     EXPECT_EQ(last_request_of("w1").m_min_fence, m_dispatcher.fence() + 1);
     EXPECT_TRUE(start_all().empty());
     // The token was raised by now, and the process accepts it.
--- a/unit_tests/dispatch/release_review_test.cpp
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -294,6 +294,9 @@
     confirm({m_run});
     pass(span(10));
     answer(second_start, m_now);
+    raise_required_fence();
+    answer(second_start, m_now);
+    ASSERT_TRUE(m_dispatcher.workers().at("w1").m_synced);
     accept(job("more", 2, 8));
     for (const start_order& order : start_all())
     {
@@ -301,6 +304,19 @@
     }
 }
 
+TEST_F(release_review_test, a_new_process_gets_work_by_its_own_entry)
+{
+    confirm({m_run});
+    pass(span(10));
+    report_restart("w1", second_start);
+    accept(job("more", 2, 8));
+    EXPECT_EQ(start_all().size(), 1u);
+    m_dispatcher.worker_listed(entry_of_restart(), m_now);
+    const std::vector<start_order> starts = start_all();
+    ASSERT_EQ(starts.size(), 1u);
+    EXPECT_EQ(starts[0].m_worker, "w1");
+}
+
 TEST_F(release_review_test, entries_with_changing_start_times_idle_no_worker)
 {
     confirm({m_run});
--- a/unit_tests/dispatch/restarted_worker_test.cpp
+++ b/unit_tests/dispatch/restarted_worker_test.cpp
@@ -162,6 +162,9 @@
     EXPECT_TRUE(log.lines("task_assigned").empty());
     answer.m_incarnation = restarted_at;
     next.renewal_answered("w1", answer, m_now, m_now);
+    worker_description restarted = worker("w1");
+    restarted.m_incarnation = restarted_at;
+    next.worker_listed(restarted, m_now);
     next.plan(m_now, m_now);
     EXPECT_EQ(log.lines("task_assigned").size(), 2u);
 }
