--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -39,6 +39,10 @@
             begin_incarnation(worker, report, sent, now);
         }
         worker.m_incarnation = report.m_incarnation;
+        if (worker.m_listed)
+        {
+            worker.use_entry();
+        }
     }
     check_listed_restart(worker, sent);
     if (!worker.m_reachable || !worker.m_synced)
@@ -115,6 +119,7 @@
     m_log("worker_restarted", worker.id(),
           {{"started_before", number(worker.m_incarnation)},
            {"started", number(report.m_incarnation)},
+           {"listed", number(worker.m_entry.m_incarnation)},
            {"address", worker.m_called_address},
            {"last_answer_age_ms", number((now - worker.m_last_answer).count())},
            {"tasks", number(static_cast<std::int64_t>(worker.m_tasks.size()))},
