False entries that alternate do not idle a worker

Cause: only the newest refuted start time was remembered, so each entry had to be refuted by an answer again.

Change: up to 64 refuted start times are remembered for each worker.

Evidence: release_review_test.entries_with_changing_start_times_idle_no_worker failed before.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -267,7 +267,7 @@
                                          std::int64_t listed, instant now)
 {
     if (worker.m_incarnation == 0 || listed <= worker.m_incarnation ||
-        listed == worker.m_refuted_incarnation)
+        worker.m_refuted_incarnations.contains(listed))
     {
         worker.m_restart_listed_at.reset();
         return;
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t failed_jobs_to_quarantine = 2;
 constexpr span failing_worker_quarantine = span(4000);
 constexpr span slow_worker_quarantine = span(3000);
+// As many start times in false entries are remembered for a worker.
+constexpr std::size_t max_refuted_incarnations = 64;
 
 } // namespace
 
@@ -233,7 +235,11 @@
     }
     else if (*worker.m_restart_listed_at < sent)
     {
-        worker.m_refuted_incarnation = listed;
+        if (worker.m_refuted_incarnations.size() == max_refuted_incarnations)
+        {
+            worker.m_refuted_incarnations.clear();
+        }
+        worker.m_refuted_incarnations.insert(listed);
         worker.m_restart_listed_at.reset();
         m_log("listed_restart_refuted", worker.id(),
               {{"started", number(worker.m_incarnation)},
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -45,8 +45,8 @@
     /// When the worker list first named a later incarnation, which no answer
     /// has confirmed or refuted yet.
     std::optional<instant> m_restart_listed_at;
-    /// A later incarnation in the worker list that an answer has refuted.
-    std::int64_t m_refuted_incarnation = 0;
+    /// Later incarnations in the worker list that answers have refuted.
+    std::set<std::int64_t> m_refuted_incarnations;
     /// The address at which the worker answered last, to this leader or to the
     /// one that recorded its runs; empty if neither is known.
     std::string m_answered_address;
