A silent worker is called at its new address at once

Cause: a worker that comes back at another address was called there only after the next call at the old address had failed, up to 0.37 s after the worker list had named the new one. Evidence: a_silent_worker_is_called_at_its_new_address_at_once fails before. Change: a changed address in the list of a worker that is silent is polled at once. An address is still only polled until the worker has answered there. Result: the test passes. It shortens the time in which a late start is executed and does not close it: the list itself is up to 0.3 s late (batching), and no call can be made before it.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -217,10 +217,17 @@
         m_changed = true;
         mark_renewal(description.m_id);
     }
+    const bool has_moved = worker.m_entry.m_address != description.m_address;
     worker.m_entry = description;
     worker.use_entry();
     choose_called_address(worker);
     worker.m_listed = true;
+    if (has_moved && worker.m_silent_since)
+    {
+        // A next process there must learn the token before a late start comes.
+        worker.m_address_tried_at = instant();
+        call_other_address(worker, now);
+    }
 }
 
 void dispatcher::choose_called_address(worker_entry& worker)
--- a/unit_tests/dispatch/next_process_test.cpp
+++ b/unit_tests/dispatch/next_process_test.cpp
@@ -204,4 +204,18 @@
     EXPECT_TRUE(m_log.lines("worker_lease_over").empty());
 }
 
+TEST_F(next_process_test, a_silent_worker_is_called_at_its_new_address_at_once)
+{
+    add_worker("w1");
+    m_dispatcher.renewal_failed(
+        "w1",
+        {order_outcome::may_have_arrived, call_failure::connection_closed},
+        m_now);
+    worker_description moved = worker("w1");
+    moved.m_incarnation = restarted_at;
+    moved.m_address = "next-address-of-w1";
+    m_dispatcher.worker_listed(moved, m_now);
+    EXPECT_EQ(last_request_of("w1").m_address, "next-address-of-w1");
+}
+
 } // namespace kingcuprudder::dispatch
