Restarts before a term are attributed together

Cause: the new leader learned of each restart by the worker's first answer and attributed it by itself, as if no other worker had restarted.

Change: restarts that first answers show are noted and attributed together. This waits, up to 3 s after the term began, only while so many workers with runs have still to answer that their restarts alone would have a common cause; so a restart among few workers counts at once, as before. The run that is counted is the lost one, even if its task has started again meanwhile.

Tests: loaded_leader_test.workers_that_restart_before_the_term_show_no_crash failed before; it now also plans after each answer. New: a_single_restart_ before_the_term_is_a_possible_crash, a_restart_of_a_draining_worker_shows_no_ crash, a_restart_before_the_term_counts_though_other_workers_give_no_answer.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -350,6 +350,7 @@
 void dispatcher::plan(instant now, instant wall_now)
 {
     attribute_losses_of_earlier_term();
+    attribute_restarts_before_term(now);
     attribute_noted_losses(now);
     expire_leases(now);
     release_stuck_assignments(now);
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -225,6 +225,18 @@
     void attribute_losses_of_earlier_term();
     void attribute_earlier_loss(worker_entry& worker, const task_ref& ref,
                                 bool with_others);
+    /// Notes the runs that ended with the worker's process before it answered
+    /// this leader.
+    void note_restart_before_term(const worker_entry& worker,
+                                  const worker_report& report);
+    /// Attributes the restarts that the first answers have shown, unless the
+    /// answers to come may show that more workers restarted for one cause.
+    void attribute_restarts_before_term(instant now);
+    void attribute_restart_before_term(const worker_entry& worker,
+                                       const run_ref& run, bool with_others);
+    /// Returns whether so many workers with runs of an earlier leader are
+    /// likely to answer soon that their restarts would have a common cause.
+    bool awaits_first_answers(instant now) const;
     /// Discards the crashes of a task whose run lasts.
     void clear_crashes_of_lasting_run(job_entry& job, const task_ref& ref,
                                       instant now);
@@ -324,6 +336,9 @@
     /// The runs that had ended with their worker before this term, by worker;
     /// some of them only according to the worker list.
     std::map<std::string, std::vector<task_ref>> m_runs_lost_before_term;
+    /// The workers whose process had changed before its first answer, with the
+    /// runs whose loss is not attributed yet.
+    std::map<std::string, std::vector<run_ref>> m_restarts_before_term;
     instant m_term_start;
     std::optional<instant> m_events_applied_until;
     std::int64_t m_fence = 0;
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -2,6 +2,7 @@
 #include <kingcuprudder/dispatch/dispatcher.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcuprudder::dispatch
 {
@@ -21,6 +22,8 @@
 constexpr span heartbeat_margin = span(500);
 // A run that lasts this long has not crashed its worker.
 constexpr span lasting_run = span(30'000);
+// Workers that can answer have answered a new leader by then.
+constexpr span first_answers_time = span(3000);
 
 } // namespace
 
@@ -363,6 +366,85 @@
     }
 }
 
+void dispatcher::note_restart_before_term(const worker_entry& worker,
+                                          const worker_report& report)
+{
+    if (worker.m_loss_attributed || worker.m_description.m_draining ||
+        worker.m_tasks.empty())
+    {
+        return;
+    }
+    m_log("worker_lost", worker.id(),
+          {{"tasks", number(static_cast<std::int64_t>(worker.m_tasks.size()))},
+           {"silent_ms", "before this term"}});
+    for (const task_ref& ref : worker.m_tasks)
+    {
+        const int run = m_jobs.find_task(ref)->task(ref).m_active->m_number;
+        if (report.find(ref.str(), run) == nullptr)
+        {
+            m_restarts_before_term[worker.id()].push_back({ref, run});
+        }
+    }
+}
+
+bool dispatcher::awaits_first_answers(instant now) const
+{
+    const auto awaited =
+        std::count_if(m_workers.begin(), m_workers.end(),
+                      [this](const auto& each)
+                      {
+                          const worker_entry& worker = each.second;
+                          return worker.m_listed && worker.m_reachable &&
+                                 !worker.has_answered() &&
+                                 !worker.m_tasks.empty() &&
+                                 !m_restarts_before_term.contains(each.first);
+                      });
+    return now - m_term_start < first_answers_time &&
+           has_common_cause(static_cast<int>(awaited), 0);
+}
+
+void dispatcher::attribute_restarts_before_term(instant now)
+{
+    if (m_restarts_before_term.empty() || awaits_first_answers(now))
+    {
+        return;
+    }
+    const bool with_others =
+        has_common_cause(static_cast<int>(m_restarts_before_term.size()), 0);
+    for (auto& [id, runs] : m_restarts_before_term)
+    {
+        const worker_entry& worker = find_or_add_worker(id);
+        for (const run_ref& run : std::exchange(runs, {}))
+        {
+            attribute_restart_before_term(worker, run, with_others);
+        }
+    }
+}
+
+void dispatcher::attribute_restart_before_term(const worker_entry& worker,
+                                               const run_ref& run,
+                                               bool with_others)
+{
+    job_entry* job = m_jobs.find_task(run.m_task);
+    const attributed_loss loss{run.m_task, crash_suspicion::possible, true};
+    const decision_fields evidence{
+        {"lost", "before this term"},
+        {"with_others", with_others ? "true" : "false"}};
+    if (job == nullptr)
+    {
+        return;
+    }
+    if (!with_others && attribute_crash(worker, loss, evidence))
+    {
+        // The task may have started again since.
+        job->task(run.m_task).m_progress.m_lost_run = run.m_run;
+        return;
+    }
+    decision_fields fields{{"worker", worker.id()}};
+    append(fields, evidence);
+    m_log("crash_not_attributed", run.m_task.str(), std::move(fields));
+}
+
 void dispatcher::clear_crashes_of_lasting_run(job_entry& job,
                                               const task_ref& ref, instant now)
 {
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -132,7 +132,15 @@
     {
         worker.m_process_ended = true; // No call has shown how it was lost.
     }
-    attribute_loss(worker, now);
+    if (worker.has_answered())
+    {
+        attribute_loss(worker, now);
+    }
+    else
+    {
+        note_restart_before_term(worker, report);
+        attribute_restarts_before_term(now);
+    }
     worker.m_incarnation = report.m_incarnation;
     worker.m_answered_address = worker.m_called_address;
     settle_runs_of_earlier_process(worker, report, sent, now);
--- a/unit_tests/dispatch/release_review_test.cpp
+++ b/unit_tests/dispatch/release_review_test.cpp
@@ -78,13 +78,20 @@
 
     void load(const std::string& id, std::int64_t started,
               const std::string& address)
+    {
+        load_on("w1", id, started, address);
+    }
+
+    /// Loads a task with a recorded run on the worker.
+    void load_on(const std::string& on, const std::string& id,
+                 std::int64_t started, const std::string& address)
     {
         job_progress progress;
         progress.m_state = job_state::running;
         progress.m_tasks = {{{task_progress()}}};
         task_progress& task = progress.m_tasks[0][0][0];
         task.m_last_run = 1;
-        task.m_worker = "w1";
+        task.m_worker = on;
         task.m_worker_incarnation = started;
         task.m_worker_address = address;
         m_dispatcher.add_job(job(id, 1, 4), progress, 1, m_now, m_now);
@@ -256,8 +263,49 @@
     for (int at = 0; at < 20; ++at)
     {
         report("v" + std::to_string(at), {}, {}, second_start);
+        step();
+    }
+    EXPECT_TRUE(m_log.lines("crash_attributed").empty());
+}
+
+TEST_F(loaded_leader_test, a_single_restart_before_the_term_is_a_possible_crash)
+{
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    load("a", first_start, "");
+    load("b", first_start, "");
+    report("w1", {{task_ref{"b", 0, 0, 0}.str(), 1, "", 10}}, {}, second_start);
+    step();
+    const std::vector<log_line> lines = m_log.lines("crash_attributed");
+    ASSERT_EQ(lines.size(), 1u);
+    EXPECT_EQ(lines[0].m_id, (task_ref{"a", 0, 0, 0}.str()));
+    EXPECT_EQ(lines[0].field("suspicion"), "possible");
+}
+
+TEST_F(loaded_leader_test, a_restart_of_a_draining_worker_shows_no_crash)
+{
+    worker_description entry = worker("w1");
+    entry.m_draining = true;
+    m_dispatcher.worker_listed(entry, m_now);
+    load("a", first_start, "");
+    report("w1", {}, {}, second_start);
+    step();
+    EXPECT_TRUE(m_log.lines("crash_attributed").empty());
+}
+
+TEST_F(loaded_leader_test,
+       a_restart_before_the_term_counts_though_other_workers_give_no_answer)
+{
+    for (const std::string id : {"w1", "w3", "w4", "w5"})
+    {
+        m_dispatcher.worker_listed(worker(id), m_now);
+        load_on(id, "of-" + id, first_start, "");
     }
+    report("w1", {}, {}, second_start);
+    step();
     EXPECT_TRUE(m_log.lines("crash_attributed").empty());
+    pass(span(3000));
+    step();
+    EXPECT_EQ(m_log.lines("crash_attributed").size(), 1u);
 }
 
 TEST_F(release_review_test, the_capacity_in_a_refuted_entry_is_not_used)
