--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 // Jobs, workers and stored records. dispatcher_reports.cpp applies worker
-// reports; dispatcher_orders.cpp creates the orders to workers.
+// reports; dispatcher_orders.cpp creates the orders to workers;
+// dispatcher_releases.cpp releases runs.
 
 dispatcher::dispatcher(const dispatch_limits& limits, decision_log log)
     : m_limits(limits), m_log(std::move(log))
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -257,22 +257,6 @@
     }
 }
 
-void dispatcher::release_worker_runs(worker_entry& worker,
-                                     const run_end_evidence& evidence,
-                                     instant now)
-{
-    const std::set<task_ref> tasks = worker.m_tasks;
-    for (const task_ref& ref : tasks)
-    {
-        job_entry* job = m_jobs.find_task(ref);
-        if (job != nullptr && job->task(ref).m_active &&
-            job->task(ref).m_active->m_worker == worker.id())
-        {
-            release_run(*job, ref, evidence, now);
-        }
-    }
-}
-
 void dispatcher::apply_running(worker_entry& worker,
                                const running_report& report, instant now)
 {
@@ -567,55 +551,6 @@
            {"chain_ms", number(job.m_critical_path.count())}});
 }
 
-void dispatcher::release_unlisted_runs(worker_entry& worker,
-                                       const worker_report& report,
-                                       instant sent, instant now)
-{
-    constexpr std::size_t completions_in_full_report = 500;
-    if (report.m_ended.size() >= completions_in_full_report)
-    {
-        return; // The missing run may be among the completions that follow.
-    }
-    std::set<std::pair<std::string, int>> listed;
-    for (const running_report& run : report.m_running)
-    {
-        listed.emplace(run.m_task, run.m_run);
-    }
-    const std::set<task_ref> tasks = worker.m_tasks;
-    for (const task_ref& ref : tasks)
-    {
-        job_entry* job = m_jobs.find_task(ref);
-        if (job == nullptr || !job->task(ref).m_active ||
-            job->task(ref).m_active->m_worker != worker.id())
-        {
-            continue;
-        }
-        const active_run& active = *job->task(ref).m_active;
-        // A report requested in the same millisecond may have been written
-        // before the start was confirmed, so the comparison is strict.
-        const bool gone =
-            active.m_phase == run_phase::unverified ||
-            (active.m_listed_from && *active.m_listed_from < sent);
-        if (gone && !listed.contains({ref.str(), active.m_number}))
-        {
-            release_run(*job, ref,
-                        run_end_evidence::unlisted(
-                            worker.m_incarnation,
-                            active.m_listed_from.value_or(instant()), sent),
-                        now);
-        }
-    }
-    for (auto each = m_unrecorded_runs.begin();
-         each != m_unrecorded_runs.end();)
-    {
-        const bool over = each->first.first == worker.id() &&
-                          !listed.contains({each->first.second.m_task.str(),
-                                            each->first.second.m_run});
-        m_changed = m_changed || over;
-        each = over ? m_unrecorded_runs.erase(each) : std::next(each);
-    }
-}
-
 void dispatcher::advance_acknowledged(worker_entry& worker)
 {
     mark_renewal(worker.id());
