run_over names the node that wrote it

Callers: operators read a worker's start time, or 0, as the process of a line. Cause: the evidence wrote a field of the name that the log itself uses. Change: the field is ended_process.

--- a/kingcuprudder/dispatch/run_end_evidence.cpp
+++ b/kingcuprudder/dispatch/run_end_evidence.cpp
@@ -61,7 +61,7 @@
 decision_fields run_end_evidence::fields(instant now) const
 {
     return {{"reason", m_reason},
-            {"process", number(m_process)},
+            {"ended_process", number(m_process)},
             {"evidence_age_ms", number((now - m_shown_at).count())}};
 }
 
--- a/unit_tests/dispatch/run_end_evidence_test.cpp
+++ b/unit_tests/dispatch/run_end_evidence_test.cpp
@@ -1,7 +1,9 @@
 #include "dispatcher_fixture.hpp"
 #include <kingcuprudder/dispatch/run_end_evidence.hpp>
 
+#include <set>
 #include <stdexcept>
+#include <string>
 
 namespace kingcuprudder::dispatch
 {
@@ -109,4 +111,16 @@
               std::pair(std::string("worker replaced"), std::string("0")));
 }
 
+// Guards against lines whose own fields are overwritten in the log.
+TEST_F(run_end_evidence_test, its_fields_hide_none_of_the_log)
+{
+    const std::set<std::string> of_the_log = {"time_ms", "process", "part",
+                                              "event", "id"};
+    const run_end_evidence shown = run_end_evidence::reported(process, m_now);
+    for (const auto& [name, value] : shown.fields(m_now))
+    {
+        EXPECT_FALSE(of_the_log.contains(name)) << name;
+    }
+}
+
 } // namespace kingcuprudder::dispatch
