The lease is extended at once after a lost renewal

Cause: opened by the renewals after an unanswered one, which extend no lease: two calls have to be answered in a row, and the second one waits up to 1.5 s for a completion, so that one that is lost costs 2.4 s of a lease of 6 s. Change: until a renewal that extends the lease is answered, renewals do not wait.

--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -204,8 +204,8 @@
         m_last_renewal_answered &&
         sent - m_last_answer <= acknowledgement_validity;
     call.m_acknowledged = answered_recently ? m_request.m_acknowledged : 0;
-    const bool may_wait =
-        answered_recently && m_request.m_needed && !awaits_fence();
+    const bool may_wait = answered_recently && m_request.m_needed &&
+                          !awaits_fence() && !m_lease_overdue;
     call.m_wait = may_wait ? renewal_wait : span(0);
     // A renewal after an unanswered one extends no lease. Else the lease of an
     // unresponsive worker would never end, and its tasks could never be
@@ -252,6 +252,7 @@
     m_last_renewal_answered = false;
     m_lease_unanswered =
         m_lease_unanswered || call.m_lease_end_clock.has_value();
+    m_lease_overdue = m_lease_overdue || m_lease_unanswered;
     m_hooks.m_renewal_failed(m_request.m_worker, result);
     pause_renewals(failed_renewal_pause);
     execute_next();
@@ -301,6 +302,7 @@
     m_clock.observe(report.m_clock, m_last_answer);
     m_last_renewal_answered = true;
     m_lease_unanswered = false;
+    m_lease_overdue = m_lease_overdue && !call.m_lease_end_clock;
     m_last_acknowledged = std::max(m_last_acknowledged, call.m_acknowledged);
     for (const dispatch::completion_report& end : report.m_ended)
     {
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -144,8 +144,11 @@
     std::int64_t m_answering_incarnation = 0;
     std::int64_t m_last_acknowledged = 0;
     std::int64_t m_highest_completion = 0;
-    /// A renewal that extends the lease has had no answer.
+    /// A renewal that extends the lease has had no answer, and none since has
+    /// been answered.
     bool m_lease_unanswered = false;
+    /// The same, but only an answer to one that extends the lease counts.
+    bool m_lease_overdue = false;
     bool m_last_renewal_answered = false;
     /// When the last answer to a renewal was received.
     instant m_last_answer;
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -301,6 +301,23 @@
     }
 }
 
+// Guards against a lease that lapses while the renewal that extends it waits
+// for a completion and gets no answer again.
+TEST_F(worker_session_test, the_lease_is_extended_at_once_after_a_lost_renewal)
+{
+    m_record.m_renewal_answers = {
+        report(), dispatch::order_outcome::may_have_arrived, report()};
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_record.renewals() >= 5; }));
+    m_loop.stop();
+    const std::vector<renewal_call>& calls = m_record.m_renewals;
+    EXPECT_EQ(calls[2].m_lease_end_clock, std::nullopt);
+    EXPECT_TRUE(calls[3].m_lease_end_clock);
+    EXPECT_EQ(calls[3].m_wait, span(0));
+    EXPECT_GT(calls[4].m_wait, span(0));
+}
+
 // Guards against a log that cannot tell a crashed worker from one that is slow,
 // cut off or replaced.
 TEST_F(worker_session_test, failed_calls_are_reported_with_their_reason)
