Tests that fail: requests without a response at a planned restart

Callers that keep their connection to a process until it is gone get no response to some requests when it gets SIGTERM, with no other fault.

The unit tests show the three ways: connections in the listener's queue, kept connections on which a request has arrived, and the idle connection that makes room for another.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -1,3 +1,5 @@
+#include <kingcuprudder/node/clocks.hpp>
+
 #include <demo/free_port.hpp>
 #include <nlohmann/json.hpp>
 #include <soak/deployment.hpp>
@@ -15,15 +17,16 @@
 {
     for (int index = 0; index < nodes; ++index)
     {
-        node_process node;
+        node_process& node = m_nodes.emplace_back();
         node.m_caller_address = demo::free_loopback_address();
+        node.m_readiness_address = demo::free_loopback_address();
         node.m_settings_path =
             m_folder + "/node-" + std::to_string(index) + ".json";
         const nlohmann::json settings{
             {"name", "node-" + std::to_string(index)},
             {"availability_zone", "zone"},
             {"caller_address", node.m_caller_address},
-            {"readiness_address", demo::free_loopback_address()},
+            {"readiness_address", node.m_readiness_address},
             {"metrics_address", demo::free_loopback_address()},
             {"store_address", store_address},
             {"processor_share", 1},
@@ -35,7 +38,6 @@
             {"status_s", 120},
             {"shutdown_grace_s", 3}};
         std::ofstream(node.m_settings_path) << settings.dump();
-        m_nodes.push_back(std::move(node));
     }
 }
 
@@ -44,6 +46,11 @@
     return m_nodes[node].m_caller_address;
 }
 
+const std::string& deployment::readiness_address(int node) const
+{
+    return m_nodes[node].m_readiness_address;
+}
+
 void deployment::start(int node)
 {
     m_nodes[node].m_process = std::make_unique<demo::child_process>(
@@ -62,6 +69,13 @@
 {
     m_nodes[node].m_process->send_signal(SIGTERM);
     m_nodes[node].m_terminating = true;
+    m_nodes[node].m_signalled_at_ms = node::boottime_now().count();
+}
+
+span deployment::time_since_signal(int node) const
+{
+    return node::boottime_now() -
+           instant(m_nodes[node].m_signalled_at_ms.load());
 }
 
 bool deployment::restart_if_ended(int node)
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -5,9 +5,11 @@
 
 #include <demo/child_process.hpp>
 
+#include <atomic>
+#include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace kingcuprudder::soak
 {
@@ -26,6 +28,8 @@
     int size() const { return static_cast<int>(m_nodes.size()); }
     /// Returns the address for callers as "ip:port".
     const std::string& caller_address(int node) const;
+    /// Returns the address for checks of the readiness as "ip:port".
+    const std::string& readiness_address(int node) const;
     bool is_running(int node) const
     {
         return m_nodes[node].m_process != nullptr;
@@ -39,6 +43,12 @@
     void kill(int node);
     /// Sends SIGTERM; the process exits after its shutdown grace time.
     void terminate(int node);
+    /// Whether the process got SIGTERM since its start.
+    bool is_terminating(int node) const { return m_nodes[node].m_terminating; }
+
+    /// Returns the time since the process last got SIGTERM, over all of its
+    /// restarts. Callable from any thread.
+    span time_since_signal(int node) const;
     /// Starts the process again if it was killed or has exited after
     /// terminate(). Returns whether it was started.
     bool restart_if_ended(int node);
@@ -51,14 +61,17 @@
     struct node_process
     {
         std::string m_caller_address;
+        std::string m_readiness_address;
         std::string m_settings_path;
         std::unique_ptr<demo::child_process> m_process;
         bool m_terminating = false;
+        /// Read by the callers' threads.
+        std::atomic<std::int64_t> m_signalled_at_ms = 0;
     };
 
     std::string m_program;
     std::string m_folder;
-    std::vector<node_process> m_nodes;
+    std::deque<node_process> m_nodes;
 };
 
 } // namespace kingcuprudder::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,3 +1,4 @@
+#include <soak/rolling_restarts.hpp>
 #include <soak/scenario.hpp>
 #include <tclap/CmdLine.h>
 
@@ -5,11 +6,52 @@
 #include <cstdlib>
 #include <filesystem>
 
+namespace
+{
+
+namespace soak = kingcuprudder::soak;
+
+/// Returns the path of kcr_node, which is beside this program.
+std::string node_program()
+{
+    return (std::filesystem::canonical("/proc/self/exe").parent_path() /
+            "kcr_node")
+        .string();
+}
+
+/// Prints the results of one seed's rolling restarts. Returns whether each
+/// request got a response.
+bool run_rolling_restarts(unsigned seed, const std::string& folder, int nodes,
+                          int callers, int seconds)
+{
+    soak::rolling_restart_options options;
+    options.m_program = node_program();
+    options.m_folder = folder;
+    options.m_seed = seed;
+    options.m_nodes = nodes;
+    options.m_callers = callers;
+    options.m_duration = kingcuprudder::span::seconds(seconds);
+    const soak::rolling_restart_report report =
+        soak::run_rolling_restarts(options);
+    std::printf("seed %u: restarts %d answered %d refused connections %d "
+                "unanswered %zu\n",
+                seed, report.m_restarts, report.m_calls.m_answered,
+                report.m_calls.m_refused_connections,
+                report.m_calls.m_unanswered.size());
+    for (const std::string& each : report.m_calls.m_unanswered)
+    {
+        std::printf("  %s\n", each.c_str());
+    }
+    std::fflush(stdout);
+    return report.m_calls.m_unanswered.empty();
+}
+
+} // namespace
+
 // Runs the soak scenario with each seed in turn and prints its results. Exits
 // with status 1 if any run had a violation.
 int main(int argc, char** argv)
 {
-    namespace soak = kingcuprudder::soak;
     TCLAP::CmdLine line("Runs real processes under random faults.", ' ', "0.1");
     TCLAP::ValueArg<unsigned> first("", "first-seed", "first seed", false, 1,
                                     "number", line);
@@ -31,6 +73,12 @@
     TCLAP::SwitchArg late_starts(
         "", "late-starts",
         "workers restart before they carry out starts that are late", line);
+    TCLAP::SwitchArg rolling_restarts(
+        "", "rolling-restarts",
+        "end the processes with SIGTERM in turn and check each request", line);
+    TCLAP::ValueArg<int> callers("", "callers",
+                                 "callers beside rolling restarts", false, 24,
+                                 "number", line);
     line.parse(argc, argv);
     int failed_seeds = 0;
     for (unsigned seed = first.getValue();
@@ -39,12 +87,17 @@
         soak::scenario_options options = crashes.getValue()
                                              ? soak::crash_options()
                                              : soak::scenario_options();
-        options.m_program =
-            (std::filesystem::canonical("/proc/self/exe").parent_path() /
-             "kcr_node")
-                .string();
+        options.m_program = node_program();
         options.m_folder = folder.getValue() + "/" + std::to_string(seed);
         std::filesystem::create_directories(options.m_folder);
+        if (rolling_restarts.getValue())
+        {
+            const bool answered =
+                run_rolling_restarts(seed, options.m_folder, nodes.getValue(),
+                                     callers.getValue(), seconds.getValue());
+            failed_seeds += answered ? 0 : 1;
+            continue;
+        }
         options.m_seed = seed;
         options.m_nodes = nodes.getValue();
         options.m_false_entries = false_entries.getValue();
--- a/unit_tests/node/soak_test.cpp
+++ b/unit_tests/node/soak_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <soak/rolling_restarts.hpp>
 #include <soak/scenario.hpp>
 
 #include <filesystem>
@@ -10,13 +11,21 @@
 namespace
 {
 
+/// Creates the folder for settings and logs of a seed.
+std::string folder_of(unsigned seed)
+{
+    // Tests of several checkouts may run at the same time.
+    const std::string folder = ::testing::TempDir() + "/soak-" +
+                               std::to_string(seed) + "-" +
+                               std::to_string(getpid());
+    std::filesystem::create_directories(folder);
+    return folder;
+}
+
 scenario_report run_seed(scenario_options options, unsigned seed)
 {
     options.m_program = KCR_BINARY_DIR "/bin/kcr_node";
-    // Tests of several checkouts may run at the same time.
-    options.m_folder = ::testing::TempDir() + "/soak-" + std::to_string(seed) +
-                       "-" + std::to_string(getpid());
-    std::filesystem::create_directories(options.m_folder);
+    options.m_folder = folder_of(seed);
     options.m_seed = seed;
     return run_scenario(options);
 }
@@ -69,4 +78,19 @@
     EXPECT_EQ(report.m_violations, std::vector<std::string>());
 }
 
+// Guards against requests that have been sent to a process and end without a
+// response when it is stopped, with no other fault.
+TEST(soak, no_request_ends_without_a_response_at_a_planned_restart)
+{
+    rolling_restart_options options;
+    options.m_program = KCR_BINARY_DIR "/bin/kcr_node";
+    options.m_seed = 41;
+    options.m_folder = folder_of(options.m_seed);
+    options.m_duration = span::seconds(20);
+    const rolling_restart_report report = run_rolling_restarts(options);
+    EXPECT_GT(report.m_restarts, 15);
+    EXPECT_GT(report.m_calls.m_answered, 5000);
+    EXPECT_EQ(report.m_calls.m_unanswered, std::vector<std::string>());
+}
+
 } // namespace kingcuprudder::soak
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <future>
+#include <memory>
 #include <stdexcept>
 #include <thread>
 #include <vector>
@@ -37,6 +38,29 @@
         return limits;
     }
 
+    /// Keeps the loop's thread busy, so that what arrives meanwhile waits in
+    /// the kernel.
+    class blocked_loop
+    {
+    public:
+        explicit blocked_loop(event_loop& loop)
+        {
+            auto begun = std::make_shared<std::promise<void>>();
+            loop.post(
+                [begun, released = m_release.get_future().share()]
+                {
+                    begun->set_value();
+                    released.wait();
+                });
+            begun->get_future().wait();
+        }
+
+        void release() { m_release.set_value(); }
+
+    private:
+        std::promise<void> m_release;
+    };
+
     std::atomic<int> m_errors = 0;
     event_loop m_loop{[this](const std::string&) { ++m_errors; }};
 };
@@ -218,6 +242,96 @@
     m_loop.stop();
 }
 
+// The two below guard against a request that has reached the kernel when the
+// server stops, and gets a reset connection in place of a response.
+TEST_F(http_server_test, a_stop_answers_requests_of_connections_in_the_queue)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    raw_connection known(server.address());
+    known.send(get_request);
+    known.read_until("GET /a");
+    blocked_loop blocked(m_loop);
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int index = 0; index < 20; ++index)
+    {
+        callers.push_back(std::make_unique<raw_connection>(server.address()));
+        ASSERT_TRUE(callers.back()->send(get_request));
+    }
+    server.stop_reading();
+    blocked.release();
+    for (const auto& each : callers)
+    {
+        const std::string answer = each->read_until("GET /a");
+        EXPECT_NE(answer.find("200 OK"), std::string::npos);
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    }
+    m_loop.stop();
+}
+
+TEST_F(http_server_test, a_stop_answers_requests_of_kept_connections)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int index = 0; index < 20; ++index)
+    {
+        callers.push_back(std::make_unique<raw_connection>(server.address()));
+        ASSERT_TRUE(callers.back()->send(get_request));
+        callers.back()->read_until("GET /a");
+    }
+    blocked_loop blocked(m_loop);
+    for (const auto& each : callers)
+    {
+        ASSERT_TRUE(each->send(get_request));
+    }
+    server.stop_reading();
+    blocked.release();
+    for (const auto& each : callers)
+    {
+        const std::string answer = each->read_until("GET /a");
+        EXPECT_NE(answer.find("200 OK"), std::string::npos);
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    }
+    m_loop.stop();
+}
+
+// Guards against a request that arrives as the idle timeout expires and gets a
+// reset connection in place of a response.
+TEST_F(http_server_test, a_request_at_the_idle_timeout_is_answered)
+{
+    http_server_limits limits = pooled(1);
+    limits.m_idle_timeout = span(150);
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    raw_connection caller(server.address());
+    ASSERT_TRUE(caller.send(get_request));
+    caller.read_until("GET /a");
+    blocked_loop blocked(m_loop);
+    ASSERT_TRUE(caller.send(get_request));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    blocked.release();
+    EXPECT_NE(caller.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
+// Guards against a request that arrives as its connection is closed to make
+// room, and gets a reset connection in place of a response.
+TEST_F(http_server_test, a_request_on_the_longest_idle_connection_is_answered)
+{
+    http_server_limits limits;
+    limits.m_max_connections = 1;
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    raw_connection caller(server.address());
+    ASSERT_TRUE(caller.send(get_request));
+    caller.read_until("GET /a");
+    blocked_loop blocked(m_loop);
+    raw_connection next(server.address());
+    ASSERT_TRUE(next.send(get_request));
+    ASSERT_TRUE(caller.send(get_request));
+    blocked.release();
+    EXPECT_NE(caller.read_until("GET /a").find("200 OK"), std::string::npos);
+    EXPECT_NE(next.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
 // Guards against callers such as curl that wait a second before they send a
 // body of over 1,024 bytes.
 TEST_F(http_server_test, a_caller_that_asks_before_it_sends_is_told_to_send)
