Requests that reach the kernel before a stop are answered

Cause: stop_reading() closed the listener with connections in its queue, and each connection without a request that had been read, although one may have arrived on it.

Now, from SIGTERM each response closes its connection (the server does it, not the caller interface). At the end of the grace time the listener ignores new attempts to connect (a socket filter that drops opening packets), accepts for 100 ms what was begun, and is closed; open connections are read for 300 ms; then one without a request ends with the end of the stream, and one on which a request has arrived is answered first. The filter closes what is left of the window between the last accept and the close; a system without socket filters has that window.

The test connections_are_closed_at_shutdown moves to the server with its check, and also expects that the server goes on accepting.

The soak's callers count a connection that timed out as not connected, as nothing was sent on it.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -1,3 +1,4 @@
+#include <kingcuprudder/runtime/connection_filter.hpp>
 #include <kingcuprudder/runtime/http_server.hpp>
 #include <kingcuprudder/runtime/ip_address.hpp>
 
@@ -34,6 +35,9 @@
 // Buffers of idle connections above this size are released.
 constexpr std::size_t kept_buffer_bytes = std::size_t{8} * 1024;
 constexpr span accept_retry = span(100);
+// Connections that were begun before the listener ignores new ones are
+// completed within this time, which is several round trips.
+constexpr span handshake_time = span(100);
 // After an error response the rest of the request is read and dropped for this
 // long, as closing a connection with unread bytes resets it before the caller
 // has read the response.
@@ -139,18 +143,31 @@
         asio::post(m_context, [self = shared_from_this()] { self->accept(); });
     }
 
+    void begin_closing() { m_closing = true; }
+
+    void stop_accepting()
+    {
+        asio::post(m_context,
+                   [self = shared_from_this()]
+                   {
+                       ignore_new_connections(self->m_acceptor.native_handle());
+                       self->m_close_listener = self->m_loop.run_after(
+                           handshake_time, [self] { self->close_listener(); });
+                   });
+    }
+
     void stop_reading()
     {
         asio::post(m_context,
                    [self = shared_from_this()]
                    {
+                       self->close_listener();
+                       self->m_closing = true;
                        self->m_reading = false;
-                       error_code ignored;
-                       self->m_acceptor.close(ignored);
                        const auto connections = self->m_connections;
                        for (const auto& each : connections)
                        {
-                           each->close_unless_busy();
+                           each->end_when_idle();
                        }
                    });
     }
@@ -182,14 +199,14 @@
         {
             m_busy = false;
             m_idle_since = std::chrono::steady_clock::now();
-            if (!m_owner.m_reading)
-            {
-                close();
-                return;
-            }
             m_parser.emplace();
             m_parser->body_limit(m_owner.m_limits.m_max_body_bytes);
             m_parser->header_limit(max_header_bytes);
+            if (!m_owner.m_reading && !has_arrived())
+            {
+                drain();
+                return;
+            }
             if (m_buffer.size() > 0)
             {
                 receive();
@@ -205,13 +222,13 @@
                 [self = shared_from_this()](const error_code& error,
                                             std::size_t bytes)
                 {
-                    if (error)
+                    if (!error)
                     {
-                        self->close();
+                        self->m_buffer.commit(bytes);
+                        self->receive();
                         return;
                     }
-                    self->m_buffer.commit(bytes);
-                    self->receive();
+                    self->end_idle_read();
                 });
         }
 
@@ -229,6 +246,18 @@
             }
         }
 
+        /// Ends the connection unless it has a request. One that has arrived
+        /// and is not read yet is answered.
+        void end_when_idle()
+        {
+            if (!m_busy && !m_draining)
+            {
+                m_ending = true;
+                error_code ignored;
+                m_socket.cancel(ignored);
+            }
+        }
+
         /// Refuses the request unless a thread has begun it in time; whoever
         /// sets `answered` first sends the response.
         void limit_wait(const std::shared_ptr<const http_request>& received,
@@ -246,6 +275,30 @@
         }
 
     private:
+        /// Returns whether bytes of a request are in a buffer or in the kernel.
+        bool has_arrived() const
+        {
+            error_code ignored;
+            return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
+        }
+
+        /// Handles the end of a wait for a request that brought none.
+        void end_idle_read()
+        {
+            if (!m_ending)
+            {
+                close();
+            }
+            else if (has_arrived())
+            {
+                receive();
+            }
+            else
+            {
+                drain();
+            }
+        }
+
         void receive()
         {
             m_busy = true;
@@ -334,7 +387,7 @@
         void send(http_response response)
         {
             const bool closing =
-                response.m_close || !m_keep_alive || !m_owner.m_reading;
+                response.m_close || !m_keep_alive || m_owner.m_closing;
             m_response = {};
             m_response.version(11);
             m_response.result(static_cast<unsigned>(response.m_status));
@@ -369,6 +422,7 @@
         void drain()
         {
             m_busy = false;
+            m_draining = true;
             error_code ignored;
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
             limit(drain_time);
@@ -406,6 +460,10 @@
         std::optional<http::request_parser<http::string_body>> m_parser;
         http::response<http::string_body> m_response;
         bool m_busy = false;
+        /// No request is read any more; what arrives is dropped.
+        bool m_draining = false;
+        /// The wait for a request was ended.
+        bool m_ending = false;
         bool m_keep_alive = false;
         std::chrono::steady_clock::time_point m_idle_since;
         std::chrono::steady_clock::time_point m_received_at;
@@ -417,7 +475,11 @@
             [self = shared_from_this()](const error_code& error,
                                         tcp::socket socket)
             {
-                if (!self->m_reading)
+                if (!error)
+                {
+                    self->begin_session(std::move(socket));
+                }
+                if (!self->m_acceptor.is_open())
                 {
                     return;
                 }
@@ -427,15 +489,40 @@
                     self->accept_later();
                     return;
                 }
-                self->make_room();
-                const auto made =
-                    std::make_shared<session>(*self, std::move(socket));
-                self->m_connections.insert(made);
-                made->await_request();
                 self->accept();
             });
     }
 
+    void begin_session(tcp::socket socket)
+    {
+        make_room();
+        const auto made = std::make_shared<session>(*this, std::move(socket));
+        m_connections.insert(made);
+        made->await_request();
+    }
+
+    /// Accepts the connections that the kernel has accepted, as closing the
+    /// listener resets them, and closes it.
+    void close_listener()
+    {
+        if (!m_acceptor.is_open())
+        {
+            return;
+        }
+        error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (!error)
+        {
+            tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error)
+            {
+                begin_session(std::move(socket));
+            }
+        }
+        m_acceptor.close(error);
+    }
+
     /// Runs the handler. Its exceptions must not end a thread.
     http_response handle(const http_request& received) const
     {
@@ -455,7 +542,7 @@
         m_retry = m_loop.run_after(accept_retry,
                                    [self = shared_from_this()]
                                    {
-                                       if (self->m_reading)
+                                       if (self->m_acceptor.is_open())
                                        {
                                            self->accept();
                                        }
@@ -532,7 +619,10 @@
     handler m_overloaded;
     tcp::acceptor m_acceptor;
     event_loop::timer m_retry;
+    event_loop::timer m_close_listener;
     std::string m_address;
+    /// Each response closes its connection.
+    std::atomic<bool> m_closing = false;
     // The members below are used on the event loop's thread only.
     bool m_reading = true;
     std::size_t m_requests = 0;
@@ -559,6 +649,16 @@
     return m_implementation->address();
 }
 
+void http_server::begin_closing()
+{
+    m_implementation->begin_closing();
+}
+
+void http_server::stop_accepting()
+{
+    m_implementation->stop_accepting();
+}
+
 void http_server::stop_reading()
 {
     m_implementation->stop_reading();
--- a/kingcuprudder/runtime/http_server.hpp
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -90,7 +90,15 @@
     /// The address that it listens on, as "ip:port".
     const std::string& address() const;
 
-    /// Reads no further requests; those that were received are still answered.
+    /// Closes each connection after its next response, which says so.
+    void begin_closing();
+    /// Ignores new attempts to connect, and closes the listener soon after,
+    /// when it has accepted all connections that were begun before. Requests
+    /// on open connections are still read.
+    void stop_accepting();
+    /// Reads no request that has not arrived yet, and ends the connections
+    /// without one. Requests that have arrived are still answered. Closes the
+    /// listener, too.
     void stop_reading();
 
 private:
--- a/soak/status_callers.cpp
+++ b/soak/status_callers.cpp
@@ -15,6 +15,13 @@
 constexpr int caller_kinds = 3;
 constexpr span max_caller_pause = span(400);
 
+/// Whether nothing was sent, as there was no connection.
+bool is_not_connected(httplib::Error error)
+{
+    return error == httplib::Error::Connection ||
+           error == httplib::Error::ConnectionTimeout;
+}
+
 } // namespace
 
 status_callers::status_callers(const deployment& nodes, balancer& balance,
@@ -81,7 +88,7 @@
     while (!m_stopping)
     {
         const auto answer = connection.Get(m_path.c_str(), headers);
-        if (!answer && answer.error() == httplib::Error::Connection)
+        if (!answer && is_not_connected(answer.error()))
         {
             std::lock_guard lock(m_mutex);
             ++m_calls.m_refused_connections;
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -294,6 +294,41 @@
     m_loop.stop();
 }
 
+// At shutdown callers are told to open a new connection elsewhere, while the
+// process goes on to accept connections and to read requests.
+TEST_F(http_server_test, connections_are_closed_at_shutdown)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    raw_connection kept(server.address());
+    ASSERT_TRUE(kept.send(get_request));
+    EXPECT_EQ(kept.read_until("GET /a").find("Connection: close"),
+              std::string::npos);
+    server.begin_closing();
+    raw_connection added(server.address());
+    for (const raw_connection* each : {&kept, &added})
+    {
+        ASSERT_TRUE(each->send(get_request));
+        const std::string answer = each->read_until("GET /a");
+        EXPECT_NE(answer.find("200 OK"), std::string::npos);
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    }
+    m_loop.stop();
+}
+
+// Guards against callers that keep their connection after the listener is
+// closed and get no response to their next request.
+TEST_F(http_server_test, open_connections_are_read_after_the_listener_is_closed)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    raw_connection kept(server.address());
+    server.stop_accepting();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    EXPECT_FALSE(raw_connection(server.address()).connected());
+    ASSERT_TRUE(kept.send(get_request));
+    EXPECT_NE(kept.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
 // Guards against a request that arrives as the idle timeout expires and gets a
 // reset connection in place of a response.
 TEST_F(http_server_test, a_request_at_the_idle_timeout_is_answered)
