A request on a connection that is ended for another reason is answered

The same cause as at shutdown acts elsewhere: a connection that makes room for a new one, and one whose idle time is over, were closed although a request may have arrived; a caller that sent its request too slowly saw a reset.

Both kinds now end only if no request has arrived, with the end of the stream first; a request that has arrived is answered and the connection closed after it. A request that is not received in time gets a 408, which says that it did not run. Connections that wait for their caller to close them are limited to an eighth over the maximum, so that such callers do not hold descriptors.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -42,6 +42,9 @@
 // long, as closing a connection with unread bytes resets it before the caller
 // has read the response.
 constexpr span drain_time = span(2000);
+// Over the limit by this part, connections are closed that only wait for their
+// caller to close them.
+constexpr std::size_t draining_share = 8;
 constexpr std::size_t drain_bytes = std::size_t{8} * 1024;
 
 int hex_value(char digit)
@@ -216,7 +219,9 @@
             {
                 m_buffer.shrink_to_fit();
             }
-            limit(m_owner.m_limits.m_idle_timeout);
+            m_timer = m_owner.m_loop.run_after(m_owner.m_limits.m_idle_timeout,
+                                               [self = shared_from_this()]
+                                               { self->end_when_idle(); });
             m_socket.async_read_some(
                 m_buffer.prepare(first_read_bytes),
                 [self = shared_from_this()](const error_code& error,
@@ -238,13 +243,7 @@
             return m_idle_since;
         }
 
-        void close_unless_busy()
-        {
-            if (!m_busy)
-            {
-                close();
-            }
-        }
+        bool draining() const { return m_draining; }
 
         /// Ends the connection unless it has a request. One that has arrived
         /// and is not read yet is answered.
@@ -303,7 +302,9 @@
         {
             m_busy = true;
             m_received_at = std::chrono::steady_clock::now();
-            limit(m_owner.m_limits.m_transfer_timeout);
+            m_timer = m_owner.m_loop.run_after(
+                m_owner.m_limits.m_transfer_timeout,
+                [self = shared_from_this()] { self->end_receipt(); });
             http::async_read_header(
                 m_socket, m_buffer, *m_parser,
                 [self = shared_from_this()](const error_code& error,
@@ -336,10 +337,22 @@
                              { error ? self->reject(error) : self->handle(); });
         }
 
+        /// Ends a receipt that takes too long.
+        void end_receipt()
+        {
+            m_timed_out = true;
+            error_code ignored;
+            m_socket.cancel(ignored);
+        }
+
         /// Answers a request that could not be read, if the caller is there.
         void reject(const error_code& error)
         {
-            if (error == http::error::body_limit)
+            if (m_timed_out)
+            {
+                send(plain_response(http::status::request_timeout));
+            }
+            else if (error == http::error::body_limit)
             {
                 send(plain_response(http::status::payload_too_large));
             }
@@ -386,8 +399,8 @@
 
         void send(http_response response)
         {
-            const bool closing =
-                response.m_close || !m_keep_alive || m_owner.m_closing;
+            const bool closing = response.m_close || !m_keep_alive ||
+                                 m_ending || m_owner.m_closing;
             m_response = {};
             m_response.version(11);
             m_response.result(static_cast<unsigned>(response.m_status));
@@ -462,6 +475,8 @@
         bool m_busy = false;
         /// No request is read any more; what arrives is dropped.
         bool m_draining = false;
+        /// The receipt of a request took too long.
+        bool m_timed_out = false;
         /// The wait for a request was ended.
         bool m_ending = false;
         bool m_keep_alive = false;
@@ -549,25 +564,44 @@
                                    });
     }
 
+    /// Ends the connection that was idle longest if there are too many. Each
+    /// stays open until its caller closes it, for a time that is limited.
     void make_room()
     {
-        if (m_connections.size() < m_limits.m_max_connections)
+        const std::size_t limit = m_limits.m_max_connections;
+        if (m_connections.size() < limit)
         {
             return;
         }
+        if (const auto oldest =
+                longest_idle([](const session& each)
+                             { return !each.busy() && !each.draining(); }))
+        {
+            oldest->end_when_idle();
+        }
+        if (m_connections.size() >= limit + limit / draining_share + 1)
+        {
+            if (const auto oldest = longest_idle([](const session& each)
+                                                 { return each.draining(); }))
+            {
+                oldest->close();
+            }
+        }
+    }
+
+    std::shared_ptr<session>
+    longest_idle(const std::function<bool(const session&)>& applies) const
+    {
         std::shared_ptr<session> oldest;
         for (const auto& each : m_connections)
         {
-            if (!each->busy() &&
+            if (applies(*each) &&
                 (!oldest || each->idle_since() < oldest->idle_since()))
             {
                 oldest = each;
             }
         }
-        if (oldest)
-        {
-            oldest->close_unless_busy();
-        }
+        return oldest;
     }
 
     void dispatch(const std::shared_ptr<session>& connection,
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -347,6 +347,48 @@
     m_loop.stop();
 }
 
+// Guards against a caller that is slow to send its request and is not told that
+// it was not received.
+TEST_F(http_server_test, a_request_that_is_not_received_in_time_is_refused)
+{
+    http_server_limits limits = pooled(1);
+    limits.m_transfer_timeout = span(150);
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    for (const char* part : {"GET /a HT", "POST /a HTTP/1.1\r\nContent-Length: "
+                                          "9\r\n\r\nxy"})
+    {
+        raw_connection caller(server.address());
+        ASSERT_TRUE(caller.send(part));
+        EXPECT_NE(caller.read_until("{}").find("408"), std::string::npos);
+    }
+    m_loop.stop();
+}
+
+// Guards against callers that do not close their ended connections and keep
+// the process's descriptors.
+TEST_F(http_server_test, ended_connections_are_closed_when_there_are_too_many)
+{
+    http_server_limits limits;
+    limits.m_max_connections = 16;
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int index = 0; index < 40; ++index)
+    {
+        callers.push_back(std::make_unique<raw_connection>(server.address()));
+        callers.back()->send(get_request);
+        EXPECT_NE(callers.back()->read_until("GET /a"), "");
+    }
+    // Of the sockets of the server, at most these are still open.
+    std::size_t open = 0;
+    for (const auto& each : callers)
+    {
+        open += each->send(get_request) && each->read_until("GET /a") != "";
+    }
+    EXPECT_LE(open, 16u);
+    EXPECT_GE(open, 15u);
+    m_loop.stop();
+}
+
 // Guards against a request that arrives as its connection is closed to make
 // room, and gets a reset connection in place of a response.
 TEST_F(http_server_test, a_request_on_the_longest_idle_connection_is_answered)
