--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -90,6 +90,11 @@
     return true;
 }
 
+bool deployment::wait_for_exit(int node, span timeout)
+{
+    return m_nodes[node].m_process->wait_for_exit(timeout);
+}
+
 void deployment::pause(int node)
 {
     m_nodes[node].m_process->send_signal(SIGSTOP);
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -52,6 +52,8 @@
     /// Starts the process again if it was killed or has exited after
     /// terminate(). Returns whether it was started.
     bool restart_if_ended(int node);
+    /// Waits until the process has exited. Returns false on timeout.
+    bool wait_for_exit(int node, span timeout);
     /// Sends SIGSTOP.
     void pause(int node);
     /// Sends SIGCONT.
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -117,8 +117,35 @@
     m_store.commit(transaction, call_timeout);
 }
 
+void platform_stand_in::set_delay_hook(delay_hook hook)
+{
+    std::lock_guard lock(m_mutex);
+    m_delay_hook = std::move(hook);
+}
+
+void platform_stand_in::delay(const std::string& path)
+{
+    delay_hook hook;
+    {
+        std::lock_guard lock(m_mutex);
+        hook = m_delay_hook;
+    }
+    if (hook)
+    {
+        const std::string call = path.substr(path.rfind('/') + 1);
+        std::this_thread::sleep_for(
+            std::chrono::milliseconds(hook(call).count()));
+    }
+}
+
 void platform_stand_in::install_store(httplib::Server& server)
 {
+    server.set_pre_routing_handler(
+        [this](const httplib::Request& request, httplib::Response&)
+        {
+            delay(request.path);
+            return httplib::Server::HandlerResponse::Unhandled;
+        });
     server.Get(
         "/kingcuprudder/kv-key",
         [this](const httplib::Request& request, httplib::Response& response)
--- a/stand_ins/platform_stand_in.hpp
+++ b/stand_ins/platform_stand_in.hpp
@@ -6,7 +6,9 @@
 #include <stand_ins/memory_store.hpp>
 #include <stand_ins/simulated_minions.hpp>
 
+#include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace kingcuprudder::stand_ins
@@ -24,6 +26,11 @@
     /// Returns the address of the store as "ip:port".
     const std::string& store_address() const;
     memory_store& store() { return m_store; }
+    /// Returns how long a call to the store waits before it is carried out, by
+    /// the last part of its path, such as "kv-range".
+    using delay_hook = std::function<span(const std::string& call)>;
+    /// Sets the delays of the calls to the store. An empty function sets none.
+    void set_delay_hook(delay_hook hook);
     simulated_minions& minions() { return m_minions; }
     /// Writes the operators' configuration: one queue with priority 1 under /q/
     /// at the host "h.example", and one client account with this key.
@@ -31,7 +38,10 @@
 
 private:
     void install_store(httplib::Server& server);
+    void delay(const std::string& path);
 
+    std::mutex m_mutex;
+    delay_hook m_delay_hook;
     memory_store m_store;
     simulated_minions m_minions;
     std::unique_ptr<http_listener> m_store_listener;
