The exit waits until the last byte of each response is written

Cause (by reading, no run has shown it alone): the exit waited for a count that the caller interface lowered before its response reached the event loop, and that did not contain requests that waited for a thread or were being received. A process with little processor time could exit with an accepted job's answer unsent.

The check that no request is in progress after the calls moves to a_server_that_stops_reading_answers_what_it_has_read and a_request_is_open_until_its_response_is_written, which also covers a request that waits for a thread, one that is being received and one whose response is not written.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -13,6 +13,8 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <condition_variable>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <utility>
@@ -159,6 +161,20 @@
                    });
     }
 
+    bool wait_for_answers(span timeout)
+    {
+        std::unique_lock lock(m_open_mutex);
+        return m_answered.wait_for(
+            lock, std::chrono::milliseconds(timeout.count()),
+            [this] { return m_stopped_reading && m_open_requests == 0; });
+    }
+
+    std::size_t open_requests()
+    {
+        std::lock_guard lock(m_open_mutex);
+        return m_open_requests;
+    }
+
     void stop_reading()
     {
         asio::post(m_context,
@@ -172,6 +188,9 @@
                        {
                            each->end_when_idle();
                        }
+                       std::lock_guard lock(self->m_open_mutex);
+                       self->m_stopped_reading = true;
+                       self->m_answered.notify_all();
                    });
     }
 
@@ -200,7 +219,7 @@
 
         void await_request()
         {
-            m_busy = false;
+            set_busy(false);
             m_idle_since = std::chrono::steady_clock::now();
             m_parser.emplace();
             m_parser->body_limit(m_owner.m_limits.m_max_body_bytes);
@@ -251,6 +270,8 @@
         {
             if (!m_busy && !m_draining)
             {
+                // A request may have arrived, until a look at the socket.
+                set_busy(true);
                 m_ending = true;
                 error_code ignored;
                 m_socket.cancel(ignored);
@@ -300,7 +321,7 @@
 
         void receive()
         {
-            m_busy = true;
+            set_busy(true);
             m_received_at = std::chrono::steady_clock::now();
             m_timer = m_owner.m_loop.run_after(
                 m_owner.m_limits.m_transfer_timeout,
@@ -434,7 +455,7 @@
 
         void drain()
         {
-            m_busy = false;
+            set_busy(false);
             m_draining = true;
             error_code ignored;
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -458,8 +479,18 @@
                                                { self->close(); });
         }
 
+        void set_busy(bool busy)
+        {
+            if (busy != m_busy)
+            {
+                m_busy = busy;
+                m_owner.count_request(busy);
+            }
+        }
+
         void close()
         {
+            set_busy(false);
             m_timer = event_loop::timer();
             error_code ignored;
             m_socket.close(ignored);
@@ -516,6 +547,18 @@
         made->await_request();
     }
 
+    /// Counts a request that has begun to arrive, or one that is over: its
+    /// response was written or its connection was closed.
+    void count_request(bool begun)
+    {
+        std::lock_guard lock(m_open_mutex);
+        begun ? ++m_open_requests : --m_open_requests;
+        if (m_open_requests == 0)
+        {
+            m_answered.notify_all();
+        }
+    }
+
     /// Accepts the connections that the kernel has accepted, as closing the
     /// listener resets them, and closes it.
     void close_listener()
@@ -657,6 +700,10 @@
     std::string m_address;
     /// Each response closes its connection.
     std::atomic<bool> m_closing = false;
+    std::mutex m_open_mutex;
+    std::condition_variable m_answered;
+    std::size_t m_open_requests = 0;
+    bool m_stopped_reading = false;
     // The members below are used on the event loop's thread only.
     bool m_reading = true;
     std::size_t m_requests = 0;
@@ -683,6 +730,16 @@
     return m_implementation->address();
 }
 
+bool http_server::wait_for_answers(span timeout)
+{
+    return m_implementation->wait_for_answers(timeout);
+}
+
+std::size_t http_server::open_requests() const
+{
+    return m_implementation->open_requests();
+}
+
 void http_server::begin_closing()
 {
     m_implementation->begin_closing();
--- a/kingcuprudder/runtime/http_server.hpp
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -100,6 +100,12 @@
     /// without one. Requests that have arrived are still answered. Closes the
     /// listener, too.
     void stop_reading();
+    /// Waits, after stop_reading(), until the last byte of each response was
+    /// written. Returns false on timeout.
+    bool wait_for_answers(span timeout);
+    /// The number of requests that have begun to arrive and whose response was
+    /// not written yet.
+    std::size_t open_requests() const;
 
 private:
     class implementation;
--- a/unit_tests/platform/caller_interface_test.cpp
+++ b/unit_tests/platform/caller_interface_test.cpp
@@ -36,8 +36,7 @@
     configuration_view m_configuration{m_store, m_records, m_log};
     job_service m_jobs{m_store, m_configuration, m_log};
     node_metrics m_metrics;
-    platform::caller_traffic m_traffic;
-    platform::caller_interface m_callers{m_jobs, m_traffic, m_metrics, m_log};
+    platform::caller_interface m_callers{m_jobs, m_metrics, m_log};
 };
 
 } // namespace
@@ -53,7 +52,6 @@
     query.m_method = "PATCH";
     query.m_headers["authorization"] = "Bearer key";
     EXPECT_EQ(m_callers.handle(query).m_status, 405);
-    EXPECT_EQ(m_traffic.m_in_progress, 0);
 }
 
 // Guards against a request that is held until its deadline while all threads
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -235,7 +235,10 @@
     begun.get_future().wait();
     server.stop_reading();
     EXPECT_EQ(idle.read_until("x"), "");
+    EXPECT_FALSE(server.wait_for_answers(span(50)));
+    EXPECT_EQ(server.open_requests(), 1u);
     release.set_value();
+    EXPECT_TRUE(server.wait_for_answers(span(5000)));
     const std::string answer = caller.read_until("GET /a");
     EXPECT_NE(answer.find("200 OK"), std::string::npos);
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
@@ -409,6 +412,55 @@
     m_loop.stop();
 }
 
+// Guards against an exit before the last byte of a response is written, or
+// while a request waits for a thread.
+TEST_F(http_server_test, a_request_is_open_until_its_response_is_written)
+{
+    std::promise<void> release;
+    std::shared_future<void> released = release.get_future().share();
+    std::atomic<int> handled = 0;
+    http_server server(m_loop, "127.0.0.1:0", pooled(1),
+                       [&, released](const http_request& request)
+                       {
+                           released.wait();
+                           ++handled;
+                           return echo(request);
+                       });
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int index = 0; index < 5; ++index)
+    {
+        callers.push_back(std::make_unique<raw_connection>(server.address()));
+        ASSERT_TRUE(callers.back()->send(get_request));
+    }
+    // Sends no more than a part of its request.
+    raw_connection slow(server.address());
+    ASSERT_TRUE(slow.send("GET /b HTTP/1.1\r\n"));
+    while (server.open_requests() < 6)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    server.stop_reading();
+    {
+        blocked_loop blocked(m_loop);
+        release.set_value();
+        while (handled < 5)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        EXPECT_EQ(server.open_requests(), 6u);
+        blocked.release();
+    }
+    for (const auto& each : callers)
+    {
+        EXPECT_NE(each->read_until("GET /a").find("200 OK"), std::string::npos);
+    }
+    EXPECT_FALSE(server.wait_for_answers(span(50)));
+    ASSERT_TRUE(slow.send("Host: h\r\n\r\n"));
+    EXPECT_TRUE(server.wait_for_answers(span(5000)));
+    EXPECT_NE(slow.read_until("GET /b").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
 // Guards against callers such as curl that wait a second before they send a
 // body of over 1,024 bytes.
 TEST_F(http_server_test, a_caller_that_asks_before_it_sends_is_told_to_send)
