A request that outlives the process is answered

A caller that waits longer than the process lives saw its connection end without a response: its request was being repeated against a store that did not answer when the process exited.

A late result of its handler is dropped.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -107,6 +107,11 @@
     return response;
 }
 
+http_response outcome_unknown(const http_request&)
+{
+    return plain_response(http::status::gateway_timeout);
+}
+
 } // namespace
 
 std::string http_request::header(const std::string& name) const
@@ -121,11 +126,13 @@
 public:
     implementation(event_loop& loop, const std::string& address,
                    const http_server_limits& limits, handler handle,
-                   handler overloaded)
+                   handler overloaded, handler abandoned)
         : m_loop(loop), m_context(loop.context()), m_limits(limits),
           m_handle(std::move(handle)),
           m_overloaded(overloaded ? std::move(overloaded)
                                   : handler(service_unavailable)),
+          m_abandoned(abandoned ? std::move(abandoned)
+                                : handler(outcome_unknown)),
           m_acceptor(m_context)
     {
         const ip_address parsed = parse_ip_address(address);
@@ -161,6 +168,19 @@
                    });
     }
 
+    void answer_open_requests()
+    {
+        asio::post(m_context,
+                   [self = shared_from_this()]
+                   {
+                       const auto connections = self->m_connections;
+                       for (const auto& each : connections)
+                       {
+                           each->answer_without_handler();
+                       }
+                   });
+    }
+
     bool wait_for_answers(span timeout)
     {
         std::unique_lock lock(m_open_mutex);
@@ -206,6 +226,20 @@
     const std::string& address() const { return m_address; }
 
 private:
+    /// A request that waits for a handler thread or is being handled.
+    struct pending_request
+    {
+        explicit pending_request(std::shared_ptr<const http_request> received)
+            : m_received(std::move(received))
+        {
+        }
+
+        const std::shared_ptr<const http_request> m_received;
+        /// Set by the handler thread or by who refuses the request, whichever
+        /// is first.
+        std::atomic<bool> m_begun = false;
+    };
+
     /// A connection of a caller, which serves one request at a time.
     class session : public std::enable_shared_from_this<session>
     {
@@ -278,23 +312,48 @@
             }
         }
 
-        /// Refuses the request unless a thread has begun it in time; whoever
-        /// sets `answered` first sends the response.
-        void limit_wait(const std::shared_ptr<const http_request>& received,
-                        const std::shared_ptr<std::atomic<bool>>& answered)
+        /// Begins the wait for the response to the request. It is refused if
+        /// no thread begins it within the limit; 0 for no limit.
+        void await_response(std::shared_ptr<pending_request> pending,
+                            span max_wait)
         {
-            m_timer = m_owner.m_loop.run_after(
-                m_owner.m_limits.m_max_thread_wait,
-                [self = shared_from_this(), received, answered]
-                {
-                    if (!answered->exchange(true))
-                    {
-                        self->send(self->m_owner.m_overloaded(*received));
-                    }
-                });
+            m_pending = std::move(pending);
+            if (max_wait > span(0))
+            {
+                m_timer = m_owner.m_loop.run_after(
+                    max_wait, [self = shared_from_this()]
+                    { self->refuse_unless_begun(); });
+            }
+        }
+
+        /// Sends the response unless the request was answered without it.
+        void answer(const pending_request& pending, http_response response)
+        {
+            if (m_pending.get() == &pending)
+            {
+                send(std::move(response));
+            }
+        }
+
+        /// Answers the request that waits for a thread or is being handled.
+        void answer_without_handler()
+        {
+            refuse_unless_begun();
+            if (m_pending)
+            {
+                send(m_owner.m_abandoned(*m_pending->m_received));
+            }
         }
 
     private:
+        void refuse_unless_begun()
+        {
+            if (m_pending && !m_pending->m_begun.exchange(true))
+            {
+                send(m_owner.m_overloaded(*m_pending->m_received));
+            }
+        }
+
         /// Returns whether bytes of a request are in a buffer or in the kernel.
         bool has_arrived() const
         {
@@ -420,6 +479,7 @@
 
         void send(http_response response)
         {
+            m_pending.reset();
             const bool closing = response.m_close || !m_keep_alive ||
                                  m_ending || m_owner.m_closing;
             m_response = {};
@@ -491,6 +551,7 @@
         void close()
         {
             set_busy(false);
+            m_pending.reset();
             m_timer = event_loop::timer();
             error_code ignored;
             m_socket.close(ignored);
@@ -503,6 +564,8 @@
         boost::beast::flat_buffer m_buffer;
         std::optional<http::request_parser<http::string_body>> m_parser;
         http::response<http::string_body> m_response;
+        /// The request that has no response yet.
+        std::shared_ptr<pending_request> m_pending;
         bool m_busy = false;
         /// No request is read any more; what arrives is dropped.
         bool m_draining = false;
@@ -661,31 +724,32 @@
             return;
         }
         ++m_requests;
-        const auto answered = std::make_shared<std::atomic<bool>>(false);
-        if (m_limits.m_max_thread_wait > span(0) &&
-            m_requests > m_limits.m_handler_threads)
+        const auto pending = std::make_shared<pending_request>(received);
+        const bool waits = m_requests > m_limits.m_handler_threads;
+        connection->await_response(pending, waits ? m_limits.m_max_thread_wait
+                                                  : span(0));
+        asio::post(*m_threads, [self = shared_from_this(), connection, pending]
+                   { self->run_handler(connection, pending); });
+    }
+
+    /// Handles the request on a handler thread unless it was refused.
+    void run_handler(const std::shared_ptr<session>& connection,
+                     const std::shared_ptr<pending_request>& pending)
+    {
+        std::shared_ptr<http_response> response;
+        if (!pending->m_begun.exchange(true))
         {
-            connection->limit_wait(received, answered);
+            response =
+                std::make_shared<http_response>(handle(*pending->m_received));
         }
-        asio::post(*m_threads,
-                   [self = shared_from_this(), connection, received, answered]
+        asio::post(m_context,
+                   [self = shared_from_this(), connection, pending, response]
                    {
-                       std::shared_ptr<http_response> response;
-                       if (!answered->exchange(true))
+                       --self->m_requests;
+                       if (response)
                        {
-                           response = std::make_shared<http_response>(
-                               self->handle(*received));
+                           connection->answer(*pending, std::move(*response));
                        }
-                       asio::post(self->m_context,
-                                  [self, connection, response]
-                                  {
-                                      --self->m_requests;
-                                      if (response)
-                                      {
-                                          connection->send(
-                                              std::move(*response));
-                                      }
-                                  });
                    });
     }
 
@@ -694,6 +758,7 @@
     http_server_limits m_limits;
     handler m_handle;
     handler m_overloaded;
+    handler m_abandoned;
     tcp::acceptor m_acceptor;
     event_loop::timer m_retry;
     event_loop::timer m_close_listener;
@@ -713,9 +778,10 @@
 
 http_server::http_server(event_loop& loop, const std::string& address,
                          const http_server_limits& limits, handler handle,
-                         handler overloaded)
+                         handler overloaded, handler abandoned)
     : m_implementation(std::make_shared<implementation>(
-          loop, address, limits, std::move(handle), std::move(overloaded)))
+          loop, address, limits, std::move(handle), std::move(overloaded),
+          std::move(abandoned)))
 {
     m_implementation->begin();
 }
@@ -730,6 +796,11 @@
     return m_implementation->address();
 }
 
+void http_server::answer_open_requests()
+{
+    m_implementation->answer_open_requests();
+}
+
 bool http_server::wait_for_answers(span timeout)
 {
     return m_implementation->wait_for_answers(timeout);
--- a/kingcuprudder/runtime/http_server.hpp
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -77,11 +77,12 @@
 
     /// Listens on "ip:port"; port 0 selects a free port. `overloaded` makes the
     /// response to a request that is not handled as too many are waiting or as
-    /// it has waited too long; it runs on the event loop. Throws std::exception
-    /// when it cannot listen.
+    /// it has waited too long, `abandoned` the one to a request whose handler
+    /// is not waited for any longer; both run on the event loop. Throws
+    /// std::exception when it cannot listen.
     http_server(event_loop& loop, const std::string& address,
                 const http_server_limits& limits, handler handle,
-                handler overloaded = nullptr);
+                handler overloaded = nullptr, handler abandoned = nullptr);
     /// Waits for the handlers in progress. The event loop must be stopped.
     ~http_server();
     http_server(const http_server&) = delete;
@@ -103,6 +104,10 @@
     /// Waits, after stop_reading(), until the last byte of each response was
     /// written. Returns false on timeout.
     bool wait_for_answers(span timeout);
+    /// Answers the requests that were received, without waiting for their
+    /// handlers: `overloaded` makes the response if the request was not begun,
+    /// else `abandoned`.
+    void answer_open_requests();
     /// The number of requests that have begun to arrive and whose response was
     /// not written yet.
     std::size_t open_requests() const;
