A shutdown does not wait for the store

A leader that got SIGTERM while it read its records waited for these calls before it began the orderly end, beyond its grace time if the store was slow; it was then killed, and requests in progress saw a reset connection.

Tests that ended a leadership by begin_shutdown() call resign(), which is what they waited for.

--- a/kingcuprudder/node/node.cpp
+++ b/kingcuprudder/node/node.cpp
@@ -57,10 +57,13 @@
            boottime_now() - m_configuration.confirmed_at() < ready_max_age;
 }
 
-void node::begin_shutdown()
+void node::resign()
 {
-    m_shutting_down = true;
+    const instant began = boottime_now();
     m_leadership->resign();
+    m_log.write(
+        "leadership", "resigned", "",
+        {{"took_ms", std::to_string((boottime_now() - began).count())}});
 }
 
 std::string node::dump()
--- a/kingcuprudder/node/node.hpp
+++ b/kingcuprudder/node/node.hpp
@@ -35,8 +35,11 @@
     job_service& jobs() { return m_jobs; }
     /// Returns whether the process is ready to serve callers.
     bool is_ready() const;
-    /// Resigns leadership and reports not ready; callers are still served.
-    void begin_shutdown();
+    /// Reports not ready from now on; callers are still served.
+    void begin_shutdown() { m_shutting_down = true; }
+    /// Resigns leadership and waits for the calls to the store that are in
+    /// progress, which may take seconds.
+    void resign();
     /// Returns the state of the scheduler as JSON for operators.
     std::string dump();
 
--- a/unit_tests/node/late_start_test.cpp
+++ b/unit_tests/node/late_start_test.cpp
@@ -281,7 +281,7 @@
     ASSERT_TRUE(eventually([&] { return m_worker.renewals() > 0; }));
     EXPECT_EQ(m_worker.carry_out_late_start(),
               dispatch::order_outcome::refused_fence);
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 TEST_F(late_start_test, a_raised_token_whose_answer_is_lost_is_used)
@@ -301,7 +301,7 @@
     ASSERT_TRUE(eventually([&] { return m_worker.renewals() > 0; }));
     EXPECT_EQ(m_worker.carry_out_late_start(),
               dispatch::order_outcome::refused_fence);
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 } // namespace kingcuprudder::node
--- a/unit_tests/node/leader_metrics_test.cpp
+++ b/unit_tests/node/leader_metrics_test.cpp
@@ -148,7 +148,7 @@
         eventually([&] { return shows("kcr_leader_silent_workers 1"); }));
     EXPECT_FALSE(shows("kcr_leader_planning_ms_count 0"));
     EXPECT_TRUE(shows("kcr_leader_waiting_records 0"));
-    tested->begin_shutdown();
+    tested->resign();
     EXPECT_TRUE(
         eventually([&] { return shows("kcr_leader_silent_workers 0"); }));
 }
--- a/unit_tests/node/odd_worker_entry_test.cpp
+++ b/unit_tests/node/odd_worker_entry_test.cpp
@@ -143,7 +143,7 @@
     write_job("5c0e7a21d94b36f8");
     const std::unique_ptr<node> tested = make_node();
     EXPECT_TRUE(eventually([&] { return m_starts > 0; }));
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 TEST_F(odd_worker_entry_test,
@@ -164,7 +164,7 @@
     EXPECT_EQ(
         std::get<0>(m_store.read(record_keys::leader, timeout))->m_revision,
         fence);
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 } // namespace kingcuprudder::node
--- a/unit_tests/node/scheduler_load_test.cpp
+++ b/unit_tests/node/scheduler_load_test.cpp
@@ -132,7 +132,7 @@
     EXPECT_FALSE(eventually([&] { return m_starts > 0; }));
     const auto stored = m_store.read(record_keys::progress(id), span(100));
     EXPECT_EQ(std::get<0>(stored)->m_value, "not readable");
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 // Guards against a scheduler that starts nothing, for which the other tests
@@ -143,7 +143,7 @@
     write_job(id, dispatch::encode_progress({}));
     const std::unique_ptr<node> tested = make_node();
     EXPECT_TRUE(eventually([&] { return m_starts > 0; }));
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 TEST_F(scheduler_load_test, a_job_that_is_accepted_after_the_load_is_started)
@@ -155,7 +155,7 @@
     ASSERT_TRUE(eventually([&] { return m_starts > 0; }));
     write_job(second, dispatch::encode_progress({}));
     EXPECT_TRUE(eventually([&] { return m_starts > 1; }));
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 // Guards against a job that is added as new by the watch after the load could
@@ -184,7 +184,7 @@
     {
         EXPECT_EQ(stored_progress(id)->m_value, progress);
     }
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 TEST_F(scheduler_load_test, a_job_without_a_progress_record_is_not_started)
@@ -194,7 +194,7 @@
     const std::unique_ptr<node> tested = make_node();
     EXPECT_FALSE(eventually([&] { return m_starts > 0; }));
     EXPECT_FALSE(stored_progress(id));
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 // A record that cannot be used must not stop the scheduling of other jobs.
@@ -206,7 +206,7 @@
     const std::unique_ptr<node> tested = make_node();
     EXPECT_TRUE(eventually([&] { return m_starts > 0; }));
     EXPECT_EQ(stored_progress(unusable)->m_value, "not readable");
-    tested->begin_shutdown();
+    tested->resign();
 }
 
 } // namespace kingcuprudder::node
