--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -10,9 +10,16 @@
 namespace kingcuprudder::soak
 {
 
+namespace
+{
+
+constexpr std::int64_t milliseconds_per_second = 1000;
+
+} // namespace
+
 deployment::deployment(std::string program, std::string folder,
                        const std::string& store_address, int nodes,
-                       span worker_lease)
+                       span worker_lease, span shutdown_grace)
     : m_program(std::move(program)), m_folder(std::move(folder))
 {
     for (int index = 0; index < nodes; ++index)
@@ -36,7 +43,8 @@
             {"distance_factor", 3},
             {"restore_ms", 100},
             {"status_s", 120},
-            {"shutdown_grace_s", 3}};
+            {"shutdown_grace_s",
+             shutdown_grace.count() / milliseconds_per_second}};
         std::ofstream(node.m_settings_path) << settings.dump();
     }
 }
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -23,7 +23,8 @@
     /// gets their logs. Starts no process yet.
     deployment(std::string program, std::string folder,
                const std::string& store_address, int nodes,
-               span worker_lease = span(6000));
+               span worker_lease = span(6000),
+               span shutdown_grace = span::seconds(3));
 
     int size() const { return static_cast<int>(m_nodes.size()); }
     /// Returns the address for callers as "ip:port".
--- a/soak/job_checks.cpp
+++ b/soak/job_checks.cpp
@@ -8,7 +8,8 @@
 
 bool is_lost(const observed_job& job)
 {
-    if (job.m_state == "completed")
+    if (job.m_state == "completed" ||
+        (job.m_cancelled && job.m_state == "cancelled"))
     {
         return false;
     }
--- a/soak/job_checks.hpp
+++ b/soak/job_checks.hpp
@@ -16,6 +16,8 @@
     bool m_refused_only = false;
     /// One of its tasks crashes each worker that starts it.
     bool m_crashes_workers = false;
+    /// A caller has sent a cancellation of it.
+    bool m_cancelled = false;
     int m_tasks = 1;
     /// The state that callers were told last, a status, or "no answer".
     std::string m_state;
@@ -27,7 +29,8 @@
 
 /// Returns a message for each violation of what must hold for a job at the end.
 /// An accepted job is completed, and is reported so (LOST); one that crashes
-/// workers may be queued, running or failed instead. A job is reported as
+/// workers may be queued, running or failed instead, and one of which a
+/// cancellation was sent may be cancelled. A job is reported as
 /// completed only if all its tasks are done (MIXED). No task of a refused job
 /// has started (REFUSED).
 std::vector<std::string> job_violations(const observed_job& job);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,5 +1,6 @@
 #include <soak/rolling_restarts.hpp>
 #include <soak/scenario.hpp>
+#include <soak/shutdown_profile.hpp>
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
@@ -46,6 +47,32 @@
     return report.m_calls.m_unanswered.empty();
 }
 
+/// Prints the table of one seed's shutdown. Returns whether each request got a
+/// response, the process exited in time and what must hold for jobs holds.
+bool print_shutdown_profile(const soak::shutdown_profile_options& options)
+{
+    const soak::shutdown_report report = soak::run_shutdown_profile(options);
+    const std::vector<std::string> unanswered =
+        soak::unanswered_requests(report);
+    std::printf("%s", soak::table_of(report).c_str());
+    std::printf(
+        "seed %u: %s after %lld ms accepted %d unanswered %zu (before, "
+        "too: stored %d absent %d) broken %zu\n",
+        options.m_seed, report.m_exited ? "exited" : "killed",
+        static_cast<long long>(report.m_lived.count()), report.m_accepted,
+        unanswered.size(), report.m_calls.m_stored_without_response,
+        report.m_calls.m_absent_without_response, report.m_violations.size());
+    for (const auto& found : {unanswered, report.m_violations})
+    {
+        for (const std::string& each : found)
+        {
+            std::printf("  %s\n", each.c_str());
+        }
+    }
+    std::fflush(stdout);
+    return unanswered.empty() && report.m_violations.empty() && report.m_exited;
+}
+
 } // namespace
 
 // Runs the soak scenario with each seed in turn and prints its results. Exits
@@ -79,6 +106,24 @@
     TCLAP::ValueArg<int> callers("", "callers",
                                  "callers beside rolling restarts", false, 24,
                                  "number", line);
+    TCLAP::SwitchArg shutdown_profile(
+        "", "shutdown-profile",
+        "end one process with SIGTERM and print what its callers see", line);
+    TCLAP::ValueArg<int> grace("", "grace",
+                               "shutdown grace time in seconds with "
+                               "--shutdown-profile",
+                               false, 3, "seconds", line);
+    TCLAP::ValueArg<int> processor("", "processor",
+                                   "share of a core with --shutdown-profile",
+                                   false, 100, "percent", line);
+    TCLAP::ValueArg<int> store_delay("", "store-delay",
+                                     "delay of each call to the store with "
+                                     "--shutdown-profile",
+                                     false, 0, "ms", line);
+    TCLAP::ValueArg<int> lost_answers("", "lost-answers",
+                                      "share of the answers to writes that "
+                                      "--shutdown-profile loses",
+                                      false, 0, "percent", line);
     line.parse(argc, argv);
     int failed_seeds = 0;
     for (unsigned seed = first.getValue();
@@ -98,6 +143,21 @@
             failed_seeds += answered ? 0 : 1;
             continue;
         }
+        if (shutdown_profile.getValue())
+        {
+            constexpr double all_percent = 100;
+            soak::shutdown_profile_options profile;
+            profile.m_program = options.m_program;
+            profile.m_folder = options.m_folder;
+            profile.m_seed = seed;
+            profile.m_callers = callers.getValue();
+            profile.m_processor_percent = processor.getValue();
+            profile.m_grace = kingcuprudder::span::seconds(grace.getValue());
+            profile.m_store_delay = kingcuprudder::span(store_delay.getValue());
+            profile.m_lost_answers = lost_answers.getValue() / all_percent;
+            failed_seeds += print_shutdown_profile(profile) ? 0 : 1;
+            continue;
+        }
         options.m_seed = seed;
         options.m_nodes = nodes.getValue();
         options.m_false_entries = false_entries.getValue();
