Callers submit and cancel jobs beside rolling restarts and configurations

Status callers alone could not show a job that is lost around a planned restart. Each accepted job has to run once and be completed, or cancelled if a caller asked for that; no request may be refused with 4xx.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -80,6 +80,11 @@
     m_nodes[node].m_signalled_at_ms = node::boottime_now().count();
 }
 
+void deployment::reload(int node)
+{
+    m_nodes[node].m_process->send_signal(SIGHUP);
+}
+
 span deployment::time_since_signal(int node) const
 {
     return node::boottime_now() -
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -53,6 +53,8 @@
     /// Starts the process again if it was killed or has exited after
     /// terminate(). Returns whether it was started.
     bool restart_if_ended(int node);
+    /// Sends SIGHUP, which has the process read its settings file.
+    void reload(int node);
     /// Waits until the process has exited. Returns false on timeout.
     bool wait_for_exit(int node, span timeout);
     /// Sends SIGSTOP.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -20,31 +20,35 @@
         .string();
 }
 
-/// Prints the results of one seed's rolling restarts. Returns whether each
-/// request got a response.
-bool run_rolling_restarts(unsigned seed, const std::string& folder, int nodes,
-                          int callers, int seconds)
+void print_lines(const std::vector<std::string>& lines)
 {
-    soak::rolling_restart_options options;
-    options.m_program = node_program();
-    options.m_folder = folder;
-    options.m_seed = seed;
-    options.m_nodes = nodes;
-    options.m_callers = callers;
-    options.m_duration = kingcuprudder::span::seconds(seconds);
-    const soak::rolling_restart_report report =
-        soak::run_rolling_restarts(options);
-    std::printf("seed %u: restarts %d answered %d refused connections %d "
-                "unanswered %zu\n",
-                seed, report.m_restarts, report.m_calls.m_answered,
-                report.m_calls.m_refused_connections,
-                report.m_calls.m_unanswered.size());
-    for (const std::string& each : report.m_calls.m_unanswered)
+    for (const std::string& each : lines)
     {
         std::printf("  %s\n", each.c_str());
     }
+}
+
+/// Prints the results of one seed's rolling restarts. Returns whether each
+/// request got a response and what must hold for jobs holds.
+bool print_rolling_restarts(const soak::rolling_restart_options& options)
+{
+    const soak::rolling_restart_report report =
+        soak::run_rolling_restarts(options);
+    const soak::job_calls& jobs = report.m_job_calls;
+    std::printf("seed %u: restarts %d configurations %d answered %d refused "
+                "connections %d unanswered %zu; jobs: accepted %d answered %d "
+                "unavailable %d refused connections %d wrong %zu broken %zu\n",
+                options.m_seed, report.m_restarts, report.m_configurations,
+                report.m_calls.m_answered, report.m_calls.m_refused_connections,
+                report.m_calls.m_unanswered.size(), report.m_accepted,
+                jobs.m_answered, jobs.m_unavailable, jobs.m_refused_connections,
+                jobs.m_violations.size(), report.m_violations.size());
+    print_lines(report.m_calls.m_unanswered);
+    print_lines(jobs.m_violations);
+    print_lines(report.m_violations);
     std::fflush(stdout);
-    return report.m_calls.m_unanswered.empty();
+    return report.m_calls.m_unanswered.empty() && jobs.m_violations.empty() &&
+           report.m_violations.empty();
 }
 
 /// Prints the table of one seed's shutdown. Returns whether each request got a
@@ -62,13 +66,8 @@
         static_cast<long long>(report.m_lived.count()), report.m_accepted,
         unanswered.size(), report.m_calls.m_stored_without_response,
         report.m_calls.m_absent_without_response, report.m_violations.size());
-    for (const auto& found : {unanswered, report.m_violations})
-    {
-        for (const std::string& each : found)
-        {
-            std::printf("  %s\n", each.c_str());
-        }
-    }
+    print_lines(unanswered);
+    print_lines(report.m_violations);
     std::fflush(stdout);
     return unanswered.empty() && report.m_violations.empty() && report.m_exited;
 }
@@ -106,6 +105,14 @@
     TCLAP::ValueArg<int> callers("", "callers",
                                  "callers beside rolling restarts", false, 24,
                                  "number", line);
+    TCLAP::SwitchArg without_restarts(
+        "", "without-restarts",
+        "end no process although --rolling-restarts is given", line);
+    TCLAP::ValueArg<int> configurations(
+        "", "configuration-interval",
+        "time between two configurations beside --rolling-restarts, each with "
+        "a SIGHUP",
+        false, 0, "ms", line);
     TCLAP::SwitchArg shutdown_profile(
         "", "shutdown-profile",
         "end one process with SIGTERM and print what its callers see", line);
@@ -137,10 +144,18 @@
         std::filesystem::create_directories(options.m_folder);
         if (rolling_restarts.getValue())
         {
-            const bool answered =
-                run_rolling_restarts(seed, options.m_folder, nodes.getValue(),
-                                     callers.getValue(), seconds.getValue());
-            failed_seeds += answered ? 0 : 1;
+            soak::rolling_restart_options rolling;
+            rolling.m_program = options.m_program;
+            rolling.m_folder = options.m_folder;
+            rolling.m_seed = seed;
+            rolling.m_nodes = nodes.getValue();
+            rolling.m_callers = callers.getValue();
+            rolling.m_duration =
+                kingcuprudder::span::seconds(seconds.getValue());
+            rolling.m_restarts = !without_restarts.getValue();
+            rolling.m_configuration_interval =
+                kingcuprudder::span(configurations.getValue());
+            failed_seeds += print_rolling_restarts(rolling) ? 0 : 1;
             continue;
         }
         if (shutdown_profile.getValue())
--- a/soak/shutdown_callers.cpp
+++ b/soak/shutdown_callers.cpp
@@ -13,7 +13,8 @@
 // Longer than a process lives after SIGTERM.
 constexpr span response_timeout = span(8000);
 constexpr span refused_pause = span(20);
-constexpr span slow_body_pause = span(150);
+/// The longest pause of a slow caller before the body of its request.
+constexpr unsigned max_body_pause_ms = 1500;
 constexpr span repeat_pause = span(100);
 constexpr int max_repeats = 100;
 constexpr int task_ms = 50;
@@ -163,7 +164,7 @@
     const std::string id = m_ledger.add();
     if (!cancels(kind))
     {
-        submit(kind, connection, id, open);
+        submit(kind, connection, id, random, open);
         return;
     }
     submit_elsewhere(id);
@@ -176,7 +177,8 @@
 }
 
 void shutdown_callers::submit(caller_kind kind, caller_connection& connection,
-                              const std::string& id, bool& open)
+                              const std::string& id, std::mt19937& random,
+                              bool& open)
 {
     std::string request = job_request_text("POST", id, job_body(task_ms));
     if (kind == caller_kind::slow_post)
@@ -184,7 +186,7 @@
         const std::size_t header_size = request.find("\r\n\r\n") + 4;
         connection.send(request.substr(0, header_size));
         request.erase(0, header_size);
-        sleep_for(slow_body_pause);
+        sleep_for(span(static_cast<int>(random() % max_body_pause_ms)));
     }
     const observed_request seen = send(kind, connection, request, open);
     note(seen);
--- a/soak/shutdown_callers.hpp
+++ b/soak/shutdown_callers.hpp
@@ -94,7 +94,7 @@
                  std::mt19937& random, bool& open);
     /// Submits a job and sees to it that it is accepted anywhere.
     void submit(caller_kind kind, caller_connection& connection,
-                const std::string& id, bool& open);
+                const std::string& id, std::mt19937& random, bool& open);
     /// Submits a job to the other process until it accepts it.
     void submit_elsewhere(const std::string& id);
     observed_request send(caller_kind kind, caller_connection& connection,
--- a/soak/status_callers.cpp
+++ b/soak/status_callers.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds call_timeout(3500);
 constexpr std::chrono::milliseconds refused_pause(20);
 constexpr int caller_kinds = 3;
+constexpr int status_client_error = 400;
+constexpr int status_server_error = 500;
 constexpr span max_caller_pause = span(400);
 
 /// Whether nothing was sent, as there was no connection.
@@ -99,10 +101,7 @@
             note_unanswered(node, calls, httplib::to_string(answer.error()));
             return connection_end::unanswered;
         }
-        {
-            std::lock_guard lock(m_mutex);
-            ++m_calls.m_answered;
-        }
+        note_answer(node, answer->status);
         ++calls;
         if (answer->get_header_value("Connection") == "close")
         {
@@ -117,6 +116,18 @@
     return connection_end::stopped;
 }
 
+void status_callers::note_answer(int node, int status)
+{
+    std::lock_guard lock(m_mutex);
+    ++m_calls.m_answered;
+    if (status >= status_client_error && status < status_server_error)
+    {
+        m_calls.m_unanswered.push_back("WRONG: a request to process " +
+                                       std::to_string(node) + " got status " +
+                                       std::to_string(status));
+    }
+}
+
 void status_callers::note_unanswered(int node, int earlier_calls,
                                      const std::string& error)
 {
--- a/soak/status_callers.hpp
+++ b/soak/status_callers.hpp
@@ -22,7 +22,8 @@
     int m_answered = 0;
     /// Connections that were refused; nothing was sent on them.
     int m_refused_connections = 0;
-    /// A message for each request that was sent and got no response.
+    /// A message for each request that was sent and got no response, or one
+    /// that refuses it although the route, the key and the job are there.
     std::vector<std::string> m_unanswered;
 };
 
@@ -56,6 +57,8 @@
     void run(int caller, unsigned seed);
     connection_end call_until_closed(int node, span max_pause,
                                      std::mt19937& random);
+    /// Notes a response, which is a violation if it refuses the request.
+    void note_answer(int node, int status);
     void note_unanswered(int node, int earlier_calls, const std::string& error);
 
     const deployment& m_nodes;
--- a/unit_tests/node/job_checks_test.cpp
+++ b/unit_tests/node/job_checks_test.cpp
@@ -55,6 +55,18 @@
     }
 }
 
+TEST(job_checks, a_cancelled_job_may_be_cancelled_but_not_get_lost)
+{
+    observed_job job = accepted_job("cancelled", 1);
+    job.m_cancelled = true;
+    EXPECT_EQ(violated_rule(job), "");
+    for (const char* state : {"queued", "running", "failed", "410"})
+    {
+        job.m_state = state;
+        EXPECT_EQ(violated_rule(job), "LOST") << state;
+    }
+}
+
 TEST(job_checks, a_job_is_completed_when_all_tasks_are_done)
 {
     observed_job job = accepted_job("completed", 1);
--- a/unit_tests/node/soak_test.cpp
+++ b/unit_tests/node/soak_test.cpp
@@ -90,7 +90,10 @@
     const rolling_restart_report report = run_rolling_restarts(options);
     EXPECT_GT(report.m_restarts, 15);
     EXPECT_GT(report.m_calls.m_answered, 5000);
+    EXPECT_GT(report.m_accepted, 100);
     EXPECT_EQ(report.m_calls.m_unanswered, std::vector<std::string>());
+    EXPECT_EQ(report.m_job_calls.m_violations, std::vector<std::string>());
+    EXPECT_EQ(report.m_violations, std::vector<std::string>());
 }
 
 } // namespace kingcuprudder::soak
