--- a/soak/job_callers.cpp
+++ b/soak/job_callers.cpp
@@ -24,6 +24,13 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(time.count()));
 }
 
+std::string wrong_status(const std::string& method, const std::string& id,
+                         int status)
+{
+    return "WRONG: " + method + " of job " + id + " got status " +
+           std::to_string(status);
+}
+
 } // namespace
 
 job_callers::job_callers(const deployment& nodes, balancer& balance,
@@ -90,9 +97,7 @@
         }
         if (status != 0 && status < status_server_error)
         {
-            note_violation("WRONG: " + method + " of job " + id +
-                               " got status " + std::to_string(status),
-                           state.m_node);
+            note_violation(wrong_status(method, id, status), state.m_node);
             return status;
         }
         state.m_connection.reset();
--- a/soak/job_ledger.cpp
+++ b/soak/job_ledger.cpp
@@ -31,7 +31,7 @@
 {
     std::lock_guard lock(m_mutex);
     const std::string number = std::to_string(++m_last);
-    const std::string id = std::string(id_length - number.size(), '0') + number;
+    std::string id = std::string(id_length - number.size(), '0') + number;
     m_jobs[id] = job();
     return id;
 }
--- a/soak/rolling_restarts.cpp
+++ b/soak/rolling_restarts.cpp
@@ -103,6 +103,7 @@
 std::vector<std::string> caller_addresses(const deployment& nodes)
 {
     std::vector<std::string> addresses;
+    addresses.reserve(static_cast<std::size_t>(nodes.size()));
     for (int node = 0; node < nodes.size(); ++node)
     {
         addresses.push_back(nodes.caller_address(node));
