--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -23,7 +23,8 @@
     /// gets their logs. Starts no process yet.
     deployment(std::string program, std::string folder,
                const std::string& store_address, int nodes,
-               span worker_lease = span(6000));
+               span worker_lease = span(6000),
+               span shutdown_grace = span::seconds(3));
 
     int size() const { return static_cast<int>(m_nodes.size()); }
     /// Returns the address for callers as "ip:port".
@@ -52,6 +53,8 @@
     /// Starts the process again if it was killed or has exited after
     /// terminate(). Returns whether it was started.
     bool restart_if_ended(int node);
+    /// Sends SIGHUP, which has the process read its settings file.
+    void reload(int node);
     /// Waits until the process has exited. Returns false on timeout.
     bool wait_for_exit(int node, span timeout);
     /// Sends SIGSTOP.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,5 +1,6 @@
 #include <soak/rolling_restarts.hpp>
 #include <soak/scenario.hpp>
+#include <soak/shutdown_profile.hpp>
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
@@ -19,31 +20,56 @@
         .string();
 }
 
-/// Prints the results of one seed's rolling restarts. Returns whether each
-/// request got a response.
-bool run_rolling_restarts(unsigned seed, const std::string& folder, int nodes,
-                          int callers, int seconds)
+void print_lines(const std::vector<std::string>& lines)
 {
-    soak::rolling_restart_options options;
-    options.m_program = node_program();
-    options.m_folder = folder;
-    options.m_seed = seed;
-    options.m_nodes = nodes;
-    options.m_callers = callers;
-    options.m_duration = kingcuprudder::span::seconds(seconds);
-    const soak::rolling_restart_report report =
-        soak::run_rolling_restarts(options);
-    std::printf("seed %u: restarts %d answered %d refused connections %d "
-                "unanswered %zu\n",
-                seed, report.m_restarts, report.m_calls.m_answered,
-                report.m_calls.m_refused_connections,
-                report.m_calls.m_unanswered.size());
-    for (const std::string& each : report.m_calls.m_unanswered)
+    for (const std::string& each : lines)
     {
         std::printf("  %s\n", each.c_str());
     }
+}
+
+/// Prints the results of one seed's rolling restarts. Returns whether each
+/// request got a response and what must hold for jobs holds.
+bool print_rolling_restarts(const soak::rolling_restart_options& options)
+{
+    const soak::rolling_restart_report report =
+        soak::run_rolling_restarts(options);
+    const soak::job_calls& jobs = report.m_job_calls;
+    std::printf("seed %u: restarts %d configurations %d answered %d refused "
+                "connections %d unanswered %zu; jobs: accepted %d answered %d "
+                "unavailable %d refused connections %d wrong %zu broken %zu\n",
+                options.m_seed, report.m_restarts, report.m_configurations,
+                report.m_calls.m_answered, report.m_calls.m_refused_connections,
+                report.m_calls.m_unanswered.size(), report.m_accepted,
+                jobs.m_answered, jobs.m_unavailable, jobs.m_refused_connections,
+                jobs.m_violations.size(), report.m_violations.size());
+    print_lines(report.m_calls.m_unanswered);
+    print_lines(jobs.m_violations);
+    print_lines(report.m_violations);
+    std::fflush(stdout);
+    return report.m_calls.m_unanswered.empty() && jobs.m_violations.empty() &&
+           report.m_violations.empty();
+}
+
+/// Prints the table of one seed's shutdown. Returns whether each request got a
+/// response, the process exited in time and what must hold for jobs holds.
+bool print_shutdown_profile(const soak::shutdown_profile_options& options)
+{
+    const soak::shutdown_report report = soak::run_shutdown_profile(options);
+    const std::vector<std::string> unanswered =
+        soak::unanswered_requests(report);
+    std::printf("%s", soak::table_of(report).c_str());
+    std::printf(
+        "seed %u: %s after %lld ms accepted %d unanswered %zu (before, "
+        "too: stored %d absent %d) broken %zu\n",
+        options.m_seed, report.m_exited ? "exited" : "killed",
+        static_cast<long long>(report.m_lived.count()), report.m_accepted,
+        unanswered.size(), report.m_calls.m_stored_without_response,
+        report.m_calls.m_absent_without_response, report.m_violations.size());
+    print_lines(unanswered);
+    print_lines(report.m_violations);
     std::fflush(stdout);
-    return report.m_calls.m_unanswered.empty();
+    return unanswered.empty() && report.m_violations.empty() && report.m_exited;
 }
 
 } // namespace
@@ -79,6 +105,32 @@
     TCLAP::ValueArg<int> callers("", "callers",
                                  "callers beside rolling restarts", false, 24,
                                  "number", line);
+    TCLAP::SwitchArg without_restarts(
+        "", "without-restarts",
+        "end no process although --rolling-restarts is given", line);
+    TCLAP::ValueArg<int> configurations(
+        "", "configuration-interval",
+        "time between two configurations beside --rolling-restarts, each with "
+        "a SIGHUP",
+        false, 0, "ms", line);
+    TCLAP::SwitchArg shutdown_profile(
+        "", "shutdown-profile",
+        "end one process with SIGTERM and print what its callers see", line);
+    TCLAP::ValueArg<int> grace("", "grace",
+                               "shutdown grace time in seconds with "
+                               "--shutdown-profile",
+                               false, 3, "seconds", line);
+    TCLAP::ValueArg<int> processor("", "processor",
+                                   "share of a core with --shutdown-profile",
+                                   false, 100, "percent", line);
+    TCLAP::ValueArg<int> store_delay("", "store-delay",
+                                     "delay of each call to the store with "
+                                     "--shutdown-profile",
+                                     false, 0, "ms", line);
+    TCLAP::ValueArg<int> lost_answers("", "lost-answers",
+                                      "share of the answers to writes that "
+                                      "--shutdown-profile loses",
+                                      false, 0, "percent", line);
     line.parse(argc, argv);
     int failed_seeds = 0;
     for (unsigned seed = first.getValue();
@@ -92,10 +144,33 @@
         std::filesystem::create_directories(options.m_folder);
         if (rolling_restarts.getValue())
         {
-            const bool answered =
-                run_rolling_restarts(seed, options.m_folder, nodes.getValue(),
-                                     callers.getValue(), seconds.getValue());
-            failed_seeds += answered ? 0 : 1;
+            soak::rolling_restart_options rolling;
+            rolling.m_program = options.m_program;
+            rolling.m_folder = options.m_folder;
+            rolling.m_seed = seed;
+            rolling.m_nodes = nodes.getValue();
+            rolling.m_callers = callers.getValue();
+            rolling.m_duration =
+                kingcuprudder::span::seconds(seconds.getValue());
+            rolling.m_restarts = !without_restarts.getValue();
+            rolling.m_configuration_interval =
+                kingcuprudder::span(configurations.getValue());
+            failed_seeds += print_rolling_restarts(rolling) ? 0 : 1;
+            continue;
+        }
+        if (shutdown_profile.getValue())
+        {
+            constexpr double all_percent = 100;
+            soak::shutdown_profile_options profile;
+            profile.m_program = options.m_program;
+            profile.m_folder = options.m_folder;
+            profile.m_seed = seed;
+            profile.m_callers = callers.getValue();
+            profile.m_processor_percent = processor.getValue();
+            profile.m_grace = kingcuprudder::span::seconds(grace.getValue());
+            profile.m_store_delay = kingcuprudder::span(store_delay.getValue());
+            profile.m_lost_answers = lost_answers.getValue() / all_percent;
+            failed_seeds += print_shutdown_profile(profile) ? 0 : 1;
             continue;
         }
         options.m_seed = seed;
