A slow body is no overload; a request that is received in part is refused

A caller whose body arrived 500 ms or more after its header was refused as overload by every process, as the wait for a thread was counted from the first byte (on a link of 10 Mbit/s a body of 1 MB takes 840 ms). It is counted from the last byte now; the caller's deadline still counts from the first. A request that had arrived in part at the exit saw the end of the stream; it is refused with 503 now.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -335,9 +335,14 @@
             }
         }
 
-        /// Answers the request that waits for a thread or is being handled.
+        /// Answers the request that is being received, waits for a thread or is
+        /// being handled.
         void answer_without_handler()
         {
+            if (m_receiving)
+            {
+                end_receipt(http::status::service_unavailable);
+            }
             refuse_unless_begun();
             if (m_pending)
             {
@@ -381,10 +386,11 @@
         void receive()
         {
             set_busy(true);
-            m_received_at = std::chrono::steady_clock::now();
+            m_receiving = true;
+            m_begun_at = std::chrono::steady_clock::now();
             m_timer = m_owner.m_loop.run_after(
-                m_owner.m_limits.m_transfer_timeout,
-                [self = shared_from_this()] { self->end_receipt(); });
+                m_owner.m_limits.m_transfer_timeout, [self = shared_from_this()]
+                { self->end_receipt(http::status::request_timeout); });
             http::async_read_header(
                 m_socket, m_buffer, *m_parser,
                 [self = shared_from_this()](const error_code& error,
@@ -417,10 +423,11 @@
                              { error ? self->reject(error) : self->handle(); });
         }
 
-        /// Ends a receipt that takes too long.
-        void end_receipt()
+        /// Refuses the request that is being received. It is not begun, so its
+        /// caller may repeat it.
+        void end_receipt(http::status refusal)
         {
-            m_timed_out = true;
+            m_refusal = refusal;
             error_code ignored;
             m_socket.cancel(ignored);
         }
@@ -428,9 +435,9 @@
         /// Answers a request that could not be read, if the caller is there.
         void reject(const error_code& error)
         {
-            if (m_timed_out)
+            if (m_refusal && error == asio::error::operation_aborted)
             {
-                send(plain_response(http::status::request_timeout));
+                send(plain_response(*m_refusal));
             }
             else if (error == http::error::body_limit)
             {
@@ -456,6 +463,7 @@
 
         void handle()
         {
+            m_receiving = false;
             m_timer = event_loop::timer();
             m_keep_alive = m_parser->get().keep_alive();
             auto received = std::make_shared<http_request>();
@@ -470,7 +478,8 @@
                     std::string(field.value()));
             }
             received->m_body = std::move(m_parser->get().body());
-            received->m_received_at = m_received_at;
+            received->m_begun_at = m_begun_at;
+            received->m_received_at = std::chrono::steady_clock::now();
             m_parser.reset();
             m_owner.dispatch(shared_from_this(), received);
         }
@@ -479,6 +488,7 @@
 
         void send(http_response response)
         {
+            m_receiving = false;
             m_pending.reset();
             const bool closing = response.m_close || !m_keep_alive ||
                                  m_ending || m_owner.m_closing;
@@ -569,13 +579,14 @@
         bool m_busy = false;
         /// No request is read any more; what arrives is dropped.
         bool m_draining = false;
-        /// The receipt of a request took too long.
-        bool m_timed_out = false;
+        bool m_receiving = false;
+        /// Why the receipt of a request was ended.
+        std::optional<http::status> m_refusal;
         /// The wait for a request was ended.
         bool m_ending = false;
         bool m_keep_alive = false;
         std::chrono::steady_clock::time_point m_idle_since;
-        std::chrono::steady_clock::time_point m_received_at;
+        std::chrono::steady_clock::time_point m_begun_at;
     };
 
     void accept()
--- a/kingcuprudder/runtime/http_server.hpp
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -23,6 +23,8 @@
     std::map<std::string, std::string> m_headers;
     std::string m_body;
     /// When the first bytes of the request were read.
+    std::chrono::steady_clock::time_point m_begun_at;
+    /// When the last byte of the request was read.
     std::chrono::steady_clock::time_point m_received_at;
 
     /// Returns the value of the field with this name in lower case, or "".
@@ -104,9 +106,9 @@
     /// Waits, after stop_reading(), until the last byte of each response was
     /// written. Returns false on timeout.
     bool wait_for_answers(span timeout);
-    /// Answers the requests that were received, without waiting for their
-    /// handlers: `overloaded` makes the response if the request was not begun,
-    /// else `abandoned`.
+    /// Answers all open requests without waiting for their last bytes or their
+    /// handlers: 503 if the request was not received whole, else `overloaded`
+    /// makes the response if it was not begun, else `abandoned`.
     void answer_open_requests();
     /// The number of requests that have begun to arrive and whose response was
     /// not written yet.
--- a/unit_tests/platform/caller_interface_test.cpp
+++ b/unit_tests/platform/caller_interface_test.cpp
@@ -22,7 +22,8 @@
                              {"authorization", "Bearer key"},
                              {"x-deadline-ms", "3000"}};
         request.m_body = R"({"steps":[{"count":1}]})";
-        request.m_received_at = std::chrono::steady_clock::now();
+        request.m_begun_at = std::chrono::steady_clock::now();
+        request.m_received_at = request.m_begun_at;
         return request;
     }
 
