Tests that guard what the idle, room and filter tests are named for

Three mutations of the server pass all tests of http_server_test on, each one run: the idle timer closes the connection at once; ended connections are never closed to make room; no socket filter. (A filter that drops every packet passes, too; no test here shows it, as a handshake on loopback is never half done.)

- a_request_that_arrives_after_the_idle_time_is_answered puts the timer's turn before that of the bytes.
It also waits until the server is idle, as a stop of the loop that comes earlier finds no timer.
Fails with the first mutation.
- ended_connections_hold_a_bounded_number_of_descriptors counts descriptors in place of connections that still answer.
Fails with the second.
- no_connection_is_begun_between_the_stop_and_the_close fails with the third.

The three pass on. The older tests stay.

--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -2,12 +2,16 @@
 #include <kingcuprudder/runtime/http_server.hpp>
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <atomic>
+#include <filesystem>
 #include <future>
+#include <iterator>
 #include <memory>
 #include <stdexcept>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace kingcuprudder
@@ -18,6 +22,33 @@
 
 const std::string get_request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
+std::size_t open_descriptors()
+{
+    const std::filesystem::directory_iterator all("/proc/self/fd");
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
+/// Lets this process open no further descriptor until it is destroyed.
+class no_free_descriptor
+{
+public:
+    no_free_descriptor()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_former);
+        const int lowest_free = ::dup(STDERR_FILENO);
+        ::close(lowest_free);
+        rlimit lower = m_former;
+        lower.rlim_cur = static_cast<rlim_t>(lowest_free);
+        ::setrlimit(RLIMIT_NOFILE, &lower);
+    }
+    ~no_free_descriptor() { ::setrlimit(RLIMIT_NOFILE, &m_former); }
+    no_free_descriptor(const no_free_descriptor&) = delete;
+    no_free_descriptor& operator=(const no_free_descriptor&) = delete;
+
+private:
+    rlimit m_former{};
+};
+
 class http_server_test : public ::testing::Test
 {
 protected:
@@ -61,6 +92,39 @@
         std::promise<void> m_release;
     };
 
+    /// Ends the loop's turn where it was posted until it is released, so that a
+    /// test decides what the loop does first.
+    class loop_stop
+    {
+    public:
+        explicit loop_stop(event_loop& loop)
+        {
+            loop.post(
+                [begun = m_begun, released = m_release.get_future().share()]
+                {
+                    begun->set_value();
+                    released.wait();
+                });
+        }
+
+        void wait() { m_begun->get_future().wait(); }
+        void release() { m_release.set_value(); }
+
+    private:
+        std::shared_ptr<std::promise<void>> m_begun =
+            std::make_shared<std::promise<void>>();
+        std::promise<void> m_release;
+    };
+
+    static void wait_for_open_requests(const http_server& server,
+                                       std::size_t count)
+    {
+        while (server.open_requests() < count)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+    }
+
     std::atomic<int> m_errors = 0;
     event_loop m_loop{[this](const std::string&) { ++m_errors; }};
 };
@@ -332,6 +396,23 @@
     m_loop.stop();
 }
 
+// Guards against a connection that is begun between the last acceptance and the
+// close of the listener, and is reset with the request that is sent on it.
+TEST_F(http_server_test, no_connection_is_begun_between_the_stop_and_the_close)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    server.stop_accepting();
+    blocked_loop blocked(m_loop);
+    std::future<bool> connected =
+        std::async(std::launch::async, [&]
+                   { return raw_connection(server.address()).connected(); });
+    EXPECT_EQ(connected.wait_for(std::chrono::milliseconds(300)),
+              std::future_status::timeout);
+    blocked.release();
+    EXPECT_FALSE(connected.get());
+    m_loop.stop();
+}
+
 // Guards against a request that arrives as the idle timeout expires and gets a
 // reset connection in place of a response.
 TEST_F(http_server_test, a_request_at_the_idle_timeout_is_answered)
@@ -350,6 +431,32 @@
     m_loop.stop();
 }
 
+// The same with the timer's turn before that of the bytes that have arrived.
+TEST_F(http_server_test, a_request_that_arrives_after_the_idle_time_is_answered)
+{
+    http_server_limits limits = pooled(1);
+    limits.m_idle_timeout = span(150);
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    raw_connection caller(server.address());
+    ASSERT_TRUE(caller.send(get_request));
+    caller.read_until("GET /a");
+    // Until then the server has not begun to wait for the next request.
+    while (server.open_requests() > 0)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    loop_stop before_expiry(m_loop);
+    before_expiry.wait();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    loop_stop after_expiry(m_loop);
+    before_expiry.release();
+    after_expiry.wait();
+    ASSERT_TRUE(caller.send(get_request));
+    after_expiry.release();
+    EXPECT_NE(caller.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
 // Guards against a caller that is slow to send its request and is not told that
 // it was not received.
 TEST_F(http_server_test, a_request_that_is_not_received_in_time_is_refused)
@@ -392,6 +499,26 @@
     m_loop.stop();
 }
 
+// The same, seen from the descriptors that the server holds.
+TEST_F(http_server_test, ended_connections_hold_a_bounded_number_of_descriptors)
+{
+    constexpr std::size_t callers_count = 40;
+    http_server_limits limits;
+    limits.m_max_connections = 16;
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    const std::size_t before = open_descriptors();
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    while (callers.size() < callers_count)
+    {
+        callers.push_back(std::make_unique<raw_connection>(server.address()));
+        callers.back()->send(get_request);
+        EXPECT_NE(callers.back()->read_until("GET /a"), "");
+    }
+    // An eighth over the limit, and the newest.
+    EXPECT_LE(open_descriptors() - before - callers_count, 19u);
+    m_loop.stop();
+}
+
 // Guards against a request that arrives as its connection is closed to make
 // room, and gets a reset connection in place of a response.
 TEST_F(http_server_test, a_request_on_the_longest_idle_connection_is_answered)
