Tests that fail: limits and counts of the orderly end

- a_request_whose_time_ends_between_two_reads_is_refused: no 408 within 5 s, open_requests() 1. end_receipt() cancels only what is outstanding; when a read is complete and waits for its turn, the next reads have no timer.
- a_request_that_is_being_received_at_the_exit_is_refused: nothing is sent, wait_for_answers() is false: answer_open_requests() knows only requests that were received whole.
- a_connection_that_is_begun_after_the_stop_is_counted: wait_for_answers() returns true while a request is in the kernel, on a connection whose acceptance had its turn after stop_reading().
- a_stop_without_descriptors_keeps_the_queue_for_a_while: the connection is reset, as close_listener() takes EMFILE for the end of the queue.
- an_abandoned_read_is_answered_as_unavailable: 504 without Retry-After for a GET, which may be repeated at once; a GET that fails otherwise gets 503.

--- a/unit_tests/platform/caller_interface_test.cpp
+++ b/unit_tests/platform/caller_interface_test.cpp
@@ -106,4 +106,16 @@
     EXPECT_EQ(answered.m_headers.count("Retry-After"), 1u);
 }
 
+// Guards against a caller that is told that the outcome of its request is
+// unknown, though the request changes nothing and may be repeated at once.
+TEST_F(caller_interface_test, an_abandoned_read_is_answered_as_unavailable)
+{
+    http_request query = submission();
+    query.m_method = "GET";
+    const http_response answered = m_callers.abandon(query);
+    EXPECT_EQ(answered.m_status, 503);
+    EXPECT_EQ(answered.m_headers.count("Retry-After"), 1u);
+    EXPECT_EQ(m_callers.abandon(submission()).m_status, 504);
+}
+
 } // namespace kingcuprudder::node
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -474,6 +474,100 @@
     m_loop.stop();
 }
 
+// Guards against a caller that stalls without any limit, and keeps the exit
+// waiting: its time ends while a read is complete and not handled yet, so that
+// there is nothing to cancel, and the reads that follow have no timer.
+TEST_F(http_server_test, a_request_whose_time_ends_between_two_reads_is_refused)
+{
+    http_server_limits limits = pooled(1);
+    limits.m_transfer_timeout = span(150);
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    raw_connection caller(server.address());
+    ASSERT_TRUE(caller.send("GET /a HTTP/1.1\r\nX-Long: "));
+    wait_for_open_requests(server, 1);
+    blocked_loop blocked(m_loop);
+    // More than one read takes, and not the end of the header.
+    ASSERT_TRUE(caller.send(std::string(8000, 'x')));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    blocked.release();
+    EXPECT_NE(caller.read_until("{}").find("408"), std::string::npos);
+    EXPECT_EQ(server.open_requests(), 0u);
+    m_loop.stop();
+}
+
+// Guards against an exit while a request waits in a connection that the kernel
+// had accepted for the server, and whose turn on the loop comes after the stop.
+TEST_F(http_server_test, a_connection_that_is_begun_after_the_stop_is_counted)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    raw_connection known(server.address());
+    ASSERT_TRUE(known.send(get_request));
+    known.read_until("GET /a");
+    loop_stop before_accept(m_loop);
+    before_accept.wait();
+    raw_connection first(server.address());
+    raw_connection second(server.address());
+    ASSERT_TRUE(second.send(get_request));
+    loop_stop before_stop(m_loop);
+    before_accept.release();
+    before_stop.wait();
+    // The loop now has the acceptance of the first connection before the stop,
+    // and that of the second one after it.
+    server.stop_reading();
+    loop_stop after_stop(m_loop);
+    before_stop.release();
+    after_stop.wait();
+    loop_stop before_read(m_loop);
+    after_stop.release();
+    before_read.wait();
+    EXPECT_FALSE(server.wait_for_answers(span(0)));
+    before_read.release();
+    EXPECT_NE(second.read_until("GET /a").find("200 OK"), std::string::npos);
+    EXPECT_TRUE(server.wait_for_answers(span(5000)));
+    m_loop.stop();
+}
+
+// Guards against connections that are reset, as the server had no descriptor
+// for them at the moment in which it closed its listener.
+TEST_F(http_server_test, a_stop_without_descriptors_keeps_the_queue_for_a_while)
+{
+    http_server server(m_loop, "127.0.0.1:0", pooled(1), echo);
+    raw_connection known(server.address());
+    ASSERT_TRUE(known.send(get_request));
+    known.read_until("GET /a");
+    blocked_loop blocked(m_loop);
+    raw_connection caller(server.address());
+    ASSERT_TRUE(caller.send(get_request));
+    {
+        const no_free_descriptor used_up;
+        server.stop_accepting();
+        blocked.release();
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    EXPECT_NE(caller.read_until("GET /a").find("200 OK"), std::string::npos);
+    m_loop.stop();
+}
+
+// Guards against a caller that is still sending its request at the exit and is
+// not told that it did not run.
+TEST_F(http_server_test,
+       a_request_that_is_being_received_at_the_exit_is_refused)
+{
+    http_server_limits limits = pooled(1);
+    limits.m_transfer_timeout = span(20'000);
+    http_server server(m_loop, "127.0.0.1:0", limits, echo);
+    raw_connection caller(server.address());
+    ASSERT_TRUE(caller.send("POST /a HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 100\r\n\r\nxy"));
+    wait_for_open_requests(server, 1);
+    server.stop_reading();
+    EXPECT_FALSE(server.wait_for_answers(span(50)));
+    server.answer_open_requests();
+    EXPECT_TRUE(server.wait_for_answers(span(1000)));
+    EXPECT_NE(caller.read_until("}").find("HTTP/1.1 "), std::string::npos);
+    m_loop.stop();
+}
+
 // Guards against callers that do not close their ended connections and keep
 // the process's descriptors.
 TEST_F(http_server_test, ended_connections_are_closed_when_there_are_too_many)
