--- a/soak/shutdown_callers.cpp
+++ b/soak/shutdown_callers.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned max_body_pause_ms = 1500;
 constexpr span repeat_pause = span(100);
 constexpr int max_repeats = 100;
+/// The longest time that a caller leaves a new connection idle.
+constexpr unsigned max_idle_ms = 2000;
 constexpr int task_ms = 50;
 /// The longest pause before the next request of a caller that submits jobs.
 constexpr unsigned max_submit_pause_ms = 100;
@@ -38,7 +40,7 @@
 bool submits(caller_kind kind)
 {
     return kind != caller_kind::kept_get && kind != caller_kind::new_get &&
-           kind != caller_kind::two_gets;
+           kind != caller_kind::two_gets && kind != caller_kind::idle_get;
 }
 
 bool cancels(caller_kind kind)
@@ -68,6 +70,8 @@
         return "slow POST";
     case caller_kind::two_gets:
         return "two GETs";
+    case caller_kind::idle_get:
+        return "idle GET";
     }
     return "";
 }
@@ -132,7 +136,11 @@
         note(refused);
         return false;
     }
-    bool open = true;
+    if (kind == caller_kind::idle_get)
+    {
+        sleep_for(span(static_cast<int>(random() % max_idle_ms)));
+    }
+    bool open = !connection.is_ended();
     while (open && !m_stopping)
     {
         if (submits(kind))
--- a/soak/shutdown_callers.hpp
+++ b/soak/shutdown_callers.hpp
@@ -19,7 +19,8 @@
 {
 
 /// How a caller sends its requests: on a connection that it keeps or on a new
-/// one each, with a pause before the body, or two at once.
+/// one each, with a pause before the body, or two at once, or one
+/// on a connection that was idle before.
 enum class caller_kind
 {
     kept_get,
@@ -30,12 +31,13 @@
     new_delete,
     slow_post,
     two_gets,
+    idle_get,
 };
 
 inline constexpr std::array all_caller_kinds{
     caller_kind::kept_get,  caller_kind::kept_post, caller_kind::kept_delete,
     caller_kind::new_get,   caller_kind::new_post,  caller_kind::new_delete,
-    caller_kind::slow_post, caller_kind::two_gets};
+    caller_kind::slow_post, caller_kind::two_gets,  caller_kind::idle_get};
 
 std::string_view to_string(caller_kind kind);
 
