--- a/kingcuprudder/node/shutdown_sequence.cpp
+++ b/kingcuprudder/node/shutdown_sequence.cpp
@@ -13,13 +13,13 @@
 
 // From the end of the accepting to the end of the grace time.
 constexpr int completion_share = 3;
-constexpr span min_completion = span(1200);
+constexpr span min_completion = span(1500);
 // The part of it in which open connections are read.
 constexpr int reading_share = 4;
 // The last responses are written in this time before the exit.
-constexpr span last_write_time = span(350);
-// The platform kills the process at the end of the grace time.
-constexpr span exit_margin = span(150);
+constexpr span last_write_time = span(300);
+// For the log's last lines, before the platform kills the process.
+constexpr span exit_margin = span(300);
 
 span time_until(instant when)
 {
--- a/kingcuprudder/node/shutdown_sequence.hpp
+++ b/kingcuprudder/node/shutdown_sequence.hpp
@@ -13,11 +13,11 @@
 /// second step.
 struct shutdown_schedule
 {
-    /// No new connections are accepted. Until then the load balancer has taken
-    /// the process out.
+    /// No new connections are accepted. With a grace time of 6 s or more, the
+    /// load balancer has taken the process out by then.
     span m_stop_accepting;
     /// Requests on open connections that have not arrived are not read. Callers
-    /// that send one after the other have been told to close by then.
+    /// that send one request after the other have been told to close by then.
     span m_stop_reading;
     /// Requests whose handlers have not ended are answered without them.
     span m_abandon_handlers;
@@ -33,7 +33,7 @@
 
 /// Serves callers until the end of the schedule, so that each request gets a
 /// response, and returns when the process may exit. The signal was received at
-/// this time of the steady clock.
+/// this time since the boot.
 void end_caller_requests(http_server& callers,
                          const shutdown_schedule& schedule, instant signalled,
                          event_log& log);
--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -32,6 +32,8 @@
 
 const std::string continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int listen_backlog = 256;
+// The receipt of a request that is refused is cancelled this often.
+constexpr span refusal_retry = span(50);
 constexpr std::size_t first_read_bytes = 2048;
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 // Buffers of idle connections above this size are released.
@@ -164,7 +166,8 @@
                    {
                        ignore_new_connections(self->m_acceptor.native_handle());
                        self->m_close_listener = self->m_loop.run_after(
-                           handshake_time, [self] { self->close_listener(); });
+                           handshake_time,
+                           [self] { self->close_listener(true); });
                    });
     }
 
@@ -200,7 +203,7 @@
         asio::post(m_context,
                    [self = shared_from_this()]
                    {
-                       self->close_listener();
+                       self->close_listener(false);
                        self->m_closing = true;
                        self->m_reading = false;
                        const auto connections = self->m_connections;
@@ -253,16 +256,18 @@
 
         void await_request()
         {
-            set_busy(false);
+            m_refusal.reset();
+            const bool ends = !m_owner.m_reading;
+            set_busy(m_buffer.size() > 0 || (ends && has_arrived()));
             m_idle_since = std::chrono::steady_clock::now();
-            m_parser.emplace();
-            m_parser->body_limit(m_owner.m_limits.m_max_body_bytes);
-            m_parser->header_limit(max_header_bytes);
-            if (!m_owner.m_reading && !has_arrived())
+            if (ends && !m_busy)
             {
                 drain();
                 return;
             }
+            m_parser.emplace();
+            m_parser->body_limit(m_owner.m_limits.m_max_body_bytes);
+            m_parser->header_limit(max_header_bytes);
             if (m_buffer.size() > 0)
             {
                 receive();
@@ -430,6 +435,10 @@
             m_refusal = refusal;
             error_code ignored;
             m_socket.cancel(ignored);
+            // Nothing is cancelled if a read is complete and not handled yet.
+            m_timer = m_owner.m_loop.run_after(
+                refusal_retry, [self = shared_from_this(), refusal]
+                { self->end_receipt(refusal); });
         }
 
         /// Answers a request that could not be read, if the caller is there.
@@ -463,6 +472,11 @@
 
         void handle()
         {
+            if (m_refusal)
+            {
+                send(plain_response(*m_refusal));
+                return;
+            }
             m_receiving = false;
             m_timer = event_loop::timer();
             m_keep_alive = m_parser->get().keep_alive();
@@ -633,17 +647,14 @@
         }
     }
 
-    /// Accepts the connections that the kernel has accepted, as closing the
-    /// listener resets them, and closes it.
-    void close_listener()
+    /// Accepts the connections that the kernel holds, as closing the listener
+    /// resets them. Returns why it ends, which is would_block if there are no
+    /// more.
+    error_code accept_queued()
     {
-        if (!m_acceptor.is_open())
-        {
-            return;
-        }
         error_code error;
         m_acceptor.non_blocking(true, error);
-        while (!error)
+        while (!error || error == asio::error::connection_aborted)
         {
             tcp::socket socket(m_context);
             m_acceptor.accept(socket, error);
@@ -652,7 +663,26 @@
                 begin_session(std::move(socket));
             }
         }
-        m_acceptor.close(error);
+        return error;
+    }
+
+    /// Closes the listener, later if the descriptors are used up for the moment
+    /// and there is time.
+    void close_listener(bool may_wait)
+    {
+        if (!m_acceptor.is_open())
+        {
+            return;
+        }
+        if (accept_queued() != asio::error::would_block && may_wait)
+        {
+            m_close_listener =
+                m_loop.run_after(accept_retry, [self = shared_from_this()]
+                                 { self->close_listener(true); });
+            return;
+        }
+        error_code ignored;
+        m_acceptor.close(ignored);
     }
 
     /// Runs the handler. Its exceptions must not end a thread.
--- a/unit_tests/node/shutdown_sequence_test.cpp
+++ b/unit_tests/node/shutdown_sequence_test.cpp
@@ -25,7 +25,7 @@
             EXPECT_GE(schedule.m_abandon_handlers - schedule.m_stop_reading,
                       span(400));
             EXPECT_GE(schedule.m_exit - schedule.m_abandon_handlers, span(300));
-            EXPECT_GE(grace - schedule.m_exit, span(100));
+            EXPECT_GE(grace - schedule.m_exit, span(250));
         }
     }
 }
