Log what a late status call waited for

A status that was answered after its caller's deadline left no line, and a refused one did not tell whether the confirmation of the configuration, the read of the record or the wait for a thread took the time.

A call that takes 500 ms and more is logged with the times of both calls to the store, the time that reads are expected to take, and the wait for a thread; a refusal has the same fields. One line a call, within the rate limit of the log.

--- a/kingcuprudder/node/call_retry.hpp
+++ b/kingcuprudder/node/call_retry.hpp
@@ -35,6 +35,15 @@
     std::atomic<std::int64_t> m_expected_ms = 0;
 };
 
+/// How long the calls to the store took that one caller's request waited for.
+struct store_times
+{
+    span m_confirmation; ///< Of the configuration.
+    span m_read;         ///< Of records, the job's state for example.
+
+    friend bool operator==(const store_times&, const store_times&) = default;
+};
+
 /// The attempts of one caller's request at the store: their timeouts, and
 /// whether and when the next one follows. An instance that does not reach the
 /// store gives up while its caller still has time to ask another one. Not safe
@@ -55,6 +64,11 @@
     call_retry(const call_retry&) = delete;
     call_retry& operator=(const call_retry&) = delete;
 
+    /// The times of all attempts together.
+    store_times& times() { return m_times; }
+    const store_times& times() const { return m_times; }
+    /// How long a read is expected to take.
+    span expected_read_time() const { return m_latency.expected(); }
     /// Number of attempts that have begun.
     int attempts() const { return m_attempts; }
     /// Timeout of a read. The first attempt leaves time for one on a new
@@ -75,6 +89,7 @@
 
     retry_capacity& m_capacity;
     const read_latency& m_latency;
+    store_times m_times;
     instant m_deadline;
     instant m_last_start; ///< No attempt begins later, unless it must.
     int m_attempts = 1;
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -17,6 +17,8 @@
 constexpr span configuration_max_age = span(2000);
 // A newer configuration seldom interferes with two commits in a row.
 constexpr int max_commits_without_pause = 2;
+// A request that takes this long is logged although it succeeds.
+constexpr span notable_time = span(500);
 
 bool is_temporary(refusal reason)
 {
@@ -126,20 +128,19 @@
     call_retry retry(request.m_deadline, m_retries, m_read_latency);
     service_result<caller_access> access = repeat_read<caller_access>(
         retry, [&] { return authorize_once(request, retry); });
-    if (const refusal* refused = std::get_if<refusal>(&access))
-    {
-        log_refusal("access_not_given", last_segment(request.m_path), *refused,
-                    request, began, retry.attempts());
-    }
+    log_if_notable(access, "access", last_segment(request.m_path), request,
+                   began, retry);
     return access;
 }
 
 service_result<caller_access>
-job_service::authorize_once(const caller_request& request,
-                            const call_retry& retry)
+job_service::authorize_once(const caller_request& request, call_retry& retry)
 {
+    const instant sent = boottime_now();
     const configuration_view::snapshot snapshot =
         m_configuration.confirmed(configuration_max_age, retry.read_timeout());
+    retry.times().m_confirmation =
+        retry.times().m_confirmation + (boottime_now() - sent);
     if (!snapshot)
     {
         return m_configuration.current() ? refusal::unavailable
@@ -193,25 +194,49 @@
     return refused;
 }
 
-void job_service::log_refusal(const std::string& event, const std::string& id,
-                              refusal reason, const caller_request& request,
-                              instant began, int attempts)
+void job_service::log_outcome(const std::string& event, const std::string& id,
+                              std::string_view reason,
+                              const caller_request& request, instant began,
+                              const call_retry& retry)
 {
     const instant now = boottime_now();
+    const store_times& times = retry.times();
     m_log.write(
         "jobs", event, id,
-        {{"reason", std::string(to_string(reason))},
+        {{"reason", std::string(reason)},
          {"method", request.m_method},
          {"host", request.m_host},
          {"path", request.m_path},
-         {"attempts", std::to_string(attempts)},
+         {"attempts", std::to_string(retry.attempts())},
          {"configuration_age_ms",
           std::to_string((now - m_configuration.confirmed_at()).count())},
+         {"confirmation_ms", std::to_string(times.m_confirmation.count())},
+         {"read_ms", std::to_string(times.m_read.count())},
+         {"expected_read_ms",
+          std::to_string(retry.expected_read_time().count())},
          {"waited_ms", std::to_string(request.m_waited.count())},
          {"took_ms", std::to_string((now - began).count())},
          {"left_ms", std::to_string((request.m_deadline - now).count())}});
 }
 
+template <class T>
+void job_service::log_if_notable(const service_result<T>& result,
+                                 const std::string& subject,
+                                 const std::string& id,
+                                 const caller_request& request, instant began,
+                                 const call_retry& retry)
+{
+    if (const refusal* refused = std::get_if<refusal>(&result))
+    {
+        log_outcome(subject + "_not_given", id, to_string(*refused), request,
+                    began, retry);
+    }
+    else if (boottime_now() - began >= notable_time)
+    {
+        log_outcome(subject + "_given_late", id, "none", request, began, retry);
+    }
+}
+
 job_service::write_outcome
 job_service::commit_once(const store_transaction& transaction,
                          const std::string& new_key, const call_retry& retry)
@@ -329,22 +354,24 @@
 }
 
 store_result<std::optional<record>>
-job_service::read_record(const std::string& key, const call_retry& retry)
+job_service::read_record(const std::string& key, call_retry& retry)
 {
     const instant sent = boottime_now();
     store_result<std::optional<record>> found =
         m_store.read(key, retry.read_timeout());
+    const span took = boottime_now() - sent;
+    retry.times().m_read = retry.times().m_read + took;
     const bool refused =
         !is_ok(found) && std::get<1>(found) == store_failure::not_done;
     if (!refused)
     {
-        m_read_latency.observe(boottime_now() - sent, is_ok(found));
+        m_read_latency.observe(took, is_ok(found));
     }
     return found;
 }
 
 service_result<dispatch::job_progress>
-job_service::read_progress(const std::string& id, const call_retry& retry)
+job_service::read_progress(const std::string& id, call_retry& retry)
 {
     const store_result<std::optional<record>> found =
         read_record(record_keys::progress(id), retry);
@@ -375,17 +402,13 @@
     call_retry retry(request.m_deadline, m_retries, m_read_latency);
     const auto found = repeat_read<dispatch::job_state>(
         retry, [&] { return find_state(request, id, retry); });
-    if (const refusal* refused = std::get_if<refusal>(&found))
-    {
-        log_refusal("status_not_given", id, *refused, request, began,
-                    retry.attempts());
-    }
+    log_if_notable(found, "status", id, request, began, retry);
     return found;
 }
 
 service_result<dispatch::job_state>
 job_service::find_state(const caller_request& request, const std::string& id,
-                        const call_retry& retry)
+                        call_retry& retry)
 {
     const service_result<caller_access> access = authorize_once(request, retry);
     if (const refusal* refused = std::get_if<refusal>(&access))
@@ -431,8 +454,8 @@
     const std::optional<refusal> refused = write(key, build, retry);
     if (refused)
     {
-        log_refusal("cancellation_refused", id, *refused, request, began,
-                    retry.attempts());
+        log_outcome("cancellation_refused", id, to_string(*refused), request,
+                    began, retry);
     }
     else
     {
@@ -448,17 +471,13 @@
     call_retry retry(request.m_deadline, m_retries, m_read_latency);
     const auto found = repeat_read<int>(
         retry, [&] { return find_waiting_count(request, retry); });
-    if (const refusal* refused = std::get_if<refusal>(&found))
-    {
-        log_refusal("status_not_given", "", *refused, request, began,
-                    retry.attempts());
-    }
+    log_if_notable(found, "status", "", request, began, retry);
     return found;
 }
 
 service_result<int>
 job_service::find_waiting_count(const caller_request& request,
-                                const call_retry& retry)
+                                call_retry& retry)
 {
     const service_result<caller_access> access = authorize_once(request, retry);
     if (const refusal* refused = std::get_if<refusal>(&access))
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -101,17 +101,17 @@
 
     // One attempt each.
     service_result<caller_access> authorize_once(const caller_request& request,
-                                                 const call_retry& retry);
+                                                 call_retry& retry);
     service_result<dispatch::job_state>
     find_state(const caller_request& request, const std::string& id,
-               const call_retry& retry);
-    service_result<dispatch::job_progress>
-    read_progress(const std::string& id, const call_retry& retry);
+               call_retry& retry);
+    service_result<dispatch::job_progress> read_progress(const std::string& id,
+                                                         call_retry& retry);
     /// Reads a record and notes how long that took.
     store_result<std::optional<record>> read_record(const std::string& key,
-                                                    const call_retry& retry);
+                                                    call_retry& retry);
     service_result<int> find_waiting_count(const caller_request& request,
-                                           const call_retry& retry);
+                                           call_retry& retry);
     /// A conflict on `new_key` means that an earlier call has written it.
     write_outcome commit_once(const store_transaction& transaction,
                               const std::string& new_key,
@@ -129,10 +129,17 @@
     std::optional<refusal> store_job(const caller_request& request,
                                      const dispatch::job_submission& job,
                                      call_retry& retry);
-    /// Logs why a caller does not get what it asked for.
-    void log_refusal(const std::string& event, const std::string& id,
-                     refusal reason, const caller_request& request,
-                     instant began, int attempts);
+    /// Logs why a caller does not get what it asked for, or gets it late, and
+    /// what the time was spent on.
+    void log_outcome(const std::string& event, const std::string& id,
+                     std::string_view reason, const caller_request& request,
+                     instant began, const call_retry& retry);
+    /// Logs a refusal, and a success that took long.
+    template <class T>
+    void log_if_notable(const service_result<T>& result,
+                        const std::string& subject, const std::string& id,
+                        const caller_request& request, instant began,
+                        const call_retry& retry);
 
     record_store& m_store;
     configuration_view& m_configuration;
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -1,3 +1,4 @@
+#include "captured_output.hpp"
 #include "forwarding_store.hpp"
 #include "node_fixture.hpp"
 #include <kingcuprudder/codec/dispatch_codec.hpp>
@@ -352,6 +353,29 @@
               service_result<dispatch::job_state>(dispatch::job_state::queued));
 }
 
+// Guards against answers that come too late without a line that tells whether
+// the configuration, the record or the wait for a thread took the time.
+TEST_F(job_service_test, a_late_status_is_logged_with_what_it_waited_for)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_EQ(jobs.submit(request(), job()), std::nullopt);
+    store.m_latency_ms = 600;
+    captured_output output;
+    EXPECT_EQ(jobs.state(patient_request(), job().m_id).index(), 0u);
+    m_log.flush();
+    const std::string text = output.read_all();
+    output.restore();
+    EXPECT_NE(text.find("\"event\":\"status_given_late\""), std::string::npos);
+    for (const char* field : {"confirmation_ms", "read_ms", "expected_read_ms",
+                              "waited_ms", "took_ms", "left_ms"})
+    {
+        EXPECT_NE(text.find("\"" + std::string(field) + "\":"),
+                  std::string::npos)
+            << field;
+    }
+}
+
 // Guards against status calls that each give up a slow answer and ask again.
 TEST_F(job_service_test, a_slow_store_is_read_once_for_a_status_call)
 {
