--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -390,6 +390,30 @@
     EXPECT_EQ(store.m_reads, 1);
 }
 
+// Guards against reads that are given up too soon although the confirmation of
+// the configuration has shown how long the store takes.
+TEST_F(job_service_test, a_slow_confirmation_teaches_the_time_of_reads)
+{
+    failing_store store(m_store);
+    configuration_view configuration(store, m_records, m_log);
+    job_service jobs(store, configuration, m_log);
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    ASSERT_TRUE(eventually([&] { return configuration.current() != nullptr; }));
+    store.m_latency_ms = 600;
+    m_store.set_fault_hook(
+        [](const std::string& call)
+        {
+            return call == "watch" || call == "list"
+                       ? memory_store::fault::refuse
+                       : memory_store::fault::none;
+        });
+    std::this_thread::sleep_for(std::chrono::milliseconds(3500));
+    ASSERT_EQ(jobs.authorize(patient_request()).index(), 0u);
+    store.m_reads = 0;
+    EXPECT_EQ(jobs.state(patient_request(), job().m_id).index(), 0u);
+    EXPECT_EQ(store.m_reads, 1);
+}
+
 // Guards against a caller that is held until its deadline, too late to ask
 // another instance.
 TEST_F(job_service_test, a_silent_store_is_reported_while_time_is_left)
--- a/unit_tests/node/leadership_test.cpp
+++ b/unit_tests/node/leadership_test.cpp
@@ -84,6 +84,25 @@
     store_transaction m_late;
 };
 
+/// A store that takes long to renew a lease.
+class slow_renewal_store final : public forwarding_store
+{
+public:
+    using forwarding_store::forwarding_store;
+
+    static constexpr span latency = span(900);
+
+    store_result<std::monostate> renew_lease(std::int64_t lease,
+                                             span timeout) override
+    {
+        const span taken = std::min(latency, timeout);
+        std::this_thread::sleep_for(std::chrono::milliseconds(taken.count()));
+        return taken < latency
+                   ? store_result<std::monostate>(store_failure::unknown)
+                   : forwarding_store::renew_lease(lease, timeout);
+    }
+};
+
 class leadership_test : public node_fixture
 {
 };
@@ -140,6 +159,26 @@
     EXPECT_GT(std::max(first.fence(), second.fence()), fence);
 }
 
+// Guards against a leader that gives up each renewal before the store answers,
+// though its lease would last until then.
+TEST_F(leadership_test, a_slow_store_does_not_end_a_term)
+{
+    constexpr span observed_time = span(6000);
+    slow_renewal_store store(m_store);
+    candidate first(store, m_log, "a");
+    ASSERT_TRUE(eventually([&] { return first.is_leader(); }));
+    const std::int64_t fence = first.fence();
+    const instant end = boottime_now() + observed_time;
+    bool led = true;
+    while (boottime_now() < end)
+    {
+        led = led && first.is_leader();
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_TRUE(led);
+    EXPECT_EQ(first.fence(), fence);
+}
+
 // A process that is restarted on its node does not wait until the lease of its
 // predecessor expires.
 TEST_F(leadership_test, a_restarted_process_takes_over_from_its_predecessor)
