A watch beside a slow store is answered

Callers waited for a confirmation of the configuration before each state, and processes looked as if the store did not answer. Cause: a watch waits 1200 ms for changes and has 700 ms more for its answer, so beside a store that takes longer than that each one times out; the configuration is then confirmed by the list that follows only, at most each 2.9 s, while callers need 2 s.

A watch now waits shorter by the time that the store takes, within the same timeout, so a connection that is broken is noticed no later than before. The leader's watch has the same.

--- a/kingcuprudder/node/call_retry.cpp
+++ b/kingcuprudder/node/call_retry.cpp
@@ -18,8 +18,6 @@
 constexpr span max_read_timeout = span(1300);
 // A read is given up after this multiple of the time that reads take.
 constexpr int patience_factor = 2;
-// An expected time that no answer confirms falls by one part in so many.
-constexpr std::int64_t latency_decay = 8;
 constexpr span min_call_timeout = span(50);
 // Reserved for sending the answer to the caller.
 constexpr span answer_margin = span(60);
@@ -62,13 +60,6 @@
     m_in_use.fetch_sub(1);
 }
 
-void read_latency::observe(span took, bool answered)
-{
-    const std::int64_t before = m_expected_ms;
-    const std::int64_t faded = before - before / latency_decay;
-    m_expected_ms = std::max(took.count(), answered ? faded : before);
-}
-
 call_retry::call_retry(instant deadline, retry_capacity& capacity,
                        const read_latency& latency)
     : m_capacity(capacity), m_latency(latency), m_deadline(deadline)
--- a/kingcuprudder/node/call_retry.hpp
+++ b/kingcuprudder/node/call_retry.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_NODE_CALL_RETRY_HPP
 
 #include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/node/read_latency.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -22,19 +23,6 @@
     std::atomic<int> m_in_use = 0;
 };
 
-/// Estimates how long the store takes to answer a read, so that a slow store is
-/// not asked again before it answers. Safe to use from several threads.
-class read_latency
-{
-public:
-    /// Notes a read that was answered, or given up, after this time.
-    void observe(span took, bool answered);
-    span expected() const { return span(m_expected_ms.load()); }
-
-private:
-    std::atomic<std::int64_t> m_expected_ms = 0;
-};
-
 /// How long the calls to the store took that one caller's request waited for.
 struct store_times
 {
--- a/kingcuprudder/node/leadership.cpp
+++ b/kingcuprudder/node/leadership.cpp
@@ -121,6 +121,7 @@
 
 void leadership::follow()
 {
+    const instant sent = boottime_now();
     const store_result<std::optional<record>> found =
         m_store.read(record_keys::leader, call_timeout);
     if (!is_ok(found))
@@ -128,6 +129,7 @@
         pause(follow_retry);
         return;
     }
+    m_latency.observe(boottime_now() - sent, true);
     const std::optional<record>& leader = std::get<0>(found);
     if (!leader)
     {
@@ -158,8 +160,9 @@
             {{"node", name}, {"revision", std::to_string(leader->m_revision)}});
         m_logged_holder = name;
     }
-    const store_result<record_changes> changed =
-        m_store.watch(record_keys::leader, leader->m_revision, watch_wait);
+    const store_result<record_changes> changed = m_store.watch(
+        record_keys::leader, leader->m_revision,
+        wait_with_latency(watch_wait, m_latency), watch_timeout(watch_wait));
     if (!is_ok(changed))
     {
         pause(follow_retry);
--- a/kingcuprudder/node/leadership.hpp
+++ b/kingcuprudder/node/leadership.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_NODE_LEADERSHIP_HPP
 
 #include <kingcuprudder/node/event_log.hpp>
+#include <kingcuprudder/node/read_latency.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
 
@@ -100,6 +101,7 @@
     static std::optional<holder> parse_holder(const std::string& value);
 
     record_store& m_store;
+    read_latency m_latency;
     event_log& m_log;
     std::string m_node;
     std::string m_process;
--- a/kingcuprudder/node/metered_store.cpp
+++ b/kingcuprudder/node/metered_store.cpp
@@ -44,9 +44,11 @@
 }
 
 store_result<record_changes> metered_store::watch(const std::string& prefix,
-                                                  std::int64_t after, span wait)
+                                                  std::int64_t after, span wait,
+                                                  span timeout)
 {
-    return metered(m_watch, [&] { return m_inner.watch(prefix, after, wait); });
+    return metered(m_watch,
+                   [&] { return m_inner.watch(prefix, after, wait, timeout); });
 }
 
 store_result<commit_answer>
--- a/kingcuprudder/node/metered_store.hpp
+++ b/kingcuprudder/node/metered_store.hpp
@@ -18,7 +18,8 @@
     store_result<record_list> list(const std::string& prefix,
                                    span timeout) override;
     store_result<record_changes> watch(const std::string& prefix,
-                                       std::int64_t after, span wait) override;
+                                       std::int64_t after, span wait,
+                                       span timeout) override;
     store_result<commit_answer> commit(const store_transaction& transaction,
                                        span timeout) override;
     store_result<std::int64_t> grant_lease(span time_to_live,
--- a/kingcuprudder/node/record_store.hpp
+++ b/kingcuprudder/node/record_store.hpp
@@ -103,9 +103,11 @@
                                                      span timeout) = 0;
     virtual store_result<record_list> list(const std::string& prefix,
                                            span timeout) = 0;
-    /// Waits up to `wait` for changes after the revision.
-    virtual store_result<record_changes>
-    watch(const std::string& prefix, std::int64_t after, span wait) = 0;
+    /// Waits up to `wait` for changes after the revision. The timeout of the
+    /// call includes the wait.
+    virtual store_result<record_changes> watch(const std::string& prefix,
+                                               std::int64_t after, span wait,
+                                               span timeout) = 0;
     virtual store_result<commit_answer>
     commit(const store_transaction& transaction, span timeout) = 0;
     /// Returns the lease's id.
--- a/kingcuprudder/node/record_watcher.cpp
+++ b/kingcuprudder/node/record_watcher.cpp
@@ -58,6 +58,7 @@
         log_availability_change(false, to_string(std::get<1>(listed)));
         return false;
     }
+    m_latency.observe(boottime_now() - sent, true);
     log_availability_change(true, "listed");
     const record_list& list = std::get<0>(listed);
     m_revision = list.m_revision;
@@ -72,13 +73,18 @@
 bool record_watcher::watch_changes()
 {
     const instant sent = boottime_now();
+    const span wait = wait_with_latency(m_wait, m_latency);
     const store_result<record_changes> watched =
-        m_store.watch(m_prefix, m_revision, m_wait);
+        m_store.watch(m_prefix, m_revision, wait, watch_timeout(m_wait));
     if (is_ok(watched))
     {
         log_availability_change(true, "watched");
         const record_changes& changes = std::get<0>(watched);
         m_revision = changes.m_revision;
+        if (changes.m_changes.empty())
+        {
+            m_latency.observe(boottime_now() - sent - wait, true);
+        }
         if (!changes.m_changes.empty())
         {
             m_hooks.m_changed(changes, sent);
--- a/kingcuprudder/node/record_watcher.hpp
+++ b/kingcuprudder/node/record_watcher.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_NODE_RECORD_WATCHER_HPP
 
 #include <kingcuprudder/node/event_log.hpp>
+#include <kingcuprudder/node/read_latency.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 
 #include <atomic>
@@ -30,7 +31,8 @@
         std::function<void(instant sent)> m_answered;
     };
 
-    /// Each watch call lasts up to `wait`. After changes the next call follows
+    /// Each watch call lasts up to `wait`, which includes the time that the
+    /// store is expected to take. After changes the next call follows
     /// after `batching_delay`, so that frequent changes arrive in batches.
     record_watcher(record_store& store, event_log& log, std::string prefix,
                    span wait, span batching_delay, hooks callbacks);
@@ -52,6 +54,7 @@
     span m_wait;
     span m_batching_delay;
     hooks m_hooks;
+    read_latency m_latency;
     std::int64_t m_revision = 0;
     bool m_store_available = true;
     std::atomic<bool> m_stopping = false;
--- a/stand_ins/memory_store.cpp
+++ b/stand_ins/memory_store.cpp
@@ -121,7 +121,8 @@
 }
 
 node::store_result<node::record_changes>
-memory_store::watch(const std::string& prefix, std::int64_t after, span wait)
+memory_store::watch(const std::string& prefix, std::int64_t after, span wait,
+                    span)
 {
     std::unique_lock lock(m_mutex);
     if (next_fault("watch") != fault::none)
--- a/stand_ins/memory_store.hpp
+++ b/stand_ins/memory_store.hpp
@@ -40,8 +40,10 @@
                                                          span timeout) override;
     node::store_result<node::record_list> list(const std::string& prefix,
                                                span timeout) override;
-    node::store_result<node::record_changes>
-    watch(const std::string& prefix, std::int64_t after, span wait) override;
+    node::store_result<node::record_changes> watch(const std::string& prefix,
+                                                   std::int64_t after,
+                                                   span wait,
+                                                   span timeout) override;
     node::store_result<node::commit_answer>
     commit(const node::store_transaction& transaction, span timeout) override;
     node::store_result<std::int64_t> grant_lease(span time_to_live,
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -201,10 +201,11 @@
         "/kingcuprudder/kv-watch",
         [this](const httplib::Request& request, httplib::Response& response)
         {
-            const auto watched = m_store.watch(
-                request.get_param_value("prefix"),
-                std::stoll(request.get_param_value("after")),
-                span(std::stoll(request.get_param_value("waitMs"))));
+            const span wait(std::stoll(request.get_param_value("waitMs")));
+            const auto watched =
+                m_store.watch(request.get_param_value("prefix"),
+                              std::stoll(request.get_param_value("after")),
+                              wait, wait + call_timeout);
             if (!node::is_ok(watched))
             {
                 fail(response, std::get<1>(watched));
--- a/unit_tests/node/forwarding_store.hpp
+++ b/unit_tests/node/forwarding_store.hpp
@@ -25,9 +25,10 @@
         return m_inner.list(prefix, timeout);
     }
     store_result<record_changes> watch(const std::string& prefix,
-                                       std::int64_t after, span wait) override
+                                       std::int64_t after, span wait,
+                                       span timeout) override
     {
-        return m_inner.watch(prefix, after, wait);
+        return m_inner.watch(prefix, after, wait, timeout);
     }
     store_result<commit_answer> commit(const store_transaction& transaction,
                                        span timeout) override
--- a/unit_tests/platform/nested_json_test.cpp
+++ b/unit_tests/platform/nested_json_test.cpp
@@ -162,7 +162,7 @@
         platform_store& store = answered.store();
         EXPECT_EQ(store.read("k", timeout).index(), 1u);
         EXPECT_EQ(store.list("k", timeout).index(), 1u);
-        EXPECT_EQ(store.watch("k", 1, timeout).index(), 1u);
+        EXPECT_EQ(store.watch("k", 1, timeout, timeout).index(), 1u);
         EXPECT_EQ(store.commit({}, timeout).index(), 1u);
         EXPECT_EQ(store.grant_lease(timeout, timeout).index(), 1u);
         answering_store in_conflict(412, text);
--- a/unit_tests/platform/platform_store_test.cpp
+++ b/unit_tests/platform/platform_store_test.cpp
@@ -61,7 +61,7 @@
         answer(200, body);
         EXPECT_EQ(m_store.read("k", timeout).index(), 1u) << body;
         EXPECT_EQ(m_store.list("k", timeout).index(), 1u) << body;
-        EXPECT_EQ(m_store.watch("k", 1, span(10)).index(), 1u) << body;
+        EXPECT_EQ(m_store.watch("k", 1, span(10), timeout).index(), 1u) << body;
         EXPECT_EQ(std::get<1>(m_store.commit({}, timeout)),
                   store_failure::unknown)
             << body;
