A state is read beside the confirmation of the configuration

A status call confirmed an old configuration and only then read the job, so a store that takes 800 ms cost its caller 1.6 s.

The record is now read first if the newest known configuration gives the caller access; the key is then checked in a configuration that was confirmed at most 2 s before the call began, as before. In the time of the read the watch has most often confirmed it; if not, it is read. A key that is not known is still checked before anything is read.

--- a/kingcuprudder/node/configuration_view.cpp
+++ b/kingcuprudder/node/configuration_view.cpp
@@ -53,16 +53,20 @@
     return m_confirmed_at;
 }
 
+configuration_view::snapshot
+configuration_view::confirmed_since(instant earliest) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_confirmed_at >= earliest ? m_snapshot : nullptr;
+}
+
 configuration_view::snapshot configuration_view::confirmed(span max_age,
                                                            span timeout)
 {
     const instant sent = boottime_now();
+    if (const snapshot recent = confirmed_since(sent - max_age))
     {
-        std::lock_guard lock(m_mutex);
-        if (m_snapshot && sent - m_confirmed_at <= max_age)
-        {
-            return m_snapshot;
-        }
+        return recent;
     }
     const store_result<std::optional<record>> found =
         m_store.read(m_records.m_configuration_key, timeout);
--- a/kingcuprudder/node/configuration_view.hpp
+++ b/kingcuprudder/node/configuration_view.hpp
@@ -36,6 +36,9 @@
     /// `now - max_age`. Reads the store if the last confirmation is older, and
     /// returns null if that fails.
     snapshot confirmed(span max_age, span timeout);
+    /// Returns the newest configuration if the store has confirmed it at or
+    /// after this time, or null.
+    snapshot confirmed_since(instant earliest) const;
     /// Returns when the store last confirmed the cached configuration.
     instant confirmed_at() const;
     /// Caches the configuration in a record that was read for another purpose,
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -79,6 +79,37 @@
     return found == transaction.m_expected.end() ? 0 : found->second;
 }
 
+/// Checks the key of a request in this configuration.
+service_result<caller_access>
+access_given_by(const configuration_snapshot& snapshot,
+                const caller_request& request)
+{
+    const dispatch::service_configuration& configuration =
+        snapshot.m_configuration;
+    const dispatch::queue_configuration* queue =
+        configuration.find_queue(request.m_host, request.m_path);
+    if (queue == nullptr)
+    {
+        return refusal::unknown_queue;
+    }
+    caller_access access;
+    access.m_queue = *queue;
+    access.m_path = request.m_path.substr(queue->m_path_prefix.size());
+    access.m_configuration_revision = snapshot.m_revision;
+    access.m_max_body_bytes = configuration.m_max_body_bytes;
+    const dispatch::account_configuration* account =
+        configuration.account_with_key(request.m_key);
+    if (account != nullptr)
+    {
+        access.m_account = account->m_name;
+    }
+    else if (!queue->m_public)
+    {
+        return refusal::unknown_key;
+    }
+    return access;
+}
+
 /// Returns the part of a path after the last '/', which is the id in the path
 /// of a job.
 std::string last_segment(const std::string& path)
@@ -133,43 +164,47 @@
     return access;
 }
 
+service_result<caller_access>
+job_service::authorize_provisionally(const caller_request& request)
+{
+    if (const configuration_view::snapshot known = m_configuration.current())
+    {
+        const service_result<caller_access> access =
+            access_given_by(*known, request);
+        if (std::holds_alternative<caller_access>(access))
+        {
+            return access;
+        }
+    }
+    return authorize(request);
+}
+
 service_result<caller_access>
 job_service::authorize_once(const caller_request& request, call_retry& retry)
 {
-    const instant sent = boottime_now();
-    const configuration_view::snapshot snapshot =
-        m_configuration.confirmed(configuration_max_age, retry.read_timeout());
+    return authorize_since(boottime_now(), request, retry);
+}
+
+service_result<caller_access>
+job_service::authorize_since(instant began, const caller_request& request,
+                             call_retry& retry)
+{
+    const instant asked = boottime_now();
+    configuration_view::snapshot snapshot =
+        m_configuration.confirmed_since(began - configuration_max_age);
+    if (!snapshot)
+    {
+        snapshot = m_configuration.confirmed(configuration_max_age,
+                                             retry.read_timeout());
+    }
     retry.times().m_confirmation =
-        retry.times().m_confirmation + (boottime_now() - sent);
+        retry.times().m_confirmation + (boottime_now() - asked);
     if (!snapshot)
     {
         return m_configuration.current() ? refusal::unavailable
                                          : refusal::not_configured;
     }
-    const dispatch::service_configuration& configuration =
-        snapshot->m_configuration;
-    const dispatch::queue_configuration* queue =
-        configuration.find_queue(request.m_host, request.m_path);
-    if (queue == nullptr)
-    {
-        return refusal::unknown_queue;
-    }
-    caller_access access;
-    access.m_queue = *queue;
-    access.m_path = request.m_path.substr(queue->m_path_prefix.size());
-    access.m_configuration_revision = snapshot->m_revision;
-    access.m_max_body_bytes = configuration.m_max_body_bytes;
-    const dispatch::account_configuration* account =
-        configuration.account_with_key(request.m_key);
-    if (account != nullptr)
-    {
-        access.m_account = account->m_name;
-    }
-    else if (!queue->m_public)
-    {
-        return refusal::unknown_key;
-    }
-    return access;
+    return access_given_by(*snapshot, request);
 }
 
 std::optional<refusal> job_service::submit(const caller_request& request,
@@ -406,23 +441,48 @@
     return found;
 }
 
+bool job_service::may_read_first(const caller_request& request) const
+{
+    const configuration_view::snapshot known = m_configuration.current();
+    return known && std::holds_alternative<caller_access>(
+                        access_given_by(*known, request));
+}
+
 service_result<dispatch::job_state>
 job_service::find_state(const caller_request& request, const std::string& id,
                         call_retry& retry)
 {
-    const service_result<caller_access> access = authorize_once(request, retry);
-    if (const refusal* refused = std::get_if<refusal>(&access))
-    {
-        return *refused;
-    }
     // Any key that is valid for the queue may read the state, so that an
     // account can still follow its jobs after all its keys were replaced.
+    const instant began = boottime_now();
+    if (!may_read_first(request))
+    {
+        const service_result<caller_access> access =
+            authorize_once(request, retry);
+        if (const refusal* refused = std::get_if<refusal>(&access))
+        {
+            return *refused;
+        }
+    }
     const service_result<dispatch::job_progress> progress =
         read_progress(id, retry);
-    if (const refusal* refused = std::get_if<refusal>(&progress))
+    const refusal* unread = std::get_if<refusal>(&progress);
+    if (unread != nullptr && *unread == refusal::unavailable)
+    {
+        return *unread;
+    }
+    // While the record was read, the watch has most often confirmed an old
+    // configuration.
+    const service_result<caller_access> access =
+        authorize_since(began, request, retry);
+    if (const refusal* refused = std::get_if<refusal>(&access))
     {
         return *refused;
     }
+    if (unread != nullptr)
+    {
+        return *unread;
+    }
     return std::get<0>(progress).m_state;
 }
 
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -70,6 +70,10 @@
     /// Looks up the queue and checks the key in a recently confirmed
     /// configuration. Logs a refusal.
     service_result<caller_access> authorize(const caller_request& request);
+    /// Like authorize(), but grants access by the newest known configuration
+    /// however old it is: only for calls that check the key again.
+    service_result<caller_access>
+    authorize_provisionally(const caller_request& request);
 
     /// Stores the job. Submitting the same id again succeeds without a change.
     std::optional<refusal> submit(const caller_request& request,
@@ -102,6 +106,14 @@
     // One attempt each.
     service_result<caller_access> authorize_once(const caller_request& request,
                                                  call_retry& retry);
+    /// Checks the key of a call that began then in a configuration that was
+    /// recent at that time or was read since.
+    service_result<caller_access> authorize_since(instant began,
+                                                  const caller_request& request,
+                                                  call_retry& retry);
+    /// Whether the newest known configuration gives the caller access, so that
+    /// the record may be read before the key is checked in a recent one.
+    bool may_read_first(const caller_request& request) const;
     service_result<dispatch::job_state>
     find_state(const caller_request& request, const std::string& id,
                call_retry& retry);
