A confirmation of the configuration teaches how long reads take

Cause: only reads of records were measured.

The configuration's reads and those of records share one measured time. Before, the first state after a confirmation that took 600 ms was read twice; now once (job_service_test.a_slow_confirmation_teaches_the_time_of_reads).

--- a/kingcuprudder/node/configuration_view.cpp
+++ b/kingcuprudder/node/configuration_view.cpp
@@ -68,8 +68,9 @@
     {
         return recent;
     }
-    const store_result<std::optional<record>> found =
-        m_store.read(m_records.m_configuration_key, timeout);
+    const store_result<std::optional<record>> found = observed(
+        m_latency,
+        [&] { return m_store.read(m_records.m_configuration_key, timeout); });
     if (!is_ok(found) || !std::get<0>(found))
     {
         return nullptr;
--- a/kingcuprudder/node/configuration_view.hpp
+++ b/kingcuprudder/node/configuration_view.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/node/event_log.hpp>
 #include <kingcuprudder/node/external_records.hpp>
+#include <kingcuprudder/node/read_latency.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
 
@@ -39,6 +40,9 @@
     /// Returns the newest configuration if the store has confirmed it at or
     /// after this time, or null.
     snapshot confirmed_since(instant earliest) const;
+    /// The time that reads take, of those made to confirm the configuration and
+    /// of others that are noted there.
+    read_latency& latency() { return m_latency; }
     /// Returns when the store last confirmed the cached configuration.
     instant confirmed_at() const;
     /// Caches the configuration in a record that was read for another purpose,
@@ -56,6 +60,7 @@
     record_store& m_store;
     external_records m_records;
     event_log& m_log;
+    read_latency m_latency;
     mutable std::mutex m_mutex;
     snapshot m_snapshot;
     instant m_confirmed_at;
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -148,7 +148,7 @@
 job_service::job_service(record_store& store, configuration_view& configuration,
                          event_log& log)
     : m_store(store), m_configuration(configuration), m_log(log),
-      m_waiting_jobs(store)
+      m_read_latency(configuration.latency()), m_waiting_jobs(store)
 {
 }
 
@@ -393,15 +393,9 @@
 {
     const instant sent = boottime_now();
     store_result<std::optional<record>> found =
-        m_store.read(key, retry.read_timeout());
-    const span took = boottime_now() - sent;
-    retry.times().m_read = retry.times().m_read + took;
-    const bool refused =
-        !is_ok(found) && std::get<1>(found) == store_failure::not_done;
-    if (!refused)
-    {
-        m_read_latency.observe(took, is_ok(found));
-    }
+        observed(m_read_latency,
+                 [&] { return m_store.read(key, retry.read_timeout()); });
+    retry.times().m_read = retry.times().m_read + (boottime_now() - sent);
     return found;
 }
 
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -157,7 +157,7 @@
     configuration_view& m_configuration;
     event_log& m_log;
     retry_capacity m_retries;
-    read_latency m_read_latency;
+    read_latency& m_read_latency;
     waiting_job_counter m_waiting_jobs;
 };
 
