--- a/kingcuprudder/node/call_retry.hpp
+++ b/kingcuprudder/node/call_retry.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_NODE_CALL_RETRY_HPP
 
 #include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/node/read_latency.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -22,17 +23,13 @@
     std::atomic<int> m_in_use = 0;
 };
 
-/// Estimates how long the store takes to answer a read, so that a slow store is
-/// not asked again before it answers. Safe to use from several threads.
-class read_latency
+/// How long the calls to the store took that one caller's request waited for.
+struct store_times
 {
-public:
-    /// Notes a read that was answered, or given up, after this time.
-    void observe(span took, bool answered);
-    span expected() const { return span(m_expected_ms.load()); }
+    span m_confirmation; ///< Of the configuration.
+    span m_read;         ///< Of records, the job's state for example.
 
-private:
-    std::atomic<std::int64_t> m_expected_ms = 0;
+    friend bool operator==(const store_times&, const store_times&) = default;
 };
 
 /// The attempts of one caller's request at the store: their timeouts, and
@@ -55,6 +52,11 @@
     call_retry(const call_retry&) = delete;
     call_retry& operator=(const call_retry&) = delete;
 
+    /// The times of all attempts together.
+    store_times& times() { return m_times; }
+    const store_times& times() const { return m_times; }
+    /// How long a read is expected to take.
+    span expected_read_time() const { return m_latency.expected(); }
     /// Number of attempts that have begun.
     int attempts() const { return m_attempts; }
     /// Timeout of a read. The first attempt leaves time for one on a new
@@ -75,6 +77,7 @@
 
     retry_capacity& m_capacity;
     const read_latency& m_latency;
+    store_times m_times;
     instant m_deadline;
     instant m_last_start; ///< No attempt begins later, unless it must.
     int m_attempts = 1;
