The log shows the size and the attempts of a takeover

An operator who saw jobs wait after a change of the leader could not tell from the log whether the new leader was reading records: state_loaded had the live jobs only, a failed attempt to read them and a failed removal of old records left no line.

state_loaded now has the ended jobs, all records read, the attempts and the time since the term began; state_not_loaded names the list that failed and why; records_not_removed counts the records of a removal that failed.

--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -100,7 +100,8 @@
 
 void scheduler::run()
 {
-    m_dispatcher.begin_term(boottime_now(), m_term->fence());
+    m_load_began_at = boottime_now();
+    m_dispatcher.begin_term(m_load_began_at, m_term->fence());
     try
     {
         while (!m_stopping && !load())
@@ -460,8 +461,15 @@
             }
             continue;
         }
+        const std::size_t records_to_remove =
+            next->m_writes.empty() ? next->m_transaction.m_removals.size() : 0;
         const store_result<commit_answer> outcome =
             commit_as_leader(std::move(next->m_transaction));
+        if (records_to_remove > 0)
+        {
+            post([this, records_to_remove, outcome]
+                 { finish_removal(records_to_remove, outcome); });
+        }
         if (next->m_raises_fence)
         {
             if (const auto revision = committed_revision(outcome))
@@ -650,6 +658,21 @@
     }
 }
 
+void scheduler::finish_removal(std::size_t records,
+                               const store_result<commit_answer>& outcome)
+{
+    if (committed_revision(outcome))
+    {
+        return;
+    }
+    m_environment.m_log.write(
+        "scheduler", "records_not_removed", "",
+        {{"records", std::to_string(records)},
+         {"reason", is_ok(outcome)
+                        ? "conflict"
+                        : std::string(to_string(std::get<1>(outcome)))}});
+}
+
 std::string scheduler::dump()
 {
     auto promise = std::make_shared<std::promise<std::string>>();
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -74,6 +74,7 @@
     void handle_events();
     void apply(const event& next);
     bool load();
+    void log_failed_load(const std::string& prefix, store_failure reason);
     void load_jobs(const record_list& live, const record_list& progress);
     /// Adds the job of a listed submission, or holds it as unusable.
     void load_job(const record& found,
@@ -124,6 +125,9 @@
     void publish_summary();
     void publish_metrics();
     void remove_old_records();
+    /// Handles the result of a removal of this many records.
+    void finish_removal(std::size_t records,
+                        const store_result<commit_answer>& outcome);
     /// Returns null, and logs why, for an address that cannot be used.
     std::shared_ptr<worker_session>
     make_session(const dispatch::renewal_request& request);
@@ -144,6 +148,8 @@
     std::set<std::string> m_ended_jobs;
     /// Jobs whose records cannot be used. They stay as they are in the store.
     std::set<std::string> m_unusable_jobs;
+    int m_load_attempts = 0;
+    instant m_load_began_at;
     /// The load has decided about all submissions up to this revision.
     std::int64_t m_loaded_revision = 0;
     /// Ended jobs by the time when their records are removed.
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -51,30 +51,56 @@
 
 bool scheduler::load()
 {
-    record_store& store = m_environment.m_store;
-    const store_result<record_list> workers =
-        store.list(m_environment.m_records.m_workers_prefix, load_timeout);
-    const store_result<record_list> live =
-        store.list(record_keys::live_prefix, load_timeout);
-    const store_result<record_list> progress =
-        store.list(record_keys::progress_prefix, load_timeout);
-    if (!is_ok(workers) || !is_ok(live) || !is_ok(progress))
+    ++m_load_attempts;
+    std::vector<record_list> lists;
+    for (const std::string& prefix :
+         {m_environment.m_records.m_workers_prefix, record_keys::live_prefix,
+          record_keys::progress_prefix})
     {
-        return false;
+        store_result<record_list> read =
+            m_environment.m_store.list(prefix, load_timeout);
+        if (!is_ok(read))
+        {
+            log_failed_load(prefix, std::get<1>(read));
+            return false;
+        }
+        lists.push_back(std::move(std::get<0>(read)));
     }
-    apply_worker_list(std::get<0>(workers));
-    load_jobs(std::get<0>(live), std::get<0>(progress));
+    const record_list& workers = lists[0];
+    const record_list& live = lists[1];
+    const record_list& progress = lists[2];
+    apply_worker_list(workers);
+    load_jobs(live, progress);
+    const std::size_t records = workers.m_records.size() +
+                                live.m_records.size() +
+                                progress.m_records.size();
     m_environment.m_log.write(
         "scheduler", "state_loaded", "",
-        {{"workers", std::to_string(std::get<0>(workers).m_records.size())},
+        {{"workers", std::to_string(workers.m_records.size())},
          {"jobs", std::to_string(m_dispatcher.jobs().size())},
+         {"ended_jobs", std::to_string(m_ended_jobs.size())},
          {"unusable_jobs", std::to_string(m_unusable_jobs.size())},
-         {"revision", std::to_string(std::get<0>(live).m_revision)},
+         {"records", std::to_string(records)},
+         {"attempts", std::to_string(m_load_attempts)},
+         {"took_ms",
+          std::to_string((boottime_now() - m_load_began_at).count())},
+         {"revision", std::to_string(live.m_revision)},
          {"fence", std::to_string(m_term->fence())}});
     watch_records();
     return true;
 }
 
+void scheduler::log_failed_load(const std::string& prefix, store_failure reason)
+{
+    m_environment.m_log.write(
+        "scheduler", "state_not_loaded", "",
+        {{"prefix", prefix},
+         {"reason", std::string(to_string(reason))},
+         {"attempt", std::to_string(m_load_attempts)},
+         {"waited_ms",
+          std::to_string((boottime_now() - m_load_began_at).count())}});
+}
+
 void scheduler::load_jobs(const record_list& live, const record_list& progress)
 {
     m_loaded_revision = live.m_revision;
