--- a/kingcuprudder/node/node.cpp
+++ b/kingcuprudder/node/node.cpp
@@ -47,7 +47,8 @@
     m_scheduler = std::make_unique<scheduler>(
         scheduler_environment{
             m_store, m_log, m_metrics.leader(), m_configuration, m_records,
-            m_worker_calls, m_settings.m_limits, m_settings.m_status_retention},
+            m_worker_calls, m_settings.m_limits,
+            m_settings.m_status_retention + m_settings.m_removal_margin},
         current_term);
 }
 
--- a/kingcuprudder/node/node_settings.hpp
+++ b/kingcuprudder/node/node_settings.hpp
@@ -23,6 +23,8 @@
     dispatch::dispatch_limits m_limits;
     /// How long the state of an ended job is retained.
     span m_status_retention = span::seconds(120);
+    /// Records of ended jobs are kept this much longer, as clocks differ.
+    span m_removal_margin = span::seconds(60);
     /// Time from a stop request until the process is killed.
     span m_shutdown_grace = span::seconds(6);
 
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -39,8 +39,6 @@
 constexpr span summary_interval = span(500);
 constexpr span metrics_interval = span(500);
 constexpr span removal_interval = span(5000);
-// Records of ended jobs are kept this much longer, as clocks differ.
-constexpr span removal_margin = span(60'000);
 // One entry of each transaction checks the leader record.
 constexpr std::size_t max_record_entries = max_transaction_entries - 1;
 
@@ -564,8 +562,7 @@
 {
     if (m_ended_jobs.insert(job).second)
     {
-        m_removals.emplace(
-            now + m_environment.m_status_retention + removal_margin, job);
+        m_removals.emplace(now + m_environment.m_record_retention, job);
     }
 }
 
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -39,8 +39,8 @@
     const external_records& m_records;
     worker_calls_factory m_worker_calls;
     dispatch::dispatch_limits m_limits;
-    /// How long the state of an ended job is retained.
-    span m_status_retention;
+    /// How long the record of an ended job is kept.
+    span m_record_retention;
 };
 
 /// Schedules jobs during one term of leadership: loads the stored state,
