Records of ended jobs are removed as fast as jobs end

Operators would see takeovers grow with the age of a deployment: the records of ended jobs that a new leader reads were never caught up with.

Cause: at most 31 records were removed in 5 s, while a deployment accepts about 20 jobs a second; a removal that was not queued or not committed was forgotten for the rest of the term.

record_removals keeps each record until the store is known not to have it, and returns groups of 15, one in flight at a time, 100 ms apart: 150 records a second. A group that is not full waits for others for 1 s at most. A removal expects the record's revision, so that one that is repeated after a lost answer does not remove the record of a job that was submitted again under the id since. The guard against adding ended jobs again compares revisions for the same reason. Removing in the background of a page-wise list would need no memory of the keys, but reads all records again and again.

--- /dev/null
+++ b/kingcuprudder/node/record_removals.cpp
@@ -0,0 +1,113 @@
+#include <kingcuprudder/node/record_removals.hpp>
+
+#include <algorithm>
+
+namespace kingcuprudder::node
+{
+
+namespace
+{
+
+// Each removal takes two entries of a transaction, and one checks the leader
+// record.
+constexpr std::size_t entries_per_removal = 2;
+constexpr std::size_t max_group =
+    (max_transaction_entries - 1) / entries_per_removal;
+// A backlog is removed at 150 records per second, which leaves the writer to
+// the progress of jobs.
+constexpr span group_interval = span(100);
+// How long records wait for others to fill a group.
+constexpr span partial_group_interval = span(1000);
+constexpr span retry_pause = span(1000);
+
+} // namespace
+
+void record_removals::schedule(const record_removal& removal, instant due)
+{
+    const auto [found, added] =
+        m_records.try_emplace(removal.m_key, entry{removal.m_revision, due});
+    if (added)
+    {
+        m_by_due.emplace(due, removal.m_key);
+    }
+    found->second.m_revision = removal.m_revision;
+}
+
+void record_removals::drop(const record_removal& removal)
+{
+    const auto found = m_records.find(removal.m_key);
+    if (found != m_records.end() &&
+        found->second.m_revision <= removal.m_revision)
+    {
+        erase(found);
+    }
+}
+
+std::vector<record_removal> record_removals::take(instant now)
+{
+    if (!m_in_flight.empty() || now < m_next_at)
+    {
+        return {};
+    }
+    std::vector<record_removal> group;
+    for (auto each = m_by_due.begin();
+         each != m_by_due.end() && each->first <= now &&
+         group.size() < max_group;
+         ++each)
+    {
+        group.push_back({each->second, m_records.at(each->second).m_revision});
+    }
+    if (group.empty() || (group.size() < max_group && now < m_next_partial_at))
+    {
+        return {};
+    }
+    m_in_flight = group;
+    m_next_at = now + group_interval;
+    m_next_partial_at = now + partial_group_interval;
+    return group;
+}
+
+void record_removals::failed(instant now)
+{
+    m_in_flight.clear();
+    m_next_at = now + retry_pause;
+    m_next_partial_at = m_next_at;
+}
+
+void record_removals::removed()
+{
+    for (const record_removal& each : m_in_flight)
+    {
+        drop(each);
+    }
+    m_in_flight.clear();
+}
+
+void record_removals::conflicted(const store_conflict& conflict)
+{
+    const std::vector<record>& found = conflict.m_records;
+    for (const record_removal& each : m_in_flight)
+    {
+        const bool unchanged =
+            std::any_of(found.begin(), found.end(),
+                        [&each](const record& current)
+                        {
+                            return current.m_key == each.m_key &&
+                                   current.m_revision == each.m_revision;
+                        });
+        if (!unchanged)
+        {
+            drop(each);
+        }
+    }
+    m_in_flight.clear();
+    m_next_partial_at = m_next_at;
+}
+
+void record_removals::erase(scheduled_records::iterator found)
+{
+    m_by_due.erase({found->second.m_due, found->first});
+    m_records.erase(found);
+}
+
+} // namespace kingcuprudder::node
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -38,7 +38,6 @@
 constexpr span min_raise_interval = span(1000);
 constexpr span summary_interval = span(500);
 constexpr span metrics_interval = span(500);
-constexpr span removal_interval = span(5000);
 // One entry of each transaction checks the leader record.
 constexpr std::size_t max_record_entries = max_transaction_entries - 1;
 
@@ -459,14 +458,12 @@
             }
             continue;
         }
-        const std::size_t records_to_remove =
-            next->m_writes.empty() ? next->m_transaction.m_removals.size() : 0;
         const store_result<commit_answer> outcome =
             commit_as_leader(std::move(next->m_transaction));
-        if (records_to_remove > 0)
+        if (!next->m_removals.empty())
         {
-            post([this, records_to_remove, outcome]
-                 { finish_removal(records_to_remove, outcome); });
+            post([this, group = next->m_removals, outcome]
+                 { finish_removal(group, outcome); });
         }
         if (next->m_raises_fence)
         {
@@ -551,36 +548,37 @@
     {
         if (dispatch::is_final(write.m_progress.m_state))
         {
-            schedule_removal(write.m_job, boottime_now());
+            note_ended_job(write.m_job, std::get<std::int64_t>(answer),
+                           boottime_now() + m_environment.m_record_retention);
         }
         m_dispatcher.write_stored(write.m_job, write.m_version,
                                   std::get<std::int64_t>(answer));
     }
 }
 
-void scheduler::schedule_removal(const std::string& job, instant now)
+void scheduler::note_ended_job(const std::string& job, std::int64_t revision,
+                               instant due)
 {
-    if (m_ended_jobs.insert(job).second)
-    {
-        m_removals.emplace(now + m_environment.m_record_retention, job);
-    }
+    m_ended_jobs[job] = revision;
+    m_removals.schedule({record_keys::progress(job), revision}, due);
+}
+
+bool scheduler::has_ended(const std::string& job,
+                          std::int64_t submission_revision) const
+{
+    const auto found = m_ended_jobs.find(job);
+    return found != m_ended_jobs.end() && submission_revision <= found->second;
 }
 
 void scheduler::resolve_conflict(const std::vector<dispatch::job_write>& writes,
                                  const store_conflict& conflict)
 {
+    if (ended_by(conflict))
+    {
+        return;
+    }
     for (const record& found : conflict.m_records)
     {
-        if (found.m_key == record_keys::leader &&
-            found.m_value != m_term->leader_record().m_value)
-        {
-            m_environment.m_log.write(
-                "scheduler", "leader_replaced", "",
-                {{"fence", std::to_string(m_term->fence())},
-                 {"revision", std::to_string(found.m_revision)}});
-            m_term->end();
-            return;
-        }
         if (found.m_key.starts_with(record_keys::progress_prefix))
         {
             m_dispatcher.update_revision(
@@ -594,6 +592,24 @@
     }
 }
 
+bool scheduler::ended_by(const store_conflict& conflict)
+{
+    for (const record& found : conflict.m_records)
+    {
+        if (found.m_key == record_keys::leader &&
+            found.m_value != m_term->leader_record().m_value)
+        {
+            m_environment.m_log.write(
+                "scheduler", "leader_replaced", "",
+                {{"fence", std::to_string(m_term->fence())},
+                 {"revision", std::to_string(found.m_revision)}});
+            m_term->end();
+            return true;
+        }
+    }
+    return false;
+}
+
 void scheduler::publish_summary()
 {
     const instant now = boottime_now();
@@ -634,40 +650,68 @@
 
 void scheduler::remove_old_records()
 {
-    const instant now = boottime_now();
-    if (now - m_last_removal_at < removal_interval)
+    // No other thread pushes to this queue, so a push succeeds if the queue is
+    // not full now.
+    if (m_write_queue.full())
     {
         return;
     }
-    m_last_removal_at = now;
     queued_write next;
-    while (!m_removals.empty() && m_removals.begin()->first <= now &&
-           next.m_transaction.m_removals.size() < max_record_entries)
+    next.m_removals = m_removals.take(boottime_now());
+    if (next.m_removals.empty())
     {
-        const std::string id = m_removals.begin()->second;
-        m_removals.erase(m_removals.begin());
-        m_ended_jobs.erase(id);
-        next.m_transaction.m_removals.push_back(record_keys::progress(id));
+        return;
     }
-    if (!next.m_transaction.m_removals.empty())
+    for (const record_removal& each : next.m_removals)
     {
-        m_write_queue.try_push(std::move(next));
+        // A job that was submitted again after its record was removed has a
+        // record with another revision.
+        next.m_transaction.m_expected.emplace_back(each.m_key, each.m_revision);
+        next.m_transaction.m_removals.push_back(each.m_key);
     }
+    m_write_queue.try_push(std::move(next));
 }
 
-void scheduler::finish_removal(std::size_t records,
+void scheduler::finish_removal(const std::vector<record_removal>& group,
                                const store_result<commit_answer>& outcome)
 {
     if (committed_revision(outcome))
     {
+        m_removals.removed();
+        forget_removed(group);
         return;
     }
     m_environment.m_log.write(
-        "scheduler", "records_not_removed", "",
-        {{"records", std::to_string(records)},
+        "scheduler", "records_not_removed", group.front().m_key,
+        {{"records", std::to_string(group.size())},
          {"reason", is_ok(outcome)
                         ? "conflict"
                         : std::string(to_string(std::get<1>(outcome)))}});
+    if (!is_ok(outcome))
+    {
+        m_removals.failed(boottime_now());
+        return;
+    }
+    const auto& conflict =
+        std::get<store_conflict>(std::get<commit_answer>(outcome));
+    if (!ended_by(conflict))
+    {
+        m_removals.conflicted(conflict);
+        forget_removed(group);
+    }
+}
+
+void scheduler::forget_removed(const std::vector<record_removal>& group)
+{
+    for (const record_removal& each : group)
+    {
+        if (each.m_key.starts_with(record_keys::progress_prefix) &&
+            !m_removals.is_scheduled(each.m_key))
+        {
+            m_ended_jobs.erase(
+                after_prefix(each.m_key, record_keys::progress_prefix));
+        }
+    }
 }
 
 std::string scheduler::dump()
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <kingcuprudder/node/external_records.hpp>
 #include <kingcuprudder/node/leader_metrics.hpp>
 #include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/record_removals.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
 #include <kingcuprudder/node/worker_calls.hpp>
@@ -120,14 +121,24 @@
                       const store_result<commit_answer>& outcome);
     void resolve_conflict(const std::vector<dispatch::job_write>& writes,
                           const store_conflict& conflict);
-    /// Schedules the removal of an ended job's progress record.
-    void schedule_removal(const std::string& job, instant now);
+    /// Notes that a job has ended and schedules the removal of its progress
+    /// record, which has this revision.
+    void note_ended_job(const std::string& job, std::int64_t revision,
+                        instant due);
+    /// Returns whether the job of this submission has ended.
+    bool has_ended(const std::string& job,
+                   std::int64_t submission_revision) const;
     void publish_summary();
     void publish_metrics();
     void remove_old_records();
-    /// Handles the result of a removal of this many records.
-    void finish_removal(std::size_t records,
+    /// Handles the result of the removal of a group of records.
+    void finish_removal(const std::vector<record_removal>& group,
                         const store_result<commit_answer>& outcome);
+    /// Forgets the ended jobs whose records the store no longer has.
+    void forget_removed(const std::vector<record_removal>& group);
+    /// Ends the term if the conflict shows another leader. Returns whether it
+    /// does.
+    bool ended_by(const store_conflict& conflict);
     /// Returns null, and logs why, for an address that cannot be used.
     std::shared_ptr<worker_session>
     make_session(const dispatch::renewal_request& request);
@@ -143,17 +154,16 @@
     /// Carries the calls to all workers.
     event_loop m_worker_loop;
     std::map<std::string, std::shared_ptr<worker_session>> m_sessions;
-    /// Ended jobs, so that a list that was read before their end does not add
-    /// them again.
-    std::set<std::string> m_ended_jobs;
+    /// Ended jobs and the revisions of their records, so that a list that was
+    /// read before their end does not add them again.
+    std::map<std::string, std::int64_t> m_ended_jobs;
     /// Jobs whose records cannot be used. They stay as they are in the store.
     std::set<std::string> m_unusable_jobs;
     int m_load_attempts = 0;
     instant m_load_began_at;
     /// The load has decided about all submissions up to this revision.
     std::int64_t m_loaded_revision = 0;
-    /// Ended jobs by the time when their records are removed.
-    std::multimap<instant, std::string> m_removals;
+    record_removals m_removals;
     bool m_write_in_flight = false;
     bool m_raising_fence = false;
     instant m_next_raise_at;
@@ -166,15 +176,16 @@
     instant m_next_write_at;
     instant m_summary_published_at;
     instant m_metrics_published_at;
-    instant m_last_removal_at;
     /// The configuration that the dispatcher uses.
     configuration_view::snapshot m_applied_configuration;
 
-    /// A transaction and the progress records that it stores, if any.
+    /// A transaction and the progress records that it stores or the records
+    /// that it removes, if any.
     struct queued_write
     {
         store_transaction m_transaction;
         std::vector<dispatch::job_write> m_writes;
+        std::vector<record_removal> m_removals;
         /// The transaction writes the leader record.
         bool m_raises_fence = false;
     };
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -117,7 +117,8 @@
         }
         else if (dispatch::is_final(decoded->m_state))
         {
-            schedule_removal(id, now);
+            note_ended_job(id, each.m_revision,
+                           now + m_environment.m_record_retention);
         }
         else
         {
@@ -147,7 +148,7 @@
 {
     const std::string id =
         after_prefix(found.m_key, record_keys::submission_prefix);
-    if (m_ended_jobs.contains(id) || m_unusable_jobs.contains(id))
+    if (has_ended(id, found.m_revision) || m_unusable_jobs.contains(id))
     {
         return;
     }
@@ -269,7 +270,7 @@
             after_prefix(found.m_key, record_keys::submission_prefix);
         // The load has decided about all older submissions.
         if (found.m_revision > m_loaded_revision && !m_dispatcher.has_job(id) &&
-            !m_ended_jobs.contains(id) && !m_unusable_jobs.contains(id))
+            !has_ended(id, found.m_revision) && !m_unusable_jobs.contains(id))
         {
             // One transaction writes the submission and the first progress
             // record, so both have the same revision.
