A measurement of takeovers beside many ended jobs

The stand-in's pages are a parameter: 500 items or 1 MB like the platform's, or 20 items for short lists.

Each call to the store loses answers there, those of the election as well.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,5 +1,6 @@
 #include <soak/rolling_restarts.hpp>
 #include <soak/scenario.hpp>
+#include <soak/takeover.hpp>
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
@@ -46,6 +47,29 @@
     return report.m_calls.m_unanswered.empty();
 }
 
+/// Prints the time of one takeover in milliseconds, or -1 if it took too long.
+/// Returns whether the job was started in time.
+bool run_takeover(unsigned seed, const std::string& folder, int ended_jobs,
+                  double lost_answers)
+{
+    soak::takeover_options options;
+    options.m_program = node_program();
+    options.m_folder = folder;
+    options.m_ended_jobs = ended_jobs;
+    options.m_link.m_lost_answers = lost_answers;
+    options.m_link.m_seed = seed;
+    const soak::takeover_report report = soak::measure_takeover(options);
+    constexpr kingcuprudder::span none(-1);
+    std::printf(
+        "seed %u: ended jobs %d lost answers %.2f accepted_ms %lld "
+        "started_ms %lld\n",
+        seed, ended_jobs, lost_answers,
+        static_cast<long long>(report.m_accepted.value_or(none).count()),
+        static_cast<long long>(report.m_started.value_or(none).count()));
+    std::fflush(stdout);
+    return report.m_started.has_value();
+}
+
 } // namespace
 
 // Runs the soak scenario with each seed in turn and prints its results. Exits
@@ -79,6 +103,15 @@
     TCLAP::ValueArg<int> callers("", "callers",
                                  "callers beside rolling restarts", false, 24,
                                  "number", line);
+    TCLAP::ValueArg<int> takeover(
+        "", "takeover",
+        "measure the time of a takeover beside the records of so many ended "
+        "jobs, on a link of 10 Mbit/s",
+        false, -1, "ended jobs", line);
+    TCLAP::ValueArg<double> lost_answers(
+        "", "lost-answers",
+        "share of the store's answers that a takeover loses", false, 0, "share",
+        line);
     line.parse(argc, argv);
     int failed_seeds = 0;
     for (unsigned seed = first.getValue();
@@ -98,6 +131,15 @@
             failed_seeds += answered ? 0 : 1;
             continue;
         }
+        if (takeover.isSet())
+        {
+            failed_seeds +=
+                run_takeover(seed, options.m_folder, takeover.getValue(),
+                             lost_answers.getValue())
+                    ? 0
+                    : 1;
+            continue;
+        }
         options.m_seed = seed;
         options.m_nodes = nodes.getValue();
         options.m_false_entries = false_entries.getValue();
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -83,8 +83,9 @@
 
 } // namespace
 
-platform_stand_in::platform_stand_in(int minions, span max_hold)
-    : m_minions(m_store, minions, max_hold)
+platform_stand_in::platform_stand_in(int minions, span max_hold,
+                                     const list_page_limits& pages)
+    : m_pages(pages), m_minions(m_store, minions, max_hold)
 {
     write_configuration(1, "key");
     m_store_listener = std::make_unique<http_listener>(
@@ -176,24 +177,27 @@
                 fail(response, std::get<1>(listed));
                 return;
             }
-            // Small pages, so that a list takes several requests.
-            constexpr std::size_t page_size = 20;
             const std::string after = request.get_param_value("after");
             json body{{"items", json::array()},
                       {"hasMore", false},
                       {"asOf", std::get<0>(listed).m_revision}};
+            std::size_t bytes = 0;
             for (const node::record& each : std::get<0>(listed).m_records)
             {
                 if (each.m_key <= after)
                 {
                     continue;
                 }
-                if (body["items"].size() == page_size)
+                json item = item_json(each);
+                bytes += item.dump().size();
+                const bool fits = body["items"].size() < m_pages.m_items &&
+                                  bytes <= m_pages.m_bytes;
+                if (!fits && !body["items"].empty())
                 {
                     body["hasMore"] = true;
                     break;
                 }
-                body["items"].push_back(item_json(each));
+                body["items"].push_back(std::move(item));
             }
             answer(response, body);
         });
