--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <kingcuprudder/node/external_records.hpp>
 #include <kingcuprudder/node/leader_metrics.hpp>
 #include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/record_removals.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
 #include <kingcuprudder/node/worker_calls.hpp>
@@ -39,8 +40,8 @@
     const external_records& m_records;
     worker_calls_factory m_worker_calls;
     dispatch::dispatch_limits m_limits;
-    /// How long the state of an ended job is retained.
-    span m_status_retention;
+    /// How long the record of an ended job is kept.
+    span m_record_retention;
 };
 
 /// Schedules jobs during one term of leadership: loads the stored state,
@@ -74,6 +75,7 @@
     void handle_events();
     void apply(const event& next);
     bool load();
+    void log_failed_load(const std::string& prefix, store_failure reason);
     void load_jobs(const record_list& live, const record_list& progress);
     /// Adds the job of a listed submission, or holds it as unusable.
     void load_job(const record& found,
@@ -119,11 +121,24 @@
                       const store_result<commit_answer>& outcome);
     void resolve_conflict(const std::vector<dispatch::job_write>& writes,
                           const store_conflict& conflict);
-    /// Schedules the removal of an ended job's progress record.
-    void schedule_removal(const std::string& job, instant now);
+    /// Notes that a job has ended and schedules the removal of its progress
+    /// record, which has this revision.
+    void note_ended_job(const std::string& job, std::int64_t revision,
+                        instant due);
+    /// Returns whether the job of this submission has ended.
+    bool has_ended(const std::string& job,
+                   std::int64_t submission_revision) const;
     void publish_summary();
     void publish_metrics();
     void remove_old_records();
+    /// Handles the result of the removal of a group of records.
+    void finish_removal(const std::vector<record_removal>& group,
+                        const store_result<commit_answer>& outcome);
+    /// Forgets the ended jobs whose records the store no longer has.
+    void forget_removed(const std::vector<record_removal>& group);
+    /// Ends the term if the conflict shows another leader. Returns whether it
+    /// does.
+    bool ended_by(const store_conflict& conflict);
     /// Returns null, and logs why, for an address that cannot be used.
     std::shared_ptr<worker_session>
     make_session(const dispatch::renewal_request& request);
@@ -139,15 +154,16 @@
     /// Carries the calls to all workers.
     event_loop m_worker_loop;
     std::map<std::string, std::shared_ptr<worker_session>> m_sessions;
-    /// Ended jobs, so that a list that was read before their end does not add
-    /// them again.
-    std::set<std::string> m_ended_jobs;
+    /// Ended jobs and the revisions of their records, so that a list that was
+    /// read before their end does not add them again.
+    std::map<std::string, std::int64_t> m_ended_jobs;
     /// Jobs whose records cannot be used. They stay as they are in the store.
     std::set<std::string> m_unusable_jobs;
+    int m_load_attempts = 0;
+    instant m_load_began_at;
     /// The load has decided about all submissions up to this revision.
     std::int64_t m_loaded_revision = 0;
-    /// Ended jobs by the time when their records are removed.
-    std::multimap<instant, std::string> m_removals;
+    record_removals m_removals;
     bool m_write_in_flight = false;
     bool m_raising_fence = false;
     instant m_next_raise_at;
@@ -160,15 +176,16 @@
     instant m_next_write_at;
     instant m_summary_published_at;
     instant m_metrics_published_at;
-    instant m_last_removal_at;
     /// The configuration that the dispatcher uses.
     configuration_view::snapshot m_applied_configuration;
 
-    /// A transaction and the progress records that it stores, if any.
+    /// A transaction and the progress records that it stores or the records
+    /// that it removes, if any.
     struct queued_write
     {
         store_transaction m_transaction;
         std::vector<dispatch::job_write> m_writes;
+        std::vector<record_removal> m_removals;
         /// The transaction writes the leader record.
         bool m_raises_fence = false;
     };
