Stand-ins: minions of a deployment's size

Each call that waits at a minion was woken by each end of a run, and the minions had one size, one queue and no drain, saved progress or persistent tasks. Their number, size and times are options now, specs may be objects, a waiting call is woken by its own minion only, and a watch of the memory store searches each change once.

The soak has a scenario for a deployment, not run yet.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -10,13 +10,36 @@
 namespace kingcuprudder::soak
 {
 
+namespace
+{
+
+constexpr double millis_per_second = 1000;
+
+double seconds_of(span time)
+{
+    return static_cast<double>(time.count()) / millis_per_second;
+}
+
+} // namespace
+
 deployment::deployment(std::string program, std::string folder,
                        const std::string& store_address, int nodes,
                        span worker_lease)
-    : m_program(std::move(program)), m_folder(std::move(folder))
+    : deployment(std::move(program), std::move(folder),
+                 std::vector<process_profile>(static_cast<std::size_t>(nodes),
+                                              {store_address, 1}),
+                 process_times{.m_worker_lease = worker_lease})
+{
+}
+
+deployment::deployment(std::string program, std::string folder,
+                       const std::vector<process_profile>& profiles,
+                       const process_times& times)
+    : m_program(std::move(program)), m_folder(std::move(folder)), m_times(times)
 {
-    for (int index = 0; index < nodes; ++index)
+    for (const process_profile& profile : profiles)
     {
+        const std::size_t index = m_nodes.size();
         node_process& node = m_nodes.emplace_back();
         node.m_caller_address = demo::free_loopback_address();
         node.m_readiness_address = demo::free_loopback_address();
@@ -28,15 +51,15 @@
             {"caller_address", node.m_caller_address},
             {"readiness_address", node.m_readiness_address},
             {"metrics_address", demo::free_loopback_address()},
-            {"store_address", store_address},
-            {"processor_share", 1},
-            {"worker_lease_ms", worker_lease.count()},
+            {"store_address", profile.m_store_address},
+            {"processor_share", profile.m_processor_share},
+            {"worker_lease_ms", times.m_worker_lease.count()},
             {"worker_stop_ms", 400},
             {"reclaim_ms", 2900},
             {"distance_factor", 3},
             {"restore_ms", 100},
-            {"status_s", 120},
-            {"shutdown_grace_s", 3}};
+            {"status_s", seconds_of(times.m_status_retention)},
+            {"shutdown_grace_s", seconds_of(times.m_shutdown_grace)}};
         std::ofstream(node.m_settings_path) << settings.dump();
     }
 }
@@ -95,6 +118,25 @@
     return m_nodes[node].m_process->wait_for_exit(timeout);
 }
 
+void deployment::reload(int node)
+{
+    m_nodes[node].m_process->send_signal(SIGHUP);
+}
+
+bool deployment::kill_after_grace(int node)
+{
+    node_process& each = m_nodes[node];
+    if (!each.m_process || !each.m_terminating ||
+        time_since_signal(node) < m_times.m_shutdown_grace ||
+        each.m_process->wait_for_exit(span(0)))
+    {
+        return false;
+    }
+    each.m_process.reset();
+    each.m_terminating = false;
+    return true;
+}
+
 void deployment::pause(int node)
 {
     m_nodes[node].m_process->send_signal(SIGSTOP);
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -10,10 +10,26 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace kingcuprudder::soak
 {
 
+/// The settings of one process that differ between processes.
+struct process_profile
+{
+    std::string m_store_address; ///< "ip:port".
+    double m_processor_share = 1;
+};
+
+/// The settings that all processes share.
+struct process_times
+{
+    span m_worker_lease = span(6000);
+    span m_shutdown_grace = span::seconds(3);
+    span m_status_retention = span::seconds(120);
+};
+
 /// Starts kcr_node processes on loopback ports and kills, terminates or pauses
 /// them.
 class deployment
@@ -24,6 +40,9 @@
     deployment(std::string program, std::string folder,
                const std::string& store_address, int nodes,
                span worker_lease = span(6000));
+    deployment(std::string program, std::string folder,
+               const std::vector<process_profile>& profiles,
+               const process_times& times);
 
     int size() const { return static_cast<int>(m_nodes.size()); }
     /// Returns the address for callers as "ip:port".
@@ -54,6 +73,11 @@
     bool restart_if_ended(int node);
     /// Waits until the process has exited. Returns false on timeout.
     bool wait_for_exit(int node, span timeout);
+    /// Sends SIGHUP: the settings file has changed.
+    void reload(int node);
+    /// Kills the process if it still runs when its shutdown grace time is over,
+    /// as the platform does. Returns whether it did.
+    bool kill_after_grace(int node);
     /// Sends SIGSTOP.
     void pause(int node);
     /// Sends SIGCONT.
@@ -73,6 +97,7 @@
 
     std::string m_program;
     std::string m_folder;
+    process_times m_times;
     std::deque<node_process> m_nodes;
 };
 
--- /dev/null
+++ b/soak/job_callers.cpp
@@ -0,0 +1,221 @@
+#include <kingcuprudder/node/clocks.hpp>
+
+#include <nlohmann/json.hpp>
+#include <soak/job_callers.hpp>
+
+#include <chrono>
+#include <queue>
+#include <random>
+
+namespace kingcuprudder::soak
+{
+
+namespace
+{
+
+constexpr int max_attempts = 4;
+constexpr span retry_pause = span(150);
+constexpr span read_interval = span(3000);
+/// The first occurrence of a timed job is due this long after its submission.
+constexpr span time_to_first_occurrence = span(1500);
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
+
+void sleep_for(span time)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(time.count()));
+}
+
+bool is_rejection(const call_end& call)
+{
+    return call.m_outcome == call_end::outcome::not_connected ||
+           call.m_status == status_too_many ||
+           call.m_status == status_unavailable;
+}
+
+/// Returns the state in the answer to a read, its status, or "no answer".
+std::string state_in(const call_end& call)
+{
+    if (call.m_outcome != call_end::outcome::answered)
+    {
+        return "no answer";
+    }
+    if (call.m_status != status_ok)
+    {
+        return std::to_string(call.m_status);
+    }
+    const auto body = nlohmann::json::parse(call.m_body, nullptr, false);
+    return body.is_object() ? body.value("state", "no state") : "no state";
+}
+
+} // namespace
+
+job_callers::job_callers(const deployment& nodes, balancer& balance,
+                         const disruption_record& disruptions,
+                         call_record& record, const deployment_sheet& sheet,
+                         unsigned seed)
+    : m_sheet(sheet)
+{
+    std::mt19937 random(seed);
+    for (int index = 0; index < sheet.m_callers; ++index)
+    {
+        m_connections.push_back(std::make_unique<caller_connection>(
+            nodes, balance, disruptions, record,
+            static_cast<unsigned>(random())));
+    }
+    for (planned_job& each : plan_jobs(sheet, seed))
+    {
+        m_jobs.emplace_back().m_plan = std::move(each);
+    }
+}
+
+void job_callers::play_load()
+{
+    m_begin = node::boottime_now();
+    for_each_caller([this](int caller) { play(caller); });
+}
+
+void job_callers::ask_for_jobs(bool all)
+{
+    for_each_caller(
+        [this, all](int caller)
+        {
+            for (std::size_t index = caller; index < m_jobs.size();
+                 index += m_connections.size())
+            {
+                called_job& job = m_jobs[index];
+                if (job.m_accepted_at && (all || !job.has_ended()))
+                {
+                    read(job, *m_connections[caller], true);
+                }
+            }
+        });
+}
+
+void job_callers::for_each_caller(const std::function<void(int)>& play)
+{
+    std::vector<std::thread> threads;
+    for (int caller = 0; caller < m_sheet.m_callers; ++caller)
+    {
+        threads.emplace_back([&play, caller] { play(caller); });
+    }
+    for (std::thread& each : threads)
+    {
+        each.join();
+    }
+}
+
+span job_callers::now() const
+{
+    return node::boottime_now() - m_begin;
+}
+
+void job_callers::play(int caller)
+{
+    std::priority_queue<action> actions;
+    for (std::size_t index = caller; index < m_jobs.size();
+         index += m_connections.size())
+    {
+        const planned_job& plan = m_jobs[index].m_plan;
+        actions.push({plan.m_submit_at, action::kind::submit, index});
+        actions.push(
+            {plan.m_submit_at + read_interval, action::kind::read, index});
+        if (plan.m_cancel_at)
+        {
+            actions.push({*plan.m_cancel_at, action::kind::cancel, index});
+        }
+    }
+    while (!actions.empty() && actions.top().m_at < m_sheet.m_load_time)
+    {
+        const action next = actions.top();
+        actions.pop();
+        sleep_for(std::max(span(0), next.m_at - now()));
+        perform(next, *m_connections[caller]);
+        if (next.m_kind == action::kind::read &&
+            !m_jobs[next.m_job].has_ended())
+        {
+            actions.push(
+                {now() + read_interval, action::kind::read, next.m_job});
+        }
+    }
+}
+
+void job_callers::perform(const action& next, caller_connection& connection)
+{
+    called_job& job = m_jobs[next.m_job];
+    if (next.m_kind == action::kind::submit)
+    {
+        submit(job, connection);
+    }
+    else if (job.m_accepted_at && next.m_kind == action::kind::cancel)
+    {
+        cancel(job, connection);
+    }
+    else if (job.m_accepted_at)
+    {
+        read(job, connection, false);
+    }
+}
+
+void job_callers::submit(called_job& job, caller_connection& connection)
+{
+    const job_kind& kind = m_sheet.m_kinds[job.m_plan.m_kind];
+    const std::string path = path_of(job.m_plan, kind);
+    const std::string body =
+        body_of(job.m_plan, kind,
+                (node::wall_now() + time_to_first_occurrence).count());
+    for (int attempt = 0; attempt < max_attempts; ++attempt)
+    {
+        sleep_for(attempt == 0 ? span(0) : retry_pause);
+        const call_end call = connection.call(call_method::submit, path, body);
+        if (call.m_status == status_ok)
+        {
+            job.m_refused_only = false;
+            job.m_accepted_at = call.m_ended_at;
+            return;
+        }
+        job.m_refused_only = job.m_refused_only && is_rejection(call);
+    }
+}
+
+void job_callers::cancel(called_job& job, caller_connection& connection)
+{
+    const std::string path =
+        path_of(job.m_plan, m_sheet.m_kinds[job.m_plan.m_kind]);
+    for (int attempt = 0; attempt < max_attempts; ++attempt)
+    {
+        sleep_for(attempt == 0 ? span(0) : retry_pause);
+        const call_end call = connection.call(call_method::cancel, path);
+        if (!job.m_cancel_sent_at)
+        {
+            job.m_cancel_sent_at = call.m_sent_at;
+        }
+        if (call.m_status == status_ok || call.m_status == status_gone)
+        {
+            job.m_cancelled_at = call.m_ended_at;
+            return;
+        }
+    }
+}
+
+void job_callers::read(called_job& job, caller_connection& connection,
+                       bool final)
+{
+    const std::string path =
+        path_of(job.m_plan, m_sheet.m_kinds[job.m_plan.m_kind]);
+    for (int attempt = 0; attempt < max_attempts; ++attempt)
+    {
+        sleep_for(attempt == 0 ? span(0) : retry_pause);
+        const call_end call = connection.call(call_method::read, path);
+        (final ? job.m_final_reads : job.m_reads).push_back(call);
+        job.m_state = state_in(call);
+        if (call.m_status == status_ok || call.m_status == status_gone)
+        {
+            return;
+        }
+    }
+}
+
+} // namespace kingcuprudder::soak
--- /dev/null
+++ b/soak/job_callers.hpp
@@ -0,0 +1,91 @@
+#ifndef SOAK_JOB_CALLERS_HPP
+#define SOAK_JOB_CALLERS_HPP
+
+#include <soak/caller_connection.hpp>
+#include <soak/job_plan.hpp>
+
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace kingcuprudder::soak
+{
+
+/// What the caller of a job saw of it.
+struct called_job
+{
+    planned_job m_plan;
+    /// When the acknowledgement of the submission arrived.
+    std::optional<instant> m_accepted_at;
+    /// Each attempt to submit it was refused or got no connection.
+    bool m_refused_only = true;
+    /// When its cancelling was first sent.
+    std::optional<instant> m_cancel_sent_at;
+    std::optional<instant> m_cancelled_at;
+    /// The state that was told last, a status, or "no answer".
+    std::string m_state;
+    /// The calls for its state, while the load lasted and after it.
+    std::vector<call_end> m_reads;
+    std::vector<call_end> m_final_reads;
+
+    /// Whether its callers expect no more of it.
+    bool has_ended() const
+    {
+        return m_state == "completed" || m_state == "failed" ||
+               m_state == "cancelled";
+    }
+};
+
+/// The callers of a deployment. Each has a connection that it keeps, submits
+/// its share of the jobs, asks for their states and cancels some.
+class job_callers
+{
+public:
+    /// All must outlive this.
+    job_callers(const deployment& nodes, balancer& balance,
+                const disruption_record& disruptions, call_record& record,
+                const deployment_sheet& sheet, unsigned seed);
+
+    /// Plays the load, with one thread for each caller, and returns at its end.
+    void play_load();
+    /// All callers ask at once for those of their jobs that were accepted, or
+    /// only for the ones among them that have not ended.
+    void ask_for_jobs(bool all);
+    const std::vector<called_job>& jobs() const { return m_jobs; }
+
+private:
+    struct action
+    {
+        enum class kind
+        {
+            submit,
+            read,
+            cancel,
+        };
+        span m_at;
+        kind m_kind = kind::submit;
+        std::size_t m_job = 0;
+
+        /// Whether it is due later; the order of a queue of actions.
+        bool operator<(const action& other) const { return m_at > other.m_at; }
+    };
+
+    void for_each_caller(const std::function<void(int)>& play);
+    void play(int caller);
+    void perform(const action& next, caller_connection& connection);
+    void submit(called_job& job, caller_connection& connection);
+    void cancel(called_job& job, caller_connection& connection);
+    void read(called_job& job, caller_connection& connection, bool final);
+    span now() const;
+
+    const deployment_sheet& m_sheet;
+    std::vector<std::unique_ptr<caller_connection>> m_connections;
+    std::vector<called_job> m_jobs;
+    instant m_begin;
+};
+
+} // namespace kingcuprudder::soak
+
+#endif
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,3 +1,4 @@
+#include <soak/deployment_run.hpp>
 #include <soak/rolling_restarts.hpp>
 #include <soak/scenario.hpp>
 #include <tclap/CmdLine.h>
@@ -11,6 +12,8 @@
 
 namespace soak = kingcuprudder::soak;
 
+constexpr double ms_per_s = 1000;
+
 /// Returns the path of kcr_node, which is beside this program.
 std::string node_program()
 {
@@ -46,6 +49,34 @@
     return report.m_calls.m_unanswered.empty();
 }
 
+/// Prints the results of a deployment's run with one seed. Returns whether
+/// nothing was violated.
+bool play_deployment(const soak::deployment_run_options& options)
+{
+    const soak::deployment_run_report report = soak::run_deployment(options);
+    const soak::call_counts& calls = report.m_calls;
+    std::printf(
+        "seed %u: jobs %d accepted %d cancelled %d completed %d, planned work "
+        "%d, faults %d, killed after grace %d, last job ended %.1f s after the "
+        "load; requests answered %d rejected %d unanswered %zu and %d near "
+        "faults, connections refused %d, longest call %lld ms; violations "
+        "%zu\n",
+        options.m_seed, report.m_jobs, report.m_accepted, report.m_cancelled,
+        report.m_completed, report.m_planned_work, report.m_faults,
+        report.m_killed_after_grace,
+        static_cast<double>(report.m_time_to_completion.count()) / ms_per_s,
+        calls.m_answered, calls.m_rejected, calls.m_unanswered.size(),
+        calls.m_unanswered_near_disruptions, calls.m_refused_connections,
+        static_cast<long long>(calls.m_longest_call.count()),
+        report.m_violations.size());
+    for (const std::string& each : report.m_violations)
+    {
+        std::printf("  %s\n", each.c_str());
+    }
+    std::fflush(stdout);
+    return report.m_violations.empty();
+}
+
 } // namespace
 
 // Runs the soak scenario with each seed in turn and prints its results. Exits
@@ -79,6 +110,14 @@
     TCLAP::ValueArg<int> callers("", "callers",
                                  "callers beside rolling restarts", false, 24,
                                  "number", line);
+    TCLAP::SwitchArg deployment(
+        "", "deployment",
+        "a deployment with its load and planned work, in the size of its sheet",
+        line);
+    TCLAP::SwitchArg faults("", "faults",
+                            "unplanned faults beside the planned work of "
+                            "--deployment",
+                            line);
     line.parse(argc, argv);
     int failed_seeds = 0;
     for (unsigned seed = first.getValue();
@@ -90,6 +129,16 @@
         options.m_program = node_program();
         options.m_folder = folder.getValue() + "/" + std::to_string(seed);
         std::filesystem::create_directories(options.m_folder);
+        if (deployment.getValue())
+        {
+            soak::deployment_run_options run;
+            run.m_program = options.m_program;
+            run.m_folder = options.m_folder;
+            run.m_seed = seed;
+            run.m_faults = faults.getValue();
+            failed_seeds += play_deployment(run) ? 0 : 1;
+            continue;
+        }
         if (rolling_restarts.getValue())
         {
             const bool answered =
--- /dev/null
+++ b/soak/planned_work.cpp
@@ -0,0 +1,118 @@
+#include <soak/planned_work.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+
+namespace kingcuprudder::soak
+{
+
+namespace
+{
+
+constexpr span replacement_gap = span(2000);
+
+/// Draws the series of planned work.
+class work_planner
+{
+public:
+    work_planner(const deployment_sheet& sheet, unsigned seed)
+        : m_sheet(sheet), m_random(seed)
+    {
+    }
+
+    std::vector<planned_work> plan()
+    {
+        for (int index = 0; index < m_sheet.m_rolls; ++index)
+        {
+            add_signals(planned_work::kind::terminate);
+        }
+        for (int index = 0; index < m_sheet.m_reload_series; ++index)
+        {
+            add_signals(planned_work::kind::reload);
+        }
+        for (int index = 0; index < m_sheet.m_drain_series; ++index)
+        {
+            add_drain();
+        }
+        for (int index = 0; index < m_sheet.m_configurations; ++index)
+        {
+            add(any_time(), planned_work::kind::configure, 0);
+        }
+        add_replacement();
+        std::stable_sort(m_work.begin(), m_work.end(),
+                         [](const planned_work& left, const planned_work& right)
+                         { return left.m_at < right.m_at; });
+        return m_work;
+    }
+
+private:
+    span draw(span least, span most)
+    {
+        return span(std::uniform_int_distribution<std::int64_t>(
+            least.count(), most.count())(m_random));
+    }
+
+    span any_time() { return draw(span(0), m_sheet.m_load_time); }
+
+    void add(span at, planned_work::kind kind, int subject)
+    {
+        m_work.push_back({at, kind, subject});
+    }
+
+    /// Sends a signal to processes in turn.
+    void add_signals(planned_work::kind kind)
+    {
+        std::vector<int> processes(
+            static_cast<std::size_t>(m_sheet.m_processes));
+        std::iota(processes.begin(), processes.end(), 0);
+        std::shuffle(processes.begin(), processes.end(), m_random);
+        processes.resize(static_cast<std::size_t>(m_sheet.m_processes *
+                                                  m_sheet.m_rolled_share));
+        span at = draw(span(0), m_sheet.m_load_time / 2);
+        const span gap = draw(m_sheet.m_min_gap, m_sheet.m_max_gap);
+        for (const int process : processes)
+        {
+            if (at < m_sheet.m_load_time)
+            {
+                add(at, kind, process);
+            }
+            at = at + gap;
+        }
+    }
+
+    void add_drain()
+    {
+        const int workers = std::max(
+            1, static_cast<int>(m_sheet.m_workers * m_sheet.m_drained_share));
+        const span at = any_time();
+        add(at, planned_work::kind::drain_workers, workers);
+        add(at + m_sheet.m_replacement_time, planned_work::kind::add_workers,
+            workers);
+    }
+
+    /// Removes a process for good and adds another one.
+    void add_replacement()
+    {
+        const span at = draw(m_sheet.m_load_time / 4, m_sheet.m_load_time / 2);
+        const auto removed = static_cast<int>(
+            m_random() % static_cast<unsigned>(m_sheet.m_processes));
+        add(at, planned_work::kind::retire, removed);
+        add(at + replacement_gap, planned_work::kind::add_process,
+            m_sheet.m_processes);
+    }
+
+    const deployment_sheet& m_sheet;
+    std::mt19937 m_random;
+    std::vector<planned_work> m_work;
+};
+
+} // namespace
+
+std::vector<planned_work> plan_work(const deployment_sheet& sheet,
+                                    unsigned seed)
+{
+    return work_planner(sheet, seed).plan();
+}
+
+} // namespace kingcuprudder::soak
--- /dev/null
+++ b/soak/planned_work.hpp
@@ -0,0 +1,38 @@
+#ifndef SOAK_PLANNED_WORK_HPP
+#define SOAK_PLANNED_WORK_HPP
+
+#include <soak/deployment_sheet.hpp>
+
+#include <vector>
+
+namespace kingcuprudder::soak
+{
+
+/// One piece of planned work. The time is counted from the begin of the load.
+struct planned_work
+{
+    enum class kind
+    {
+        terminate,     ///< A process gets SIGTERM and is started again.
+        retire,        ///< A process gets SIGTERM and is removed for good.
+        add_process,   ///< A process is started for the first time.
+        reload,        ///< A process gets SIGHUP.
+        configure,     ///< The operators write a new configuration.
+        drain_workers, ///< Workers drain and leave.
+        add_workers,   ///< Workers are added.
+    };
+
+    span m_at;
+    kind m_kind = kind::terminate;
+    /// The index of the process, or the number of workers.
+    int m_subject = 0;
+};
+
+/// Draws the planned work of a deployment from the seed, in the order of time.
+/// The process with the index m_processes is the one that is added.
+std::vector<planned_work> plan_work(const deployment_sheet& sheet,
+                                    unsigned seed);
+
+} // namespace kingcuprudder::soak
+
+#endif
--- a/stand_ins/memory_store.cpp
+++ b/stand_ins/memory_store.cpp
@@ -129,6 +129,8 @@
         return store_failure::unknown;
     }
     const instant until = node::boottime_now() + wait;
+    // The revision up to which no change under the prefix was found.
+    std::int64_t searched = after;
     while (true)
     {
         expire_leases();
@@ -138,8 +140,8 @@
         }
         node::record_changes found;
         found.m_revision = m_revision;
-        for (auto each = m_history.upper_bound(after); each != m_history.end();
-             ++each)
+        for (auto each = m_history.upper_bound(searched);
+             each != m_history.end(); ++each)
         {
             for (const auto& change : each->second.m_changes)
             {
@@ -153,6 +155,7 @@
         {
             return found;
         }
+        searched = m_revision;
         m_changed.wait_for(lock, expiry_poll);
     }
 }
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -14,7 +14,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t server_threads = 200;
 constexpr span call_timeout = span(1000);
 
 constexpr int status_ok = 200;
@@ -84,11 +83,17 @@
 } // namespace
 
 platform_stand_in::platform_stand_in(int minions, span max_hold)
-    : m_minions(m_store, minions, max_hold)
+    : platform_stand_in(platform_options{
+          .m_minions = {.m_count = minions, .m_max_hold = max_hold}})
+{
+}
+
+platform_stand_in::platform_stand_in(const platform_options& options)
+    : m_options(options), m_minions(m_store, options.m_minions)
 {
     write_configuration(1, "key");
     m_store_listener = std::make_unique<http_listener>(
-        "127.0.0.1:0", server_threads,
+        "127.0.0.1:0", options.m_store_threads,
         [this](httplib::Server& server) { install_store(server); });
 }
 
@@ -99,17 +104,22 @@
 
 void platform_stand_in::write_configuration(int version, const std::string& key)
 {
+    json routes = json::array();
+    for (const stand_in_queue& each : m_options.m_queues)
+    {
+        routes.push_back(
+            {{"name", each.m_name},
+             {"host", "h.example"},
+             {"prefix", each.m_prefix},
+             {"backend", "pool"},
+             {"priority", each.m_priority},
+             {"maxAttempts", each.m_max_attempts},
+             {"stretch", each.m_stretch},
+             {"targetDurationMs", each.m_target_duration.count()}});
+    }
     const json configuration{
         {"version", version},
-        {"routes",
-         {{{"name", "q"},
-           {"host", "h.example"},
-           {"prefix", "/q/"},
-           {"backend", "pool"},
-           {"priority", 1},
-           {"maxAttempts", 3},
-           {"stretch", 3.0},
-           {"targetDurationMs", 1000}}}},
+        {"routes", routes},
         {"backends", {{{"name", "pool"}}}},
         {"tenants", {{{"name", "t"}, {"apiKeys", {key}}}}}};
     node::store_transaction transaction;
@@ -176,8 +186,6 @@
                 fail(response, std::get<1>(listed));
                 return;
             }
-            // Small pages, so that a list takes several requests.
-            constexpr std::size_t page_size = 20;
             const std::string after = request.get_param_value("after");
             json body{{"items", json::array()},
                       {"hasMore", false},
@@ -188,7 +196,7 @@
                 {
                     continue;
                 }
-                if (body["items"].size() == page_size)
+                if (body["items"].size() == m_options.m_page_size)
                 {
                     body["hasMore"] = true;
                     break;
--- a/stand_ins/platform_stand_in.hpp
+++ b/stand_ins/platform_stand_in.hpp
@@ -10,10 +10,34 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace kingcuprudder::stand_ins
 {
 
+/// A queue of the operators' configuration.
+struct stand_in_queue
+{
+    std::string m_name = "q";
+    std::string m_prefix = "/q/";
+    int m_priority = 1;
+    int m_max_attempts = 3;
+    double m_stretch = 3;
+    span m_target_duration = span(1000);
+};
+
+/// Size of the stand-in of the platform.
+struct platform_options
+{
+    minion_options m_minions;
+    /// Each open connection to the store occupies a thread.
+    std::size_t m_store_threads = 200;
+    /// The most items of a page of a list; small, so that lists take several
+    /// requests.
+    std::size_t m_page_size = 20;
+    std::vector<stand_in_queue> m_queues = {stand_in_queue()};
+};
+
 /// Serves the platform's store and minions over HTTP, with the interfaces of
 /// the platform's documentation.
 class platform_stand_in
@@ -22,6 +46,7 @@
     /// Starts the store and the given number of minions on free loopback ports.
     /// The minions hold their runs at most for `max_hold` after an order.
     explicit platform_stand_in(int minions, span max_hold = span(6000));
+    explicit platform_stand_in(const platform_options& options);
 
     /// Returns the address of the store as "ip:port".
     const std::string& store_address() const;
@@ -32,14 +57,15 @@
     /// Sets the delays of the calls to the store. An empty function sets none.
     void set_delay_hook(delay_hook hook);
     simulated_minions& minions() { return m_minions; }
-    /// Writes the operators' configuration: one queue with priority 1 under /q/
-    /// at the host "h.example", and one client account with this key.
+    /// Writes the operators' configuration: the queues at the host
+    /// "h.example", and one client account with this key.
     void write_configuration(int version, const std::string& key);
 
 private:
     void install_store(httplib::Server& server);
     void delay(const std::string& path);
 
+    const platform_options m_options;
     std::mutex m_mutex;
     delay_hook m_delay_hook;
     memory_store m_store;
--- a/stand_ins/simulated_minions.cpp
+++ b/stand_ins/simulated_minions.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <chrono>
 #include <httplib.h>
-#include <sstream>
 
 namespace kingcuprudder::stand_ins
 {
@@ -16,19 +15,16 @@
 
 using nlohmann::json;
 
-constexpr std::size_t server_threads = 200;
-constexpr int gpus_per_minion = 8;
-constexpr span heartbeat_interval = span(500);
+constexpr span checkpoint_interval = span(2000);
+constexpr span restore_time = span(100);
 constexpr std::chrono::milliseconds update_interval(5);
 constexpr std::chrono::milliseconds unanswered_delay(700);
 constexpr std::int64_t max_late_start_delay_ms = 2500;
 // A slow clock counts 98 of 100 milliseconds.
 constexpr std::int64_t slow_clock_percent = 98;
-constexpr span gang_timeout = span(3000);
 constexpr const char* any_address = "127.0.0.1:0";
-constexpr int minions_per_rack = 4;
-// The entry of a silent minion is removed after three heartbeats.
-constexpr span entry_lifetime = heartbeat_interval * 3;
+// The entry of a silent minion is removed after so many heartbeats.
+constexpr int missed_heartbeats = 3;
 constexpr span min_down_time = span(500);
 constexpr span max_down_time = span(4000);
 
@@ -59,14 +55,21 @@
 
 simulated_minions::simulated_minions(memory_store& store, int count,
                                      span max_hold)
-    : m_store(store), m_max_hold(max_hold)
+    : simulated_minions(
+          store, minion_options{.m_count = count, .m_max_hold = max_hold})
 {
-    m_listener = std::make_unique<http_listener>("127.0.0.1:0", server_threads,
-                                                 [this](httplib::Server& server)
-                                                 { install(server); });
-    for (int index = 0; index < count; ++index)
+}
+
+simulated_minions::simulated_minions(memory_store& store,
+                                     const minion_options& options)
+    : m_store(store), m_options(options)
+{
+    m_listener = std::make_unique<http_listener>(
+        "127.0.0.1:0", options.m_listener_threads,
+        [this](httplib::Server& server) { install(server); });
+    for (int index = 0; index < options.m_count; ++index)
     {
-        start_minion("i-" + std::to_string(index), index / minions_per_rack,
+        start_minion("i-" + std::to_string(index), index / options.m_per_rack,
                      any_address);
     }
     publish();
@@ -78,6 +81,10 @@
     {
         std::lock_guard lock(m_mutex);
         m_stopping = true;
+        for (const auto& [id, each] : m_minions)
+        {
+            each.m_changed->notify_all();
+        }
     }
     m_changed.notify_all();
     m_update_thread.join();
@@ -157,7 +164,8 @@
         break;
     case false_entry::other_id:
         id = "other-" + std::to_string(++m_false_ids);
-        m_silent_entries[id] = node::boottime_now() + entry_lifetime;
+        m_silent_entries[id] =
+            node::boottime_now() + m_options.m_heartbeat * missed_heartbeats;
         break;
     case false_entry::unreadable:
         entry["address"] = "127.0.0.1:99999";
@@ -166,6 +174,55 @@
     return {id, entry.dump()};
 }
 
+bool simulated_minions::drain_one(unsigned choice)
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::string> candidates = running_minions();
+    std::erase_if(candidates, [this](const std::string& id)
+                  { return m_minions.at(id).m_leaves_at.has_value(); });
+    if (candidates.empty())
+    {
+        return false;
+    }
+    m_minions.at(candidates[choice % candidates.size()]).m_leaves_at =
+        node::boottime_now() + m_options.m_drain_time + m_options.m_heartbeat;
+    return true;
+}
+
+void simulated_minions::add_one(unsigned choice)
+{
+    std::lock_guard lock(m_mutex);
+    const int racks =
+        std::max(1, m_options.m_count / std::max(1, m_options.m_per_rack));
+    start_minion("i-" + std::to_string(m_minions.size()),
+                 static_cast<int>(choice % static_cast<unsigned>(racks)),
+                 any_address);
+}
+
+int simulated_minions::ready_count()
+{
+    std::lock_guard lock(m_mutex);
+    return static_cast<int>(std::count_if(m_minions.begin(), m_minions.end(),
+                                          [](const auto& each) {
+                                              return each.second.m_relay &&
+                                                     !each.second.m_leaves_at;
+                                          }));
+}
+
+int simulated_minions::run_count(const std::string& task)
+{
+    std::lock_guard lock(m_mutex);
+    int found = 0;
+    for (const auto& [id, each] : m_minions)
+    {
+        found += static_cast<int>(std::count_if(
+            each.m_running.begin(), each.m_running.end(),
+            [&task](const run& running)
+            { return running.m_task == task && running.m_ends_at; }));
+    }
+    return found;
+}
+
 std::vector<std::string> simulated_minions::running_minions() const
 {
     std::vector<std::string> running;
@@ -300,7 +357,8 @@
 void simulated_minions::extend_lease(minion& target, const json& order) const
 {
     const instant deadline(order.value("deadlineMs", std::int64_t(0)));
-    const instant latest = target.clock(node::boottime_now()) + m_max_hold;
+    const instant latest =
+        target.clock(node::boottime_now()) + m_options.m_max_hold;
     target.m_lease_end =
         std::max(target.m_lease_end, std::min(deadline, latest));
 }
@@ -328,36 +386,64 @@
     {
         m_violations.push_back("run after completion of " + task);
     }
-    // The spec is "DURATION_MS [GANG_SIZE [CRASHING_INDEX CRASH_DELAY_MS]]";
-    // each task uses one GPU.
-    std::istringstream spec(order.at("spec").get<std::string>());
-    std::int64_t length = 0;
-    run started{task, number, now, span(0), 1, std::nullopt, std::nullopt};
-    spec >> length;
-    if (!(spec >> started.m_gang_size))
+    run started;
+    started.m_task = task;
+    started.m_run = number;
+    started.m_started_at = now;
+    started.m_spec = parse_task_spec(order.at("spec").get<std::string>());
+    started.m_duration = started.m_spec.m_duration;
+    const std::string saved = order.value("saved", std::string());
+    if (!saved.empty())
     {
-        started.m_gang_size = 1;
+        started.m_work_before = span(std::stoll(saved));
+        started.m_duration =
+            started.m_duration + restore_time - started.m_work_before;
     }
-    started.m_duration = span(length);
-    if (started.m_gang_size == 1)
+    if (started.m_spec.m_gang_size == 1)
     {
         started.m_ends_at = now + started.m_duration;
     }
-    int crashing_index = 0;
-    std::int64_t crash_delay = 0;
-    if (spec >> crashing_index >> crash_delay &&
-        crashing_index == index_of(task))
+    if (started.m_spec.m_crashing_index == index_of(task))
     {
-        started.m_crashes_at = now + span(crash_delay);
+        started.m_crashes_at = now + started.m_spec.m_crash_delay;
     }
     m_crash_record.note_start(task, started.m_crashes_at.has_value());
     target.m_running.push_back(started);
-    if (target.m_running.size() > gpus_per_minion)
+    if (exceeds_capacity(target))
     {
         m_violations.push_back("capacity exceeded by " + task);
     }
 }
 
+bool simulated_minions::exceeds_capacity(const minion& target) const
+{
+    int gpus = 0;
+    std::int64_t cpu = 0;
+    std::int64_t memory = 0;
+    for (const run& each : target.m_running)
+    {
+        gpus += each.m_spec.m_gpus;
+        cpu += each.m_spec.m_cpu;
+        memory += each.m_spec.m_memory_mb;
+    }
+    return gpus > m_options.m_gpus || cpu > m_options.m_cpu ||
+           memory > m_options.m_memory_mb;
+}
+
+std::string simulated_minions::saved_progress(const run& each, instant now,
+                                              span interval)
+{
+    if (!each.m_spec.m_saves_progress || !each.m_ends_at)
+    {
+        return "";
+    }
+    const span left = std::max(span(0), *each.m_ends_at - now);
+    const span worked = std::max(span(0), each.m_duration - left);
+    const span saved =
+        each.m_work_before + interval * (worked.count() / interval.count());
+    return saved > span(0) ? std::to_string(saved.count()) : "";
+}
+
 json simulated_minions::stop(minion& target, const json& order, int&)
 {
     const std::string task = order.at("task");
@@ -383,26 +469,34 @@
     std::erase_if(target.m_ended, [acknowledged](const ended_run& each)
                   { return each.m_number <= acknowledged; });
     extend_lease(target, order);
-    m_changed.wait_for(
+    const std::shared_ptr<std::condition_variable> changed = target.m_changed;
+    changed->wait_for(
         lock, std::chrono::milliseconds(order.value("waitMs", std::int64_t(0))),
         [&]
-        { return m_stopping || !target.m_relay || !target.m_ended.empty(); });
+        {
+            return m_stopping || !target.m_relay ||
+                   target.m_changed != changed || !target.m_ended.empty();
+        });
     json body{{"running", json::array()}, {"ended", json::array()}};
     const instant now = node::boottime_now();
     for (const run& each : target.m_running)
     {
         const std::int64_t percent =
-            each.m_ends_at
+            each.m_spec.m_persistent && each.m_ends_at ? 100
+            : each.m_ends_at
                 ? 100 - 100 * (*each.m_ends_at - now).count() /
                             std::max<std::int64_t>(1, each.m_duration.count())
                 : 0;
         body["running"].push_back(
-            {each.m_task, each.m_run, "", std::min<std::int64_t>(99, percent)});
+            {each.m_task, each.m_run,
+             saved_progress(each, now, checkpoint_interval),
+             each.m_spec.m_persistent ? percent
+                                      : std::min<std::int64_t>(99, percent)});
     }
     for (const ended_run& each : target.m_ended)
     {
-        body["ended"].push_back(
-            {each.m_number, each.m_task, each.m_run, each.m_reason, ""});
+        body["ended"].push_back({each.m_number, each.m_task, each.m_run,
+                                 each.m_reason, each.m_saved});
     }
     return body;
 }
@@ -419,6 +513,7 @@
     started.m_keeps_id = false;
     started.m_rack = rack;
     started.m_restarts_at.reset();
+    started.m_leaves_at.reset();
     started.m_relay = std::make_unique<counting_relay>();
     try
     {
@@ -434,13 +529,11 @@
     m_silent_entries.erase(id);
 }
 
-void simulated_minions::crash(const std::string& id, minion& target)
+void simulated_minions::end_process(minion& target)
 {
-    const instant now = node::boottime_now();
     for (const run& each : target.m_running)
     {
-        m_crash_record.note_crash(each.m_task);
-        if (each.m_gang_size > 1)
+        if (each.m_spec.m_gang_size > 1)
         {
             m_broken_gangs.insert(gang_of(each));
         }
@@ -452,16 +545,27 @@
             m_lost_ends.insert(each.m_task);
         }
     }
-    minion crashed;
-    crashed.m_rack = target.m_rack;
-    crashed.m_address = target.m_address;
+    minion gone;
+    gone.m_rack = target.m_rack;
+    gone.m_address = target.m_address;
+    const std::shared_ptr<std::condition_variable> changed = target.m_changed;
+    target = std::move(gone);
+    changed->notify_all();
+}
+
+void simulated_minions::crash(const std::string& id, minion& target)
+{
+    const instant now = node::boottime_now();
+    for (const run& each : target.m_running)
+    {
+        m_crash_record.note_crash(each.m_task);
+    }
+    end_process(target);
     std::uniform_int_distribution<std::int64_t> down_time(
         min_down_time.count(), max_down_time.count());
-    crashed.m_restarts_at = now + span(down_time(m_random));
-    target = std::move(crashed);
-    m_silent_entries[id] = now + entry_lifetime;
+    target.m_restarts_at = now + span(down_time(m_random));
+    m_silent_entries[id] = now + m_options.m_heartbeat * missed_heartbeats;
     ++m_crashes;
-    m_changed.notify_all();
 }
 
 void simulated_minions::crash_minions_that_are_due()
@@ -480,6 +584,19 @@
     }
 }
 
+void simulated_minions::remove_drained_minions()
+{
+    const instant now = node::boottime_now();
+    for (auto& [id, target] : m_minions)
+    {
+        if (target.m_leaves_at && *target.m_leaves_at <= now)
+        {
+            end_process(target);
+            m_silent_entries[id] = now;
+        }
+    }
+}
+
 void simulated_minions::restart_minions()
 {
     const instant now = node::boottime_now();
@@ -518,19 +635,25 @@
     const run ended = target.m_running[index];
     target.m_running.erase(target.m_running.begin() +
                            static_cast<std::ptrdiff_t>(index));
+    const std::string saved =
+        reason == "done"
+            ? ""
+            : saved_progress(ended, node::boottime_now(),
+                             reason == "stopped" ? span(1)
+                                                 : checkpoint_interval);
     target.m_ended.push_back(
-        {++target.m_last_number, ended.m_task, ended.m_run, reason});
+        {++target.m_last_number, ended.m_task, ended.m_run, reason, saved});
     int& highest = target.m_highest_ended_run[ended.m_task];
     highest = std::max(highest, ended.m_run);
     if (reason == "done" && ++m_completed[ended.m_task] > 1)
     {
         m_violations.push_back("completed twice: " + ended.m_task);
     }
-    if (reason != "done" && ended.m_gang_size > 1)
+    if (reason != "done" && ended.m_spec.m_gang_size > 1)
     {
         m_broken_gangs.insert(gang_of(ended));
     }
-    m_changed.notify_all();
+    target.m_changed->notify_all();
 }
 
 simulated_minions::gang simulated_minions::gang_of(const run& member)
@@ -554,7 +677,8 @@
     const instant now = node::boottime_now();
     for (const auto& [name, members] : waiting)
     {
-        if (static_cast<int>(members.size()) < members.front()->m_gang_size)
+        if (static_cast<int>(members.size()) <
+            members.front()->m_spec.m_gang_size)
         {
             continue;
         }
@@ -567,6 +691,10 @@
 
 void simulated_minions::end_broken_gangs()
 {
+    if (m_broken_gangs.empty())
+    {
+        return;
+    }
     const std::set<gang> broken = std::move(m_broken_gangs);
     m_broken_gangs.clear();
     for (auto& [id, target] : m_minions)
@@ -574,7 +702,7 @@
         for (std::size_t index = 0; index < target.m_running.size();)
         {
             const run& each = target.m_running[index];
-            if (each.m_gang_size > 1 && broken.contains(gang_of(each)))
+            if (each.m_spec.m_gang_size > 1 && broken.contains(gang_of(each)))
             {
                 end_run(target, index, "broken");
             }
@@ -588,8 +716,9 @@
     m_broken_gangs.clear();
 }
 
-std::optional<std::string>
-simulated_minions::end_reason(const minion& where, const run& each, instant now)
+std::optional<std::string> simulated_minions::end_reason(const minion& where,
+                                                         const run& each,
+                                                         instant now) const
 {
     if (each.m_ends_at && *each.m_ends_at <= now)
     {
@@ -599,7 +728,7 @@
     {
         return "lapsed";
     }
-    if (!each.m_ends_at && now - each.m_started_at >= gang_timeout)
+    if (!each.m_ends_at && now - each.m_started_at >= m_options.m_gang_timeout)
     {
         return "alone";
     }
@@ -610,6 +739,7 @@
 {
     restart_minions();
     crash_minions_that_are_due();
+    remove_drained_minions();
     end_broken_gangs();
     start_complete_gangs();
     const instant now = node::boottime_now();
@@ -679,17 +809,26 @@
     }
 }
 
-json simulated_minions::entry_of(const minion& target)
+json simulated_minions::entry_of(const minion& target) const
 {
-    return {{"backend", "pool"},
-            {"address", target.m_address},
-            {"zone", "zone"},
-            {"state", "ready"},
-            {"capacity",
-             {{"cpu", 64000}, {"memMb", 256000}, {"gpu", gpus_per_minion}}},
-            {"labels", {"a", "r-" + std::to_string(target.m_rack)}},
-            {"clockMs", target.clock(node::boottime_now()).count()},
-            {"born", target.m_born}};
+    const instant now = node::boottime_now();
+    json entry{{"backend", "pool"},
+               {"address", target.m_address},
+               {"zone", "zone"},
+               {"state", target.m_leaves_at ? "draining" : "ready"},
+               {"capacity",
+                {{"cpu", m_options.m_cpu},
+                 {"memMb", m_options.m_memory_mb},
+                 {"gpu", m_options.m_gpus}}},
+               {"labels", {"a", "r-" + std::to_string(target.m_rack)}},
+               {"clockMs", target.clock(now).count()},
+               {"born", target.m_born}};
+    if (target.m_leaves_at)
+    {
+        entry["drainRemainingMs"] =
+            std::max(span(0), *target.m_leaves_at - now).count();
+    }
+    return entry;
 }
 
 void simulated_minions::run_update_loop()
@@ -699,7 +838,7 @@
     while (!m_stopping)
     {
         advance();
-        if (node::boottime_now() - published >= heartbeat_interval)
+        if (node::boottime_now() - published >= m_options.m_heartbeat)
         {
             published = node::boottime_now();
             publish();
--- a/stand_ins/simulated_minions.hpp
+++ b/stand_ins/simulated_minions.hpp
@@ -8,6 +8,8 @@
 #include <stand_ins/counting_relay.hpp>
 #include <stand_ins/crash_record.hpp>
 #include <stand_ins/memory_store.hpp>
+#include <stand_ins/minion_options.hpp>
+#include <stand_ins/task_spec.hpp>
 
 #include <condition_variable>
 #include <map>
@@ -24,14 +26,11 @@
 {
 
 /// Simulates minions and records violations of what must hold for their runs. A
-/// task runs for the time in its spec, in milliseconds. A second number in the
-/// spec is the size of the task's gang, whose members begin to work when all of
-/// them have been started, and end together. With a third and a fourth number,
-/// the task with this index in its step crashes its minion so many milliseconds
-/// after its start. A minion that has crashed loses its connections and its
-/// runs at once and returns after some seconds. Each incarnation has a clock of
-/// its own, which starts anew; every second one is 2% slow. A minion answers
-/// calls at its own address only.
+/// task does what its spec says (see task_spec). The members of a gang begin to
+/// work when all of them have been started, and end together. A minion that has
+/// crashed loses its connections and its runs at once and returns after some
+/// seconds. Each incarnation has a clock of its own, which starts anew; every
+/// second one is 2% slow. A minion answers calls at its own address only.
 class simulated_minions
 {
 public:
@@ -49,6 +48,7 @@
     /// the arrival of an order, measured on their clocks.
     simulated_minions(memory_store& store, int count,
                       span max_hold = span(6000));
+    simulated_minions(memory_store& store, const minion_options& options);
     ~simulated_minions();
     simulated_minions(const simulated_minions&) = delete;
     simulated_minions& operator=(const simulated_minions&) = delete;
@@ -67,6 +67,16 @@
     /// The minion's next heartbeat overwrites it; an entry under a new id
     /// expires.
     void write_false_entry(false_entry kind, unsigned choice);
+    /// Makes one of the minions that are up drain, selected by the number. It
+    /// leaves for good when its drain time is over. Returns whether there was
+    /// one that did not drain yet.
+    bool drain_one(unsigned choice);
+    /// Adds a minion in one of the racks, selected by the number.
+    void add_one(unsigned choice);
+    /// Returns how many minions are up and do not drain.
+    int ready_count();
+    /// Returns how many runs of the task are at work.
+    int run_count(const std::string& task);
     /// Returns how many minions have crashed.
     int crash_count();
     /// Returns how often the task was started.
@@ -86,8 +96,11 @@
         std::string m_task;
         int m_run = 0;
         instant m_started_at;
+        /// The time from the beginning of its work until its end.
         span m_duration;
-        int m_gang_size = 1;
+        task_spec m_spec;
+        /// The work that it has taken over from earlier runs.
+        span m_work_before;
         /// When the run is done; empty while members of its gang are missing.
         std::optional<instant> m_ends_at;
         /// When the run crashes its minion, if it does.
@@ -101,6 +114,7 @@
         std::string m_task;
         int m_run = 0;
         std::string m_reason;
+        std::string m_saved;
     };
     struct minion
     {
@@ -112,6 +126,11 @@
         std::unique_ptr<counting_relay> m_relay;
         /// When it starts again after a crash.
         std::optional<instant> m_restarts_at;
+        /// When it leaves for good, if it drains.
+        std::optional<instant> m_leaves_at;
+        /// Wakes the calls that wait for an end of a run.
+        std::shared_ptr<std::condition_variable> m_changed =
+            std::make_shared<std::condition_variable>();
         /// Whether it then has the same id.
         bool m_keeps_id = false;
         /// The highest fencing token received.
@@ -154,10 +173,19 @@
     void extend_lease(minion& target, const nlohmann::json& order) const;
     /// Returns the ids of the minions that are up.
     std::vector<std::string> running_minions() const;
-    /// Ends the process of a minion with all that it runs and knows.
+    /// Ends the process of a minion with all that it runs and knows, and
+    /// notes the ends that are lost with it.
+    void end_process(minion& target);
+    /// Ends the process of a minion, which returns later.
     void crash(const std::string& id, minion& target);
     /// Crashes the minions with a run that is due to do so.
     void crash_minions_that_are_due();
+    /// Removes the minions whose drain time is over.
+    void remove_drained_minions();
+    bool exceeds_capacity(const minion& target) const;
+    /// Returns the progress that a run has saved, or "" without one.
+    static std::string saved_progress(const run& each, instant now,
+                                      span interval);
     /// Starts the minions again whose down time is over.
     void restart_minions();
     void end_run(minion& target, std::size_t index, const std::string& reason);
@@ -171,19 +199,19 @@
     void end_broken_gangs();
     void apply_late_starts();
     /// Returns why a run ends now, or nothing if it continues.
-    static std::optional<std::string> end_reason(const minion& where,
-                                                 const run& each, instant now);
+    std::optional<std::string> end_reason(const minion& where, const run& each,
+                                          instant now) const;
     /// Writes the worker entry of each running minion to the store and removes
     /// the entries that have expired.
     void publish();
-    static nlohmann::json entry_of(const minion& target);
+    nlohmann::json entry_of(const minion& target) const;
     /// Returns the id and the text of an entry of another writer.
     std::pair<std::string, std::string> false_entry_of(false_entry kind,
                                                        unsigned choice);
     void run_update_loop();
 
     memory_store& m_store;
-    const span m_max_hold;
+    const minion_options m_options;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, minion> m_minions;
