--- a/unit_tests/node/soak_test.cpp
+++ b/unit_tests/node/soak_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <soak/deployment_run.hpp>
 #include <soak/rolling_restarts.hpp>
 #include <soak/scenario.hpp>
 
@@ -30,6 +31,29 @@
     return run_scenario(options);
 }
 
+/// Returns a deployment with a fifth of the processes and workers, two fifths
+/// of the load and work that takes a third of the time.
+deployment_sheet small_sheet()
+{
+    constexpr double load_share = 0.4;
+    constexpr int work_divisor = 3;
+    deployment_sheet sheet;
+    sheet.m_processes = 6;
+    sheet.m_small_processes = 4;
+    sheet.m_workers = 70;
+    sheet.m_callers = 30;
+    sheet.m_load_time = span::seconds(12);
+    sheet.m_finish_time = span::seconds(5);
+    sheet.m_completion_time = span::seconds(15);
+    for (job_kind& each : sheet.m_kinds)
+    {
+        each.m_jobs_per_s *= load_share;
+        each.m_mean_work = each.m_mean_work / work_divisor;
+        each.m_max_work = each.m_max_work / work_divisor;
+    }
+    return sheet;
+}
+
 } // namespace
 
 // Real processes are killed, stopped, paused and restarted while the store
@@ -93,4 +117,21 @@
     EXPECT_EQ(report.m_calls.m_unanswered, std::vector<std::string>());
 }
 
+// Guards against requests without a response and accepted jobs that are lost
+// when series of planned work overlap under the load of a deployment.
+TEST(soak, no_job_or_response_is_lost_in_a_deployment_with_planned_work)
+{
+    deployment_run_options options;
+    options.m_program = KCR_BINARY_DIR "/bin/kcr_node";
+    options.m_seed = 71;
+    options.m_folder = folder_of(options.m_seed);
+    options.m_sheet = small_sheet();
+    const deployment_run_report report = run_deployment(options);
+    EXPECT_GT(report.m_accepted, 30);
+    EXPECT_GT(report.m_completed, 25);
+    EXPECT_GT(report.m_planned_work, 12);
+    EXPECT_GT(report.m_calls.m_answered, 150);
+    EXPECT_EQ(report.m_violations, std::vector<std::string>());
+}
+
 } // namespace kingcuprudder::soak
