--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -4,7 +4,7 @@
 #include <soak/fault_series.hpp>
 #include <soak/job_callers.hpp>
 #include <soak/job_checks.hpp>
-#include <soak/planned_work.hpp>
+#include <soak/scheduled_work.hpp>
 
 #include <algorithm>
 #include <atomic>
@@ -140,7 +140,7 @@
     /// Plays the load with the planned work and the faults beside it.
     void play(job_callers& callers)
     {
-        const std::vector<planned_work> work =
+        const std::vector<scheduled_work> work =
             plan_work(m_sheet, m_options.m_seed);
         std::atomic<bool> done = false;
         std::thread load(
@@ -175,9 +175,9 @@
                !m_faults.holds(node);
     }
 
-    void perform(const planned_work& work)
+    void perform(const scheduled_work& work)
     {
-        using kind = planned_work::kind;
+        using kind = scheduled_work::kind;
         ++m_report.m_planned_work;
         switch (work.m_kind)
         {
--- a/soak/planned_work.cpp
+++ b/soak/scheduled_work.cpp
@@ -1,4 +1,4 @@
-#include <soak/planned_work.hpp>
+#include <soak/scheduled_work.hpp>
 
 #include <algorithm>
 #include <numeric>
@@ -21,15 +21,15 @@
     {
     }
 
-    std::vector<planned_work> plan()
+    std::vector<scheduled_work> plan()
     {
         for (int index = 0; index < m_sheet.m_rolls; ++index)
         {
-            add_signals(planned_work::kind::terminate);
+            add_signals(scheduled_work::kind::terminate);
         }
         for (int index = 0; index < m_sheet.m_reload_series; ++index)
         {
-            add_signals(planned_work::kind::reload);
+            add_signals(scheduled_work::kind::reload);
         }
         for (int index = 0; index < m_sheet.m_drain_series; ++index)
         {
@@ -37,12 +37,13 @@
         }
         for (int index = 0; index < m_sheet.m_configurations; ++index)
         {
-            add(any_time(), planned_work::kind::configure, 0);
+            add(any_time(), scheduled_work::kind::configure, 0);
         }
         add_replacement();
-        std::stable_sort(m_work.begin(), m_work.end(),
-                         [](const planned_work& left, const planned_work& right)
-                         { return left.m_at < right.m_at; });
+        std::stable_sort(
+            m_work.begin(), m_work.end(),
+            [](const scheduled_work& left, const scheduled_work& right)
+            { return left.m_at < right.m_at; });
         return m_work;
     }
 
@@ -55,13 +56,13 @@
 
     span any_time() { return draw(span(0), m_sheet.m_load_time); }
 
-    void add(span at, planned_work::kind kind, int subject)
+    void add(span at, scheduled_work::kind kind, int subject)
     {
         m_work.push_back({at, kind, subject});
     }
 
     /// Sends a signal to processes in turn.
-    void add_signals(planned_work::kind kind)
+    void add_signals(scheduled_work::kind kind)
     {
         std::vector<int> processes(
             static_cast<std::size_t>(m_sheet.m_processes));
@@ -86,8 +87,8 @@
         const int workers = std::max(
             1, static_cast<int>(m_sheet.m_workers * m_sheet.m_drained_share));
         const span at = any_time();
-        add(at, planned_work::kind::drain_workers, workers);
-        add(at + m_sheet.m_replacement_time, planned_work::kind::add_workers,
+        add(at, scheduled_work::kind::drain_workers, workers);
+        add(at + m_sheet.m_replacement_time, scheduled_work::kind::add_workers,
             workers);
     }
 
@@ -97,20 +98,20 @@
         const span at = draw(m_sheet.m_load_time / 4, m_sheet.m_load_time / 2);
         const auto removed = static_cast<int>(
             m_random() % static_cast<unsigned>(m_sheet.m_processes));
-        add(at, planned_work::kind::retire, removed);
-        add(at + replacement_gap, planned_work::kind::add_process,
+        add(at, scheduled_work::kind::retire, removed);
+        add(at + replacement_gap, scheduled_work::kind::add_process,
             m_sheet.m_processes);
     }
 
     const deployment_sheet& m_sheet;
     std::mt19937 m_random;
-    std::vector<planned_work> m_work;
+    std::vector<scheduled_work> m_work;
 };
 
 } // namespace
 
-std::vector<planned_work> plan_work(const deployment_sheet& sheet,
-                                    unsigned seed)
+std::vector<scheduled_work> plan_work(const deployment_sheet& sheet,
+                                      unsigned seed)
 {
     return work_planner(sheet, seed).plan();
 }
--- a/soak/planned_work.hpp
+++ b/soak/scheduled_work.hpp
@@ -1,5 +1,5 @@
-#ifndef SOAK_PLANNED_WORK_HPP
-#define SOAK_PLANNED_WORK_HPP
+#ifndef SOAK_SCHEDULED_WORK_HPP
+#define SOAK_SCHEDULED_WORK_HPP
 
 #include <soak/deployment_sheet.hpp>
 
@@ -9,7 +9,7 @@
 {
 
 /// One piece of planned work. The time is counted from the begin of the load.
-struct planned_work
+struct scheduled_work
 {
     enum class kind
     {
@@ -30,8 +30,8 @@
 
 /// Draws the planned work of a deployment from the seed, in the order of time.
 /// The process with the index m_processes is the one that is added.
-std::vector<planned_work> plan_work(const deployment_sheet& sheet,
-                                    unsigned seed);
+std::vector<scheduled_work> plan_work(const deployment_sheet& sheet,
+                                      unsigned seed);
 
 } // namespace kingcuprudder::soak
 
