--- a/soak/deployment_sample.hpp
+++ b/soak/deployment_sample.hpp
@@ -26,11 +26,11 @@
                            const worker_sample&) = default;
 };
 
-/// A task on a worker.
+/// A task that is or was on a worker.
 struct present_task
 {
-    std::string m_worker;
-    std::string m_task; ///< "job.repeat.step.index".
+    std::string m_worker; ///< Empty if the task has left it.
+    std::string m_task;   ///< "job.repeat.step.index".
 
     friend bool operator==(const present_task&, const present_task&) = default;
 };
--- a/stand_ins/simulated_minions.cpp
+++ b/stand_ins/simulated_minions.cpp
@@ -212,6 +212,35 @@
     return all;
 }
 
+minions_snapshot simulated_minions::snapshot(std::size_t known_events) const
+{
+    std::lock_guard lock(m_mutex);
+    minions_snapshot found;
+    for (const std::string& id : running_minions())
+    {
+        const minion& each = m_minions.at(id);
+        const json entry = entry_of(each);
+        minion_snapshot& copy = found.m_minions.emplace_back();
+        copy.m_id = id;
+        copy.m_pool = entry.at("backend");
+        copy.m_labels = entry.at("labels");
+        const json& capacity = entry.at("capacity");
+        copy.m_capacity = {capacity.at("cpu"), capacity.at("memMb"),
+                           capacity.at("gpu")};
+        copy.m_draining = entry.at("state") == "draining";
+        for (const run& running : each.m_running)
+        {
+            copy.m_running.push_back(running.m_task);
+        }
+    }
+    found.m_event_count = m_run_events.size();
+    const std::size_t first = std::min(known_events, m_run_events.size());
+    found.m_events.assign(m_run_events.begin() +
+                              static_cast<std::ptrdiff_t>(first),
+                          m_run_events.end());
+    return found;
+}
+
 void simulated_minions::install(httplib::Server& server)
 {
     server.Post(
@@ -310,6 +339,7 @@
     const std::string task = order.at("task");
     const int number = order.at("run");
     const instant now = node::boottime_now();
+    m_run_events.push_back({task, number, now, std::nullopt});
     for (const auto& [id, other] : m_minions)
     {
         for (const run& each : other.m_running)
@@ -515,6 +545,9 @@
 void simulated_minions::end_run(minion& target, std::size_t index,
                                 const std::string& reason)
 {
+    m_run_events.push_back({target.m_running[index].m_task,
+                            target.m_running[index].m_run, node::boottime_now(),
+                            outcome_of(reason)});
     const run ended = target.m_running[index];
     target.m_running.erase(target.m_running.begin() +
                            static_cast<std::ptrdiff_t>(index));
--- a/stand_ins/simulated_minions.hpp
+++ b/stand_ins/simulated_minions.hpp
@@ -8,6 +8,7 @@
 #include <stand_ins/counting_relay.hpp>
 #include <stand_ins/crash_record.hpp>
 #include <stand_ins/memory_store.hpp>
+#include <stand_ins/minion_snapshot.hpp>
 
 #include <condition_variable>
 #include <map>
@@ -79,6 +80,9 @@
     /// or a second completion of a task that was completed, exceeded capacity,
     /// too many starts of a task that crashes its minions.
     std::vector<std::string> violations();
+    /// Returns the minions that are up with the tasks on them, and the starts
+    /// and ends of runs after the first `known_events`.
+    minions_snapshot snapshot(std::size_t known_events) const;
 
 private:
     struct run
@@ -184,7 +188,7 @@
 
     memory_store& m_store;
     const span m_max_hold;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, minion> m_minions;
     /// When the entries of crashed minions, and those under false ids, expire.
@@ -197,6 +201,7 @@
     std::set<std::string> m_lost_ends;
     std::map<std::string, int> m_completed;
     std::vector<std::string> m_violations;
+    std::vector<run_event> m_run_events;
     std::set<gang> m_broken_gangs;
     std::mt19937 m_random;
     double m_lost_share = 0;
--- a/unit_tests/node/simulated_minions_test.cpp
+++ b/unit_tests/node/simulated_minions_test.cpp
@@ -246,4 +246,47 @@
     }
 }
 
+TEST(simulated_minions, a_snapshot_has_the_tasks_and_the_events_since)
+{
+    memory_store store;
+    simulated_minions minions(store, 2);
+    EXPECT_EQ(minions.snapshot(0).m_minions.size(), 2);
+    EXPECT_EQ(minions.snapshot(0).m_event_count, 0);
+    const std::string address = entries(store).at("servers/i-0").at("address");
+    ASSERT_EQ(start(address, "1500")->status, 200);
+    const minions_snapshot running = minions.snapshot(0);
+    EXPECT_EQ(running.m_minions[0].m_id, "i-0");
+    EXPECT_EQ(running.m_minions[0].m_pool, "pool");
+    EXPECT_EQ(running.m_minions[0].m_capacity.m_gpus, 8);
+    EXPECT_EQ(running.m_minions[0].m_running,
+              std::vector<std::string>{"j.0.0.0"});
+    EXPECT_TRUE(running.m_minions[1].m_running.empty());
+    ASSERT_EQ(running.m_events.size(), 1);
+    EXPECT_EQ(running.m_events[0].m_task, "j.0.0.0");
+    EXPECT_EQ(running.m_events[0].m_run, 1);
+    EXPECT_FALSE(running.m_events[0].m_outcome);
+    ASSERT_TRUE(wait_for(
+        [&] {
+            return minions.snapshot(running.m_event_count).m_event_count == 2;
+        }));
+    const minions_snapshot ended = minions.snapshot(running.m_event_count);
+    EXPECT_TRUE(ended.m_minions[0].m_running.empty());
+    ASSERT_EQ(ended.m_events.size(), 1);
+    EXPECT_EQ(ended.m_events[0].m_outcome, dispatch::run_outcome::done);
+    EXPECT_GE(ended.m_events[0].m_at - running.m_events[0].m_at, span(1500));
+}
+
+TEST(simulated_minions, a_snapshot_has_no_minion_that_has_crashed)
+{
+    memory_store store;
+    simulated_minions minions(store, 1);
+    EXPECT_EQ(minions.snapshot(0).m_minions.size(), 1);
+    EXPECT_TRUE(wait_for(
+        [&]
+        {
+            minions.crash_one(0);
+            return minions.snapshot(0).m_minions.empty();
+        }));
+}
+
 } // namespace kingcuprudder::stand_ins
