--- a/stand_ins/simulated_minions.hpp
+++ b/stand_ins/simulated_minions.hpp
@@ -9,6 +9,7 @@
 #include <stand_ins/crash_record.hpp>
 #include <stand_ins/memory_store.hpp>
 #include <stand_ins/minion_options.hpp>
+#include <stand_ins/minion_snapshot.hpp>
 #include <stand_ins/task_spec.hpp>
 
 #include <condition_variable>
@@ -89,6 +90,9 @@
     /// or a second completion of a task that was completed, exceeded capacity,
     /// too many starts of a task that crashes its minions.
     std::vector<std::string> violations();
+    /// Returns the minions that are up with the tasks on them, and the starts
+    /// and ends of runs after the first `known_events`.
+    minions_snapshot snapshot(std::size_t known_events) const;
 
 private:
     struct run
@@ -212,7 +216,7 @@
 
     memory_store& m_store;
     const minion_options m_options;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, minion> m_minions;
     /// When the entries of crashed minions, and those under false ids, expire.
@@ -225,6 +229,7 @@
     std::set<std::string> m_lost_ends;
     std::map<std::string, int> m_completed;
     std::vector<std::string> m_violations;
+    std::vector<run_event> m_run_events;
     std::set<gang> m_broken_gangs;
     std::mt19937 m_random;
     double m_lost_share = 0;
