--- a/soak/caller_connection.hpp
+++ b/soak/caller_connection.hpp
@@ -49,6 +49,8 @@
     call_counts m_counts;
 };
 
+/// What a call does with a job. A read of a queue tells how many of its jobs
+/// are pending.
 enum class call_method
 {
     submit,
@@ -72,6 +74,9 @@
     std::string m_body;
     instant m_sent_at;
     instant m_ended_at;
+    /// Whether the process, the store and the links were free of disruption for
+    /// the contact time before it, as the platform defines it.
+    bool m_in_touch = false;
 };
 
 /// The connection of one caller. It is kept until the process says that it
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <soak/deployment.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -81,6 +82,7 @@
         std::vector<std::string>{"--settings", m_nodes[node].m_settings_path},
         m_folder + "/node-" + std::to_string(node) + ".log");
     m_nodes[node].m_terminating = false;
+    m_nodes[node].m_started_at_ms = node::boottime_now().count();
 }
 
 void deployment::kill(int node)
@@ -101,6 +103,12 @@
            instant(m_nodes[node].m_signalled_at_ms.load());
 }
 
+instant deployment::undisturbed_since(int node) const
+{
+    return instant(std::max(m_nodes[node].m_signalled_at_ms.load(),
+                            m_nodes[node].m_started_at_ms.load()));
+}
+
 bool deployment::restart_if_ended(int node)
 {
     node_process& each = m_nodes[node];
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -68,6 +68,9 @@
     /// Returns the time since the process last got SIGTERM, over all of its
     /// restarts. Callable from any thread.
     span time_since_signal(int node) const;
+    /// Returns when the process was last started or sent SIGTERM. Callable from
+    /// any thread.
+    instant undisturbed_since(int node) const;
     /// Starts the process again if it was killed or has exited after
     /// terminate(). Returns whether it was started.
     bool restart_if_ended(int node);
@@ -93,6 +96,7 @@
         bool m_terminating = false;
         /// Read by the callers' threads.
         std::atomic<std::int64_t> m_signalled_at_ms = 0;
+        std::atomic<std::int64_t> m_started_at_ms = 0;
     };
 
     std::string m_program;
--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -4,13 +4,16 @@
 #include <soak/fault_series.hpp>
 #include <soak/job_callers.hpp>
 #include <soak/job_checks.hpp>
+#include <soak/promise_watch.hpp>
 #include <soak/scheduled_work.hpp>
+#include <stand_ins/limited_link.hpp>
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <httplib.h>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <thread>
@@ -67,18 +70,31 @@
     return options;
 }
 
-/// Returns the settings of the processes and of the one that is added.
+/// Links between processes and the store.
+using link_list = std::vector<std::unique_ptr<stand_ins::limited_link>>;
+
+/// Returns the settings of the processes and of the one that is added. Adds a
+/// link for each process with a limited one.
 std::vector<process_profile> profiles_of(const deployment_sheet& sheet,
-                                         const std::string& store_address)
+                                         const std::string& store_address,
+                                         link_list& links)
 {
     std::vector<process_profile> profiles;
+    stand_ins::link_limits limits;
+    limits.m_bytes_per_second = sheet.m_small_link;
     for (int index = 0; index <= sheet.m_processes; ++index)
     {
         const bool is_small =
             index >= sheet.m_processes - sheet.m_small_processes;
-        profiles.push_back({store_address, is_small
-                                               ? sheet.m_small_processor_share
-                                               : sheet.m_processor_share});
+        if (!is_small)
+        {
+            profiles.push_back({store_address, sheet.m_processor_share});
+            continue;
+        }
+        links.push_back(
+            std::make_unique<stand_ins::limited_link>(store_address, limits));
+        profiles.push_back(
+            {links.back()->address(), sheet.m_small_processor_share});
     }
     return profiles;
 }
@@ -98,7 +114,7 @@
         : m_options(options), m_sheet(options.m_sheet),
           m_platform(platform_options_of(m_sheet)),
           m_nodes(options.m_program, options.m_folder,
-                  profiles_of(m_sheet, m_platform.store_address()),
+                  profiles_of(m_sheet, m_platform.store_address(), m_links),
                   {m_sheet.m_worker_lease, m_sheet.m_shutdown_grace,
                    m_sheet.m_status_retention}),
           m_faults(m_nodes, m_platform, m_disruptions, options.m_seed),
@@ -112,9 +128,12 @@
         balancer balance(m_nodes);
         job_callers callers(m_nodes, balance, m_disruptions, m_record, m_sheet,
                             m_options.m_seed);
+        promise_watch watch(callers, m_platform.minions(), m_disruptions,
+                            m_sheet);
         play(callers);
-        recover(callers);
-        check(callers.jobs());
+        recover(callers, watch);
+        add_violations(watch.stop());
+        check(callers);
         return m_report;
     }
 
@@ -243,13 +262,14 @@
         }
     }
 
-    void recover(job_callers& callers)
+    void recover(job_callers& callers, promise_watch& watch)
     {
         const instant begin = node::boottime_now();
         wait(m_sheet.m_finish_time);
+        watch.set_finished();
         callers.ask_for_jobs(true);
         const instant end = node::boottime_now() + m_sheet.m_completion_time;
-        while (node::boottime_now() < end && !all_ended(callers.jobs()))
+        while (node::boottime_now() < end && !all_ended(callers))
         {
             wait(recovery_poll);
             callers.ask_for_jobs(false);
@@ -263,12 +283,13 @@
                !job.m_plan.m_persistent;
     }
 
-    static bool all_ended(const std::vector<called_job>& jobs)
+    static bool all_ended(const job_callers& callers)
     {
-        return std::all_of(jobs.begin(), jobs.end(),
-                           [](const called_job& each) {
-                               return !must_complete(each) || each.has_ended();
-                           });
+        bool ended = true;
+        callers.for_each_job(
+            [&](const called_job& each)
+            { ended = ended && (!must_complete(each) || each.has_ended()); });
+        return ended;
     }
 
     void add_violations(const std::vector<std::string>& found)
@@ -277,7 +298,7 @@
                                      found.end());
     }
 
-    void check(const std::vector<called_job>& jobs)
+    void check(const job_callers& callers)
     {
         add_violations(m_platform.minions().violations());
         m_report.m_calls = m_record.counts();
@@ -288,11 +309,12 @@
         {
             completed[task.substr(0, task.find('.'))] += count > 0 ? 1 : 0;
         }
-        for (const called_job& each : jobs)
-        {
-            count(each);
-            check(each, completed[each.m_plan.m_id]);
-        }
+        callers.for_each_job(
+            [&](const called_job& each)
+            {
+                count(each);
+                check(each, completed[each.m_plan.m_id]);
+            });
         m_report.m_faults = m_faults.count();
     }
 
@@ -369,6 +391,7 @@
     const deployment_run_options m_options;
     const deployment_sheet& m_sheet;
     stand_ins::platform_stand_in m_platform;
+    link_list m_links;
     deployment m_nodes;
     disruption_record m_disruptions;
     call_record m_record;
--- a/soak/deployment_sheet.hpp
+++ b/soak/deployment_sheet.hpp
@@ -90,6 +90,8 @@
     int m_processes = 30;
     /// How many of the processes have the smaller share of a processor.
     int m_small_processes = 22;
+    /// The bandwidth of their links to the store, in bytes per second.
+    std::int64_t m_small_link = 1'250'000;
     double m_processor_share = 0.5;
     double m_small_processor_share = 0.12;
     span m_shutdown_grace = span::seconds(6);
--- a/soak/disruption_record.cpp
+++ b/soak/disruption_record.cpp
@@ -27,9 +27,14 @@
 }
 
 bool disruption_record::is_calm_since(instant at) const
+{
+    return is_free_since(at - contact_time);
+}
+
+bool disruption_record::is_free_since(instant at) const
 {
     std::lock_guard lock(m_mutex);
-    return !m_any || (m_in_progress == 0 && m_last_end + contact_time < at);
+    return !m_any || (m_in_progress == 0 && m_last_end < at);
 }
 
 } // namespace kingcuprudder::soak
--- a/soak/disruption_record.hpp
+++ b/soak/disruption_record.hpp
@@ -17,6 +17,8 @@
     /// Whether no disruption has been in progress since the contact time before
     /// an instant.
     bool is_calm_since(instant at) const;
+    /// Whether no disruption has been in progress since an instant.
+    bool is_free_since(instant at) const;
 
 private:
     mutable std::mutex m_mutex;
--- a/soak/job_callers.cpp
+++ b/soak/job_callers.cpp
@@ -4,6 +4,7 @@
 #include <soak/job_callers.hpp>
 
 #include <chrono>
+#include <map>
 #include <queue>
 #include <random>
 
@@ -16,6 +17,7 @@
 constexpr int max_attempts = 4;
 constexpr span retry_pause = span(150);
 constexpr span read_interval = span(3000);
+constexpr span queue_read_interval = span(2000);
 /// The first occurrence of a timed job is due this long after its submission.
 constexpr span time_to_first_occurrence = span(1500);
 constexpr int status_ok = 200;
@@ -35,7 +37,8 @@
            call.m_status == status_unavailable;
 }
 
-/// Returns the state in the answer to a read, its status, or "no answer".
+/// Returns the text of the state in the answer to a read, its status, or "no
+/// answer".
 std::string state_in(const call_end& call)
 {
     if (call.m_outcome != call_end::outcome::answered)
@@ -52,6 +55,41 @@
 
 } // namespace
 
+status_result result_of(const call_end& call)
+{
+    if (call.m_outcome == call_end::outcome::not_connected)
+    {
+        return status_result::not_connected;
+    }
+    if (call.m_outcome == call_end::outcome::no_response)
+    {
+        return status_result::no_response;
+    }
+    if (call.m_status == status_gone)
+    {
+        return status_result::unknown_job;
+    }
+    if (call.m_status == status_too_many || call.m_status == status_unavailable)
+    {
+        return status_result::rejected;
+    }
+    return state_of(call) ? status_result::state : status_result::unreadable;
+}
+
+std::optional<dispatch::job_state> state_of(const call_end& call)
+{
+    using dispatch::job_state;
+    static const std::map<std::string, job_state> by_name = {
+        {"queued", job_state::queued},
+        {"running", job_state::running},
+        {"completed", job_state::completed},
+        {"failed", job_state::failed},
+        {"cancelled", job_state::cancelled}};
+    const auto found = by_name.find(state_in(call));
+    return found == by_name.end() ? std::nullopt
+                                  : std::optional<job_state>(found->second);
+}
+
 job_callers::job_callers(const deployment& nodes, balancer& balance,
                          const disruption_record& disruptions,
                          call_record& record, const deployment_sheet& sheet,
@@ -94,6 +132,16 @@
         });
 }
 
+void job_callers::for_each_job(
+    const std::function<void(const called_job&)>& function) const
+{
+    std::lock_guard lock(m_mutex);
+    for (const called_job& each : m_jobs)
+    {
+        function(each);
+    }
+}
+
 void job_callers::for_each_caller(const std::function<void(int)>& play)
 {
     std::vector<std::thread> threads;
@@ -127,24 +175,39 @@
             actions.push({*plan.m_cancel_at, action::kind::cancel, index});
         }
     }
+    // One caller asks for the pending jobs of each queue.
+    if (caller < static_cast<int>(m_sheet.m_kinds.size()))
+    {
+        actions.push({queue_read_interval, action::kind::read_queue,
+                      static_cast<std::size_t>(caller)});
+    }
     while (!actions.empty() && actions.top().m_at < m_sheet.m_load_time)
     {
         const action next = actions.top();
         actions.pop();
         sleep_for(std::max(span(0), next.m_at - now()));
         perform(next, *m_connections[caller]);
-        if (next.m_kind == action::kind::read &&
-            !m_jobs[next.m_job].has_ended())
+        if (next.m_kind == action::kind::read_queue)
         {
             actions.push(
-                {now() + read_interval, action::kind::read, next.m_job});
+                {now() + queue_read_interval, next.m_kind, next.m_subject});
+        }
+        if (next.m_kind == action::kind::read &&
+            !m_jobs[next.m_subject].has_ended())
+        {
+            actions.push({now() + read_interval, next.m_kind, next.m_subject});
         }
     }
 }
 
 void job_callers::perform(const action& next, caller_connection& connection)
 {
-    called_job& job = m_jobs[next.m_job];
+    if (next.m_kind == action::kind::read_queue)
+    {
+        read_queue(m_sheet.m_kinds[next.m_subject], connection);
+        return;
+    }
+    called_job& job = m_jobs[next.m_subject];
     if (next.m_kind == action::kind::submit)
     {
         submit(job, connection);
@@ -163,13 +226,18 @@
 {
     const job_kind& kind = m_sheet.m_kinds[job.m_plan.m_kind];
     const std::string path = path_of(job.m_plan, kind);
-    const std::string body =
-        body_of(job.m_plan, kind,
-                (node::wall_now() + time_to_first_occurrence).count());
+    const instant first_due = node::wall_now() + time_to_first_occurrence;
+    const std::string body = body_of(job.m_plan, kind, first_due.count());
+    {
+        std::lock_guard lock(m_mutex);
+        job.m_submitted = true;
+        job.m_first_due = first_due;
+    }
     for (int attempt = 0; attempt < max_attempts; ++attempt)
     {
         sleep_for(attempt == 0 ? span(0) : retry_pause);
         const call_end call = connection.call(call_method::submit, path, body);
+        std::lock_guard lock(m_mutex);
         if (call.m_status == status_ok)
         {
             job.m_refused_only = false;
@@ -184,14 +252,15 @@
 {
     const std::string path =
         path_of(job.m_plan, m_sheet.m_kinds[job.m_plan.m_kind]);
+    {
+        std::lock_guard lock(m_mutex);
+        job.m_cancel_sent_at = node::boottime_now();
+    }
     for (int attempt = 0; attempt < max_attempts; ++attempt)
     {
         sleep_for(attempt == 0 ? span(0) : retry_pause);
         const call_end call = connection.call(call_method::cancel, path);
-        if (!job.m_cancel_sent_at)
-        {
-            job.m_cancel_sent_at = call.m_sent_at;
-        }
+        std::lock_guard lock(m_mutex);
         if (call.m_status == status_ok || call.m_status == status_gone)
         {
             job.m_cancelled_at = call.m_ended_at;
@@ -209,6 +278,7 @@
     {
         sleep_for(attempt == 0 ? span(0) : retry_pause);
         const call_end call = connection.call(call_method::read, path);
+        std::lock_guard lock(m_mutex);
         (final ? job.m_final_reads : job.m_reads).push_back(call);
         job.m_state = state_in(call);
         if (call.m_status == status_ok || call.m_status == status_gone)
@@ -218,4 +288,20 @@
     }
 }
 
+void job_callers::read_queue(const job_kind& kind,
+                             caller_connection& connection)
+{
+    const call_end call =
+        connection.call(call_method::read, "/" + kind.m_queue + "/");
+    if (call.m_status != status_ok)
+    {
+        return;
+    }
+    const auto body = nlohmann::json::parse(call.m_body);
+    std::lock_guard lock(m_mutex);
+    m_pending_answers.push_back({kind.m_queue, call.m_process, call.m_sent_at,
+                                 call.m_ended_at, body.at("pending"),
+                                 call.m_in_touch});
+}
+
 } // namespace kingcuprudder::soak
--- a/soak/job_callers.hpp
+++ b/soak/job_callers.hpp
@@ -3,9 +3,11 @@
 
 #include <soak/caller_connection.hpp>
 #include <soak/job_plan.hpp>
+#include <soak/promise_checks.hpp>
 
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <thread>
 #include <vector>
@@ -17,6 +19,9 @@
 struct called_job
 {
     planned_job m_plan;
+    bool m_submitted = false;
+    /// When the first occurrence of a timed job is due, since 1970.
+    instant m_first_due;
     /// When the acknowledgement of the submission arrived.
     std::optional<instant> m_accepted_at;
     /// Each attempt to submit it was refused or got no connection.
@@ -38,6 +43,12 @@
     }
 };
 
+/// Returns what a call for a job's state had as its result.
+status_result result_of(const call_end& call);
+
+/// Returns the state in the answer to such a call, if there is one.
+std::optional<dispatch::job_state> state_of(const call_end& call);
+
 /// The callers of a deployment. Each has a connection that it keeps, submits
 /// its share of the jobs, asks for their states and cancels some.
 class job_callers
@@ -53,7 +64,15 @@
     /// All callers ask at once for those of their jobs that were accepted, or
     /// only for the ones among them that have not ended.
     void ask_for_jobs(bool all);
-    const std::vector<called_job>& jobs() const { return m_jobs; }
+    /// Calls the function with each job. Callable from any thread.
+    void
+    for_each_job(const std::function<void(const called_job&)>& function) const;
+    /// Returns the answers with numbers of pending jobs. Must not be called
+    /// while the load is played.
+    const std::vector<pending_answer>& pending_answers() const
+    {
+        return m_pending_answers;
+    }
 
 private:
     struct action
@@ -63,10 +82,12 @@
             submit,
             read,
             cancel,
+            read_queue,
         };
         span m_at;
         kind m_kind = kind::submit;
-        std::size_t m_job = 0;
+        /// The index of the job, or of the queue's kind.
+        std::size_t m_subject = 0;
 
         /// Whether it is due later; the order of a queue of actions.
         bool operator<(const action& other) const { return m_at > other.m_at; }
@@ -78,11 +99,14 @@
     void submit(called_job& job, caller_connection& connection);
     void cancel(called_job& job, caller_connection& connection);
     void read(called_job& job, caller_connection& connection, bool final);
+    void read_queue(const job_kind& kind, caller_connection& connection);
     span now() const;
 
     const deployment_sheet& m_sheet;
     std::vector<std::unique_ptr<caller_connection>> m_connections;
+    mutable std::mutex m_mutex;
     std::vector<called_job> m_jobs;
+    std::vector<pending_answer> m_pending_answers;
     instant m_begin;
 };
 
--- a/soak/job_plan.cpp
+++ b/soak/job_plan.cpp
@@ -158,6 +158,16 @@
     return jobs;
 }
 
+bool is_gang(const planned_job& job, const job_kind& kind)
+{
+    return kind.m_gang && job.m_steps.front().m_tasks > 1;
+}
+
+dispatch::resources demand_of(const planned_job& job, const job_kind& kind)
+{
+    return {kind.m_cpu, kind.m_memory_mb, job.m_gpus};
+}
+
 std::string path_of(const planned_job& job, const job_kind& kind)
 {
     return "/" + kind.m_queue + "/" + job.m_id;
@@ -166,7 +176,7 @@
 std::string body_of(const planned_job& job, const job_kind& kind,
                     std::int64_t first_due_ms)
 {
-    const bool gang = kind.m_gang && job.m_steps.front().m_tasks > 1;
+    const bool gang = is_gang(job, kind);
     const nlohmann::json spec{{"runMs", job.m_work.count()},
                               {"gang", gang ? job.m_steps.front().m_tasks : 1},
                               {"cpu", kind.m_cpu},
--- a/soak/job_plan.hpp
+++ b/soak/job_plan.hpp
@@ -1,6 +1,8 @@
 #ifndef SOAK_JOB_PLAN_HPP
 #define SOAK_JOB_PLAN_HPP
 
+#include <kingcuprudder/dispatch/job_submission.hpp>
+
 #include <soak/deployment_sheet.hpp>
 
 #include <optional>
@@ -46,6 +48,12 @@
 std::vector<planned_job> plan_jobs(const deployment_sheet& sheet,
                                    unsigned seed);
 
+/// Whether the tasks of the job's steps are gangs.
+bool is_gang(const planned_job& job, const job_kind& kind);
+
+/// Returns what each task of the job requires.
+dispatch::resources demand_of(const planned_job& job, const job_kind& kind);
+
 /// Returns the path of a job for callers.
 std::string path_of(const planned_job& job, const job_kind& kind);
 
