--- a/soak/job_callers.cpp
+++ b/soak/job_callers.cpp
@@ -145,6 +145,7 @@
 void job_callers::for_each_caller(const std::function<void(int)>& play)
 {
     std::vector<std::thread> threads;
+    threads.reserve(m_connections.size());
     for (int caller = 0; caller < m_sheet.m_callers; ++caller)
     {
         threads.emplace_back([&play, caller] { play(caller); });
--- a/soak/promise_watch.cpp
+++ b/soak/promise_watch.cpp
@@ -64,6 +64,7 @@
 std::vector<status_call> status_calls_of(const std::vector<call_end>& calls)
 {
     std::vector<status_call> converted;
+    converted.reserve(calls.size());
     for (const call_end& each : calls)
     {
         converted.push_back(status_call_of(each));
