--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -31,7 +31,6 @@
 constexpr span visible_time = span(3000);
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
-constexpr std::size_t page_size = 500;
 // Open connections: processes that lead one after the other keep up to two to
 // each worker, and each process some to the store.
 constexpr std::size_t worker_threads_per_worker = 4;
@@ -59,7 +58,7 @@
         min_threads + worker_threads_per_worker * sheet.m_workers;
     options.m_store_threads =
         min_threads + store_threads_per_process * sheet.m_processes;
-    options.m_page_size = page_size;
+    options.m_pages = stand_ins::platform_pages;
     options.m_queues.clear();
     for (const job_kind& each : sheet.m_kinds)
     {
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -82,9 +82,11 @@
 
 } // namespace
 
-platform_stand_in::platform_stand_in(int minions, span max_hold)
+platform_stand_in::platform_stand_in(int minions, span max_hold,
+                                     const list_page_limits& pages)
     : platform_stand_in(platform_options{
-          .m_minions = {.m_count = minions, .m_max_hold = max_hold}})
+          .m_minions = {.m_count = minions, .m_max_hold = max_hold},
+          .m_pages = pages})
 {
 }
 
@@ -190,18 +192,24 @@
             json body{{"items", json::array()},
                       {"hasMore", false},
                       {"asOf", std::get<0>(listed).m_revision}};
+            std::size_t bytes = 0;
             for (const node::record& each : std::get<0>(listed).m_records)
             {
                 if (each.m_key <= after)
                 {
                     continue;
                 }
-                if (body["items"].size() == m_options.m_page_size)
+                json item = item_json(each);
+                bytes += item.dump().size();
+                const bool fits =
+                    body["items"].size() < m_options.m_pages.m_items &&
+                    bytes <= m_options.m_pages.m_bytes;
+                if (!fits && !body["items"].empty())
                 {
                     body["hasMore"] = true;
                     break;
                 }
-                body["items"].push_back(item_json(each));
+                body["items"].push_back(std::move(item));
             }
             answer(response, body);
         });
--- a/stand_ins/platform_stand_in.hpp
+++ b/stand_ins/platform_stand_in.hpp
@@ -15,6 +15,22 @@
 namespace kingcuprudder::stand_ins
 {
 
+/// What one page of a list holds at most.
+struct list_page_limits
+{
+    std::size_t m_items = 500;
+    /// Bytes of the encoded items.
+    std::size_t m_bytes = 1'000'000;
+
+    friend bool operator==(const list_page_limits&,
+                           const list_page_limits&) = default;
+};
+
+/// The pages of the platform's store.
+inline constexpr list_page_limits platform_pages{};
+/// Pages with which a short list takes several requests.
+inline constexpr list_page_limits small_pages{20, platform_pages.m_bytes};
+
 /// A queue of the operators' configuration.
 struct stand_in_queue
 {
@@ -32,9 +48,7 @@
     minion_options m_minions;
     /// Each open connection to the store occupies a thread.
     std::size_t m_store_threads = 200;
-    /// The most items of a page of a list; small, so that lists take several
-    /// requests.
-    std::size_t m_page_size = 20;
+    list_page_limits m_pages = small_pages;
     std::vector<stand_in_queue> m_queues = {stand_in_queue()};
 };
 
@@ -45,7 +59,8 @@
 public:
     /// Starts the store and the given number of minions on free loopback ports.
     /// The minions hold their runs at most for `max_hold` after an order.
-    explicit platform_stand_in(int minions, span max_hold = span(6000));
+    explicit platform_stand_in(int minions, span max_hold = span(6000),
+                               const list_page_limits& pages = small_pages);
     explicit platform_stand_in(const platform_options& options);
 
     /// Returns the address of the store as "ip:port".
