--- a/unit_tests/node/simulated_minions_test.cpp
+++ b/unit_tests/node/simulated_minions_test.cpp
@@ -289,4 +289,96 @@
         }));
 }
 
+TEST(simulated_minions, a_minion_that_drains_does_not_leave_at_once)
+{
+    memory_store store;
+    minion_options options;
+    options.m_count = 1;
+    options.m_drain_time = span(600);
+    simulated_minions minions(store, options);
+    const std::string address = entries(store).at("servers/i-0").at("address");
+    ASSERT_EQ(start(address, "60000")->status, 200);
+    const instant begin = node::boottime_now();
+    ASSERT_TRUE(minions.drain_one(0));
+    EXPECT_FALSE(minions.drain_one(0));
+    EXPECT_EQ(minions.ready_count(), 0);
+    ASSERT_TRUE(wait_for(
+        [&]
+        {
+            const auto listed = entries(store);
+            return !listed.empty() &&
+                   listed.begin()->second.at("state") == "draining" &&
+                   listed.begin()->second.contains("drainRemainingMs");
+        }));
+    EXPECT_EQ(minions.run_count("j.0.0.0"), 1);
+    ASSERT_TRUE(wait_for([&] { return entries(store).empty(); }));
+    EXPECT_GE(node::boottime_now() - begin, options.m_drain_time);
+    EXPECT_EQ(minions.run_count("j.0.0.0"), 0);
+    EXPECT_EQ(minions.crash_count(), 0);
+    EXPECT_EQ(post(address, "hold", {}).error(), httplib::Error::Connection);
+    minions.add_one(0);
+    EXPECT_EQ(minions.ready_count(), 1);
+}
+
+TEST(simulated_minions, a_run_that_carries_progress_does_not_begin_anew)
+{
+    memory_store store;
+    simulated_minions minions(store, 1);
+    const std::string address = entries(store).at("servers/i-0").at("address");
+    const std::string spec = R"({"runMs":60000,"saves":true})";
+    ASSERT_EQ(start(address, spec)->status, 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    ASSERT_EQ(post(address, "run-stop",
+                   {{"task", "j.0.0.0"}, {"run", 1}, {"fencingToken", 1}})
+                  ->status,
+              200);
+    const auto answer =
+        post(address, "hold", {{"fencingToken", 1}, {"lastSeen", 0}});
+    const json ended = json::parse(answer->body).at("ended").at(0);
+    EXPECT_EQ(ended.at(3), "stopped");
+    EXPECT_GE(std::stoi(ended.at(4).get<std::string>()), 50);
+    ASSERT_EQ(post(address, "run-start",
+                   {{"task", "j.0.0.0"},
+                    {"run", 2},
+                    {"spec", spec},
+                    {"saved", "59900"},
+                    {"deadlineMs", node::boottime_now().count() + 30'000},
+                    {"fencingToken", 1}})
+                  ->status,
+              200);
+    EXPECT_TRUE(wait_for([&] { return !minions.completion_counts().empty(); }));
+}
+
+TEST(simulated_minions, a_persistent_task_does_not_end)
+{
+    memory_store store;
+    simulated_minions minions(store, 1);
+    const std::string address = entries(store).at("servers/i-0").at("address");
+    ASSERT_EQ(start(address, R"({"runMs":1,"lasts":true})")->status, 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const auto answer =
+        post(address, "hold", {{"fencingToken", 1}, {"lastSeen", 0}});
+    const json body = json::parse(answer->body);
+    EXPECT_TRUE(body.at("ended").empty());
+    EXPECT_EQ(body.at("running").at(0).at(3), 100);
+}
+
+TEST(simulated_minions, tasks_that_need_more_than_there_is_are_reported)
+{
+    memory_store store;
+    simulated_minions minions(store, 1);
+    const std::string address = entries(store).at("servers/i-0").at("address");
+    ASSERT_EQ(start(address, R"({"runMs":9000,"gpu":8})")->status, 200);
+    EXPECT_TRUE(minions.violations().empty());
+    ASSERT_EQ(post(address, "run-start",
+                   {{"task", "j.0.0.1"},
+                    {"run", 1},
+                    {"spec", R"({"runMs":9000,"gpu":1})"},
+                    {"deadlineMs", node::boottime_now().count() + 30'000},
+                    {"fencingToken", 1}})
+                  ->status,
+              200);
+    EXPECT_EQ(minions.violations().size(), 1u);
+}
+
 } // namespace kingcuprudder::stand_ins
