--- a/soak/promise_checks.cpp
+++ b/soak/promise_checks.cpp
@@ -62,12 +62,12 @@
 /// Returns how many tasks and gangs have to be done; a persistent one never is.
 std::size_t unit_count(const job_history& history)
 {
-    int count = 0;
+    std::size_t count = 0;
     for (const job_step& step : history.m_job.m_steps)
     {
-        count += step.m_gang ? 1 : step.m_count;
+        count += step.m_gang ? 1 : static_cast<std::size_t>(step.m_count);
     }
-    return static_cast<std::size_t>(count * history.m_job.m_repeats);
+    return count * static_cast<std::size_t>(history.m_job.m_repeats);
 }
 
 /// The ended runs of a job in the order of time.
--- a/soak/waiting_tasks.cpp
+++ b/soak/waiting_tasks.cpp
@@ -94,6 +94,7 @@
         return name ? std::vector{*name} : std::vector<std::string>();
     }
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(described.m_count));
     for (int index = 0; index < described.m_count; ++index)
     {
         names.push_back(task_ref{job.m_id, repeat, step, index}.str());
