Soak: callers that ask all the time beside a deployment

2600 requests a run are few to meet a close at a SIGTERM. Six status callers ask for one job without a stop unless there are unplanned faults.

--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -6,6 +6,7 @@
 #include <soak/job_checks.hpp>
 #include <soak/promise_watch.hpp>
 #include <soak/scheduled_work.hpp>
+#include <soak/status_callers.hpp>
 #include <stand_ins/limited_link.hpp>
 
 #include <algorithm>
@@ -25,6 +26,11 @@
 {
 
 constexpr span step_time = span(50);
+// The job that the callers ask for that ask all the time. Its queue is the
+// default one of the stand-in.
+const std::string asked_job = "00000000000000aa";
+constexpr const char* asked_job_body =
+    R"({"spec":"100","steps":[{"count":1,"cpu":100,"memMb":1,"gpu":1}]})";
 constexpr span ready_timeout = span::seconds(30);
 constexpr span recovery_poll = span(2000);
 // Callers are told of jobs that were accepted longer ago than this.
@@ -59,7 +65,7 @@
     options.m_store_threads =
         min_threads + store_threads_per_process * sheet.m_processes;
     options.m_pages = stand_ins::platform_pages;
-    options.m_queues.clear();
+
     for (const job_kind& each : sheet.m_kinds)
     {
         options.m_queues.push_back({each.m_queue, "/" + each.m_queue + "/",
@@ -129,7 +135,7 @@
                             m_options.m_seed);
         promise_watch watch(callers, m_platform.minions(), m_disruptions,
                             m_sheet);
-        play(callers);
+        play(callers, balance);
         recover(callers, watch);
         add_violations(watch.stop());
         check(callers);
@@ -156,8 +162,9 @@
     }
 
     /// Plays the load with the planned work and the faults beside it.
-    void play(job_callers& callers)
+    void play(job_callers& callers, balancer& balance)
     {
+        std::unique_ptr<status_callers> askers = start_askers(balance);
         const std::vector<scheduled_work> work =
             plan_work(m_sheet, m_options.m_seed);
         std::atomic<bool> done = false;
@@ -185,6 +192,32 @@
         }
         load.join();
         m_faults.stop();
+        if (askers)
+        {
+            const status_calls calls = askers->stop();
+            m_report.m_status_calls = calls.m_answered;
+            add_violations(calls.m_unanswered);
+        }
+    }
+
+    /// Starts the callers that ask all the time, if there are any.
+    std::unique_ptr<status_callers> start_askers(balancer& balance)
+    {
+        if (m_options.m_faults || m_sheet.m_status_callers == 0)
+        {
+            return nullptr;
+        }
+        caller_connection connection(m_nodes, balance, m_disruptions, m_record,
+                                     m_options.m_seed);
+        while (connection
+                   .call(call_method::submit, "/q/" + asked_job, asked_job_body)
+                   .m_status != status_ok)
+        {
+            wait(step_time);
+        }
+        return std::make_unique<status_callers>(m_nodes, balance, asked_job,
+                                                m_sheet.m_status_callers,
+                                                m_options.m_seed);
     }
 
     bool may_signal(int node) const
--- a/soak/deployment_run.hpp
+++ b/soak/deployment_run.hpp
@@ -34,6 +34,8 @@
     /// The time from the end of the load until all jobs had ended.
     span m_time_to_completion;
     call_counts m_calls;
+    /// Answered requests of the callers that ask all the time.
+    int m_status_calls = 0;
     /// A message for each violation.
     std::vector<std::string> m_violations;
 };
--- a/soak/deployment_sheet.hpp
+++ b/soak/deployment_sheet.hpp
@@ -106,6 +106,9 @@
     span m_gang_timeout = span(4000);
     span m_drain_time = span(3000);
     int m_callers = 152;
+    /// Further callers that ask for the state of one job all the time, if there
+    /// are no unplanned faults.
+    int m_status_callers = 6;
     std::vector<job_kind> m_kinds = default_job_kinds();
     span m_load_time = span::seconds(34);
     /// The time from the end of the load until callers ask for all jobs.
--- a/soak/promise_watch.cpp
+++ b/soak/promise_watch.cpp
@@ -80,7 +80,7 @@
                              const deployment_sheet& sheet)
     : m_callers(callers), m_minions(minions), m_disruptions(disruptions),
       m_sheet(sheet), m_sampler([this](const std::string& task)
-                                { return m_demands.at(job_of(task)); }),
+                                { return demand_of_task(task); }),
       m_idle_checks(promise_bounds()), m_last_sample(node::boottime_now())
 {
     callers.for_each_job(
@@ -101,6 +101,13 @@
     }
 }
 
+dispatch::resources promise_watch::demand_of_task(const std::string& task) const
+{
+    // A job of other callers has no demand here.
+    const auto found = m_demands.find(job_of(task));
+    return found == m_demands.end() ? dispatch::resources() : found->second;
+}
+
 void promise_watch::run()
 {
     while (!m_stopping)
--- a/soak/promise_watch.hpp
+++ b/soak/promise_watch.hpp
@@ -39,6 +39,7 @@
 private:
     void run();
     void take_sample();
+    dispatch::resources demand_of_task(const std::string& task) const;
     void note_events(const std::vector<stand_ins::run_event>& events);
     std::vector<waiting_task> waiting() const;
     job_history history_of(const called_job& job) const;
--- a/unit_tests/node/soak_test.cpp
+++ b/unit_tests/node/soak_test.cpp
@@ -42,6 +42,7 @@
     sheet.m_small_processes = 4;
     sheet.m_workers = 70;
     sheet.m_callers = 30;
+    sheet.m_status_callers = 3;
     sheet.m_load_time = span::seconds(12);
     sheet.m_finish_time = span::seconds(5);
     sheet.m_completion_time = span::seconds(15);
@@ -131,6 +132,7 @@
     EXPECT_GT(report.m_completed, 25);
     EXPECT_GT(report.m_planned_work, 12);
     EXPECT_GT(report.m_calls.m_answered, 150);
+    EXPECT_GT(report.m_status_calls, 200);
     EXPECT_EQ(report.m_violations, std::vector<std::string>());
 }
 
