--- a/unit_tests/node/idle_checks_test.cpp
+++ b/unit_tests/node/idle_checks_test.cpp
@@ -137,6 +137,14 @@
               1);
 }
 
+TEST(idle_checks, a_job_may_be_idle_between_disruptions_before_the_end)
+{
+    player samples;
+    deployment_sample sample = finished_sample();
+    sample.m_finished = false;
+    EXPECT_TRUE(samples.play(sample, bounds.m_idle * 4).empty());
+}
+
 TEST(idle_checks, at_the_end_under_half_of_the_pool_must_be_in_use)
 {
     player samples;
@@ -287,8 +295,9 @@
 {
     player samples;
     EXPECT_TRUE(samples.play(calm_sample(), calm_bound).empty());
-    samples.skip_to(calm_bound + bounds.m_max_sample_gap);
-    EXPECT_EQ(samples.play(calm_sample(), calm_bound * 2).size(), 1);
+    const span next = calm_bound + bounds.m_max_sample_gap;
+    samples.skip_to(next);
+    EXPECT_EQ(samples.play(calm_sample(), next).size(), 1);
 }
 
 } // namespace kingcuprudder::soak
--- a/unit_tests/node/waiting_tasks_test.cpp
+++ b/unit_tests/node/waiting_tasks_test.cpp
@@ -65,6 +65,7 @@
     EXPECT_EQ(names(job), (strings{"j.0.0.0", "j.0.0.1"}));
     job.m_steps[0].m_gang = true;
     EXPECT_EQ(names(job), strings{"j.0.0"});
+    EXPECT_EQ(names(job, {"j.0.0.0"})[0], "j.0.0");
 }
 
 TEST(waiting_tasks, a_repetition_waits_from_its_due_time_on)
