--- a/soak/caller_connection.cpp
+++ b/soak/balanced_connection.cpp
@@ -1,6 +1,6 @@
 #include <kingcuprudder/node/clocks.hpp>
 
-#include <soak/caller_connection.hpp>
+#include <soak/balanced_connection.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -59,18 +59,19 @@
     return m_counts;
 }
 
-caller_connection::caller_connection(const deployment& nodes, balancer& balance,
-                                     const disruption_record& disruptions,
-                                     call_record& record, unsigned choice)
+balanced_connection::balanced_connection(const deployment& nodes,
+                                         balancer& balance,
+                                         const disruption_record& disruptions,
+                                         call_record& record, unsigned choice)
     : m_nodes(nodes), m_balancer(balance), m_disruptions(disruptions),
       m_record(record), m_choice(choice)
 {
 }
 
-caller_connection::~caller_connection() = default;
+balanced_connection::~balanced_connection() = default;
 
-call_end caller_connection::call(call_method method, const std::string& path,
-                                 const std::string& body)
+call_end balanced_connection::call(call_method method, const std::string& path,
+                                   const std::string& body)
 {
     connect();
     const httplib::Headers headers{{"Host", "h.example"},
@@ -117,7 +118,7 @@
     return ended;
 }
 
-void caller_connection::connect()
+void balanced_connection::connect()
 {
     if (m_client)
     {
@@ -133,13 +134,13 @@
     m_client->set_tcp_nodelay(true);
 }
 
-void caller_connection::disconnect()
+void balanced_connection::disconnect()
 {
     m_client.reset();
 }
 
-void caller_connection::note_no_response(const call_end& call,
-                                         const std::string& error)
+void balanced_connection::note_no_response(const call_end& call,
+                                           const std::string& error)
 {
     m_record.note_unanswered(
         m_disruptions.is_calm_since(call.m_sent_at),
--- a/soak/caller_connection.hpp
+++ b/soak/balanced_connection.hpp
@@ -1,5 +1,5 @@
-#ifndef SOAK_CALLER_CONNECTION_HPP
-#define SOAK_CALLER_CONNECTION_HPP
+#ifndef SOAK_BALANCED_CONNECTION_HPP
+#define SOAK_BALANCED_CONNECTION_HPP
 
 #include <kingcuprudder/base/time.hpp>
 
@@ -81,16 +81,16 @@
 
 /// The connection of one caller. It is kept until the process says that it
 /// closes it or a call fails; the balancer then selects a process anew.
-class caller_connection
+class balanced_connection
 {
 public:
     /// All but the number must outlive this.
-    caller_connection(const deployment& nodes, balancer& balance,
-                      const disruption_record& disruptions, call_record& record,
-                      unsigned choice);
-    ~caller_connection();
-    caller_connection(const caller_connection&) = delete;
-    caller_connection& operator=(const caller_connection&) = delete;
+    balanced_connection(const deployment& nodes, balancer& balance,
+                        const disruption_record& disruptions,
+                        call_record& record, unsigned choice);
+    ~balanced_connection();
+    balanced_connection(const balanced_connection&) = delete;
+    balanced_connection& operator=(const balanced_connection&) = delete;
 
     /// Sends a request and waits for its response.
     call_end call(call_method method, const std::string& path,
--- a/soak/job_callers.cpp
+++ b/soak/deployment_callers.cpp
@@ -1,7 +1,7 @@
 #include <kingcuprudder/node/clocks.hpp>
 
 #include <nlohmann/json.hpp>
-#include <soak/job_callers.hpp>
+#include <soak/deployment_callers.hpp>
 
 #include <chrono>
 #include <map>
@@ -90,16 +90,18 @@
                                   : std::optional<job_state>(found->second);
 }
 
-job_callers::job_callers(const deployment& nodes, balancer& balance,
-                         const disruption_record& disruptions,
-                         call_record& record, const deployment_sheet& sheet,
-                         unsigned seed)
+deployment_callers::deployment_callers(const deployment& nodes,
+                                       balancer& balance,
+                                       const disruption_record& disruptions,
+                                       call_record& record,
+                                       const deployment_sheet& sheet,
+                                       unsigned seed)
     : m_sheet(sheet)
 {
     std::mt19937 random(seed);
     for (int index = 0; index < sheet.m_callers; ++index)
     {
-        m_connections.push_back(std::make_unique<caller_connection>(
+        m_connections.push_back(std::make_unique<balanced_connection>(
             nodes, balance, disruptions, record,
             static_cast<unsigned>(random())));
     }
@@ -109,13 +111,13 @@
     }
 }
 
-void job_callers::play_load()
+void deployment_callers::play_load()
 {
     m_begin = node::boottime_now();
     for_each_caller([this](int caller) { play(caller); });
 }
 
-void job_callers::ask_for_jobs(bool all)
+void deployment_callers::ask_for_jobs(bool all)
 {
     for_each_caller(
         [this, all](int caller)
@@ -132,7 +134,7 @@
         });
 }
 
-void job_callers::for_each_job(
+void deployment_callers::for_each_job(
     const std::function<void(const called_job&)>& function) const
 {
     std::lock_guard lock(m_mutex);
@@ -142,7 +144,7 @@
     }
 }
 
-void job_callers::for_each_caller(const std::function<void(int)>& play)
+void deployment_callers::for_each_caller(const std::function<void(int)>& play)
 {
     std::vector<std::thread> threads;
     threads.reserve(m_connections.size());
@@ -156,12 +158,12 @@
     }
 }
 
-span job_callers::now() const
+span deployment_callers::now() const
 {
     return node::boottime_now() - m_begin;
 }
 
-void job_callers::play(int caller)
+void deployment_callers::play(int caller)
 {
     std::priority_queue<action> actions;
     for (std::size_t index = caller; index < m_jobs.size();
@@ -201,7 +203,8 @@
     }
 }
 
-void job_callers::perform(const action& next, caller_connection& connection)
+void deployment_callers::perform(const action& next,
+                                 balanced_connection& connection)
 {
     if (next.m_kind == action::kind::read_queue)
     {
@@ -223,7 +226,8 @@
     }
 }
 
-void job_callers::submit(called_job& job, caller_connection& connection)
+void deployment_callers::submit(called_job& job,
+                                balanced_connection& connection)
 {
     const job_kind& kind = m_sheet.m_kinds[job.m_plan.m_kind];
     const std::string path = path_of(job.m_plan, kind);
@@ -249,7 +253,8 @@
     }
 }
 
-void job_callers::cancel(called_job& job, caller_connection& connection)
+void deployment_callers::cancel(called_job& job,
+                                balanced_connection& connection)
 {
     const std::string path =
         path_of(job.m_plan, m_sheet.m_kinds[job.m_plan.m_kind]);
@@ -270,8 +275,8 @@
     }
 }
 
-void job_callers::read(called_job& job, caller_connection& connection,
-                       bool final)
+void deployment_callers::read(called_job& job, balanced_connection& connection,
+                              bool final)
 {
     const std::string path =
         path_of(job.m_plan, m_sheet.m_kinds[job.m_plan.m_kind]);
@@ -289,8 +294,8 @@
     }
 }
 
-void job_callers::read_queue(const job_kind& kind,
-                             caller_connection& connection)
+void deployment_callers::read_queue(const job_kind& kind,
+                                    balanced_connection& connection)
 {
     const call_end call =
         connection.call(call_method::read, "/" + kind.m_queue + "/");
--- a/soak/job_callers.hpp
+++ b/soak/deployment_callers.hpp
@@ -1,7 +1,7 @@
-#ifndef SOAK_JOB_CALLERS_HPP
-#define SOAK_JOB_CALLERS_HPP
+#ifndef SOAK_DEPLOYMENT_CALLERS_HPP
+#define SOAK_DEPLOYMENT_CALLERS_HPP
 
-#include <soak/caller_connection.hpp>
+#include <soak/balanced_connection.hpp>
 #include <soak/job_plan.hpp>
 #include <soak/promise_checks.hpp>
 
@@ -51,13 +51,14 @@
 
 /// The callers of a deployment. Each has a connection that it keeps, submits
 /// its share of the jobs, asks for their states and cancels some.
-class job_callers
+class deployment_callers
 {
 public:
     /// All must outlive this.
-    job_callers(const deployment& nodes, balancer& balance,
-                const disruption_record& disruptions, call_record& record,
-                const deployment_sheet& sheet, unsigned seed);
+    deployment_callers(const deployment& nodes, balancer& balance,
+                       const disruption_record& disruptions,
+                       call_record& record, const deployment_sheet& sheet,
+                       unsigned seed);
 
     /// Plays the load, with one thread for each caller, and returns at its end.
     void play_load();
@@ -95,15 +96,15 @@
 
     void for_each_caller(const std::function<void(int)>& play);
     void play(int caller);
-    void perform(const action& next, caller_connection& connection);
-    void submit(called_job& job, caller_connection& connection);
-    void cancel(called_job& job, caller_connection& connection);
-    void read(called_job& job, caller_connection& connection, bool final);
-    void read_queue(const job_kind& kind, caller_connection& connection);
+    void perform(const action& next, balanced_connection& connection);
+    void submit(called_job& job, balanced_connection& connection);
+    void cancel(called_job& job, balanced_connection& connection);
+    void read(called_job& job, balanced_connection& connection, bool final);
+    void read_queue(const job_kind& kind, balanced_connection& connection);
     span now() const;
 
     const deployment_sheet& m_sheet;
-    std::vector<std::unique_ptr<caller_connection>> m_connections;
+    std::vector<std::unique_ptr<balanced_connection>> m_connections;
     mutable std::mutex m_mutex;
     std::vector<called_job> m_jobs;
     std::vector<pending_answer> m_pending_answers;
--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -1,8 +1,8 @@
 #include <kingcuprudder/node/clocks.hpp>
 
+#include <soak/deployment_callers.hpp>
 #include <soak/deployment_run.hpp>
 #include <soak/fault_series.hpp>
-#include <soak/job_callers.hpp>
 #include <soak/job_checks.hpp>
 #include <soak/promise_watch.hpp>
 #include <soak/scheduled_work.hpp>
@@ -131,8 +131,8 @@
     {
         start();
         balancer balance(m_nodes);
-        job_callers callers(m_nodes, balance, m_disruptions, m_record, m_sheet,
-                            m_options.m_seed);
+        deployment_callers callers(m_nodes, balance, m_disruptions, m_record,
+                                   m_sheet, m_options.m_seed);
         promise_watch watch(callers, m_platform.minions(), m_disruptions,
                             m_sheet);
         play(callers, balance);
@@ -162,7 +162,7 @@
     }
 
     /// Plays the load with the planned work and the faults beside it.
-    void play(job_callers& callers, balancer& balance)
+    void play(deployment_callers& callers, balancer& balance)
     {
         std::unique_ptr<status_callers> askers = start_askers(balance);
         const std::vector<scheduled_work> work =
@@ -207,8 +207,8 @@
         {
             return nullptr;
         }
-        caller_connection connection(m_nodes, balance, m_disruptions, m_record,
-                                     m_options.m_seed);
+        balanced_connection connection(m_nodes, balance, m_disruptions,
+                                       m_record, m_options.m_seed);
         while (connection
                    .call(call_method::submit, "/q/" + asked_job, asked_job_body)
                    .m_status != status_ok)
@@ -294,7 +294,7 @@
         }
     }
 
-    void recover(job_callers& callers, promise_watch& watch)
+    void recover(deployment_callers& callers, promise_watch& watch)
     {
         const instant begin = node::boottime_now();
         wait(m_sheet.m_finish_time);
@@ -315,7 +315,7 @@
                !job.m_plan.m_persistent;
     }
 
-    static bool all_ended(const job_callers& callers)
+    static bool all_ended(const deployment_callers& callers)
     {
         bool ended = true;
         callers.for_each_job(
@@ -330,7 +330,7 @@
                                      found.end());
     }
 
-    void check(const job_callers& callers)
+    void check(const deployment_callers& callers)
     {
         add_violations(m_platform.minions().violations());
         m_report.m_calls = m_record.counts();
--- a/soak/deployment_run.hpp
+++ b/soak/deployment_run.hpp
@@ -1,7 +1,7 @@
 #ifndef SOAK_DEPLOYMENT_RUN_HPP
 #define SOAK_DEPLOYMENT_RUN_HPP
 
-#include <soak/caller_connection.hpp>
+#include <soak/balanced_connection.hpp>
 #include <soak/deployment_sheet.hpp>
 
 #include <string>
--- a/soak/promise_watch.cpp
+++ b/soak/promise_watch.cpp
@@ -74,7 +74,7 @@
 
 } // namespace
 
-promise_watch::promise_watch(const job_callers& callers,
+promise_watch::promise_watch(const deployment_callers& callers,
                              const stand_ins::simulated_minions& minions,
                              const disruption_record& disruptions,
                              const deployment_sheet& sheet)
--- a/soak/promise_watch.hpp
+++ b/soak/promise_watch.hpp
@@ -1,9 +1,9 @@
 #ifndef SOAK_PROMISE_WATCH_HPP
 #define SOAK_PROMISE_WATCH_HPP
 
+#include <soak/deployment_callers.hpp>
 #include <soak/disruption_record.hpp>
 #include <soak/idle_checks.hpp>
-#include <soak/job_callers.hpp>
 #include <soak/worker_sampler.hpp>
 #include <stand_ins/simulated_minions.hpp>
 
@@ -23,7 +23,7 @@
 {
 public:
     /// Samples from now on. All must outlive this.
-    promise_watch(const job_callers& callers,
+    promise_watch(const deployment_callers& callers,
                   const stand_ins::simulated_minions& minions,
                   const disruption_record& disruptions,
                   const deployment_sheet& sheet);
@@ -44,7 +44,7 @@
     std::vector<waiting_task> waiting() const;
     job_history history_of(const called_job& job) const;
 
-    const job_callers& m_callers;
+    const deployment_callers& m_callers;
     const stand_ins::simulated_minions& m_minions;
     const disruption_record& m_disruptions;
     const deployment_sheet& m_sheet;
