--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <soak/deployment.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -13,17 +14,34 @@
 namespace
 {
 
-constexpr std::int64_t milliseconds_per_second = 1000;
+constexpr double millis_per_second = 1000;
+
+double seconds_of(span time)
+{
+    return static_cast<double>(time.count()) / millis_per_second;
+}
 
 } // namespace
 
 deployment::deployment(std::string program, std::string folder,
                        const std::string& store_address, int nodes,
                        span worker_lease, span shutdown_grace)
-    : m_program(std::move(program)), m_folder(std::move(folder))
+    : deployment(std::move(program), std::move(folder),
+                 std::vector<process_profile>(static_cast<std::size_t>(nodes),
+                                              {store_address, 1}),
+                 process_times{.m_worker_lease = worker_lease,
+                               .m_shutdown_grace = shutdown_grace})
 {
-    for (int index = 0; index < nodes; ++index)
+}
+
+deployment::deployment(std::string program, std::string folder,
+                       const std::vector<process_profile>& profiles,
+                       const process_times& times)
+    : m_program(std::move(program)), m_folder(std::move(folder)), m_times(times)
+{
+    for (const process_profile& profile : profiles)
     {
+        const std::size_t index = m_nodes.size();
         node_process& node = m_nodes.emplace_back();
         node.m_caller_address = demo::free_loopback_address();
         node.m_readiness_address = demo::free_loopback_address();
@@ -35,16 +53,15 @@
             {"caller_address", node.m_caller_address},
             {"readiness_address", node.m_readiness_address},
             {"metrics_address", demo::free_loopback_address()},
-            {"store_address", store_address},
-            {"processor_share", 1},
-            {"worker_lease_ms", worker_lease.count()},
+            {"store_address", profile.m_store_address},
+            {"processor_share", profile.m_processor_share},
+            {"worker_lease_ms", times.m_worker_lease.count()},
             {"worker_stop_ms", 400},
             {"reclaim_ms", 2900},
             {"distance_factor", 3},
             {"restore_ms", 100},
-            {"status_s", 120},
-            {"shutdown_grace_s",
-             shutdown_grace.count() / milliseconds_per_second}};
+            {"status_s", seconds_of(times.m_status_retention)},
+            {"shutdown_grace_s", seconds_of(times.m_shutdown_grace)}};
         std::ofstream(node.m_settings_path) << settings.dump();
     }
 }
@@ -66,6 +83,7 @@
         std::vector<std::string>{"--settings", m_nodes[node].m_settings_path},
         m_folder + "/node-" + std::to_string(node) + ".log");
     m_nodes[node].m_terminating = false;
+    m_nodes[node].m_started_at_ms = node::boottime_now().count();
 }
 
 void deployment::kill(int node)
@@ -91,6 +109,12 @@
            instant(m_nodes[node].m_signalled_at_ms.load());
 }
 
+instant deployment::undisturbed_since(int node) const
+{
+    return instant(std::max(m_nodes[node].m_signalled_at_ms.load(),
+                            m_nodes[node].m_started_at_ms.load()));
+}
+
 bool deployment::restart_if_ended(int node)
 {
     node_process& each = m_nodes[node];
@@ -108,6 +132,20 @@
     return m_nodes[node].m_process->wait_for_exit(timeout);
 }
 
+bool deployment::kill_after_grace(int node)
+{
+    node_process& each = m_nodes[node];
+    if (!each.m_process || !each.m_terminating ||
+        time_since_signal(node) < m_times.m_shutdown_grace ||
+        each.m_process->wait_for_exit(span(0)))
+    {
+        return false;
+    }
+    each.m_process.reset();
+    each.m_terminating = false;
+    return true;
+}
+
 void deployment::pause(int node)
 {
     m_nodes[node].m_process->send_signal(SIGSTOP);
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -10,10 +10,26 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace kingcuprudder::soak
 {
 
+/// The settings of one process that differ between processes.
+struct process_profile
+{
+    std::string m_store_address; ///< "ip:port".
+    double m_processor_share = 1;
+};
+
+/// The settings that all processes share.
+struct process_times
+{
+    span m_worker_lease = span(6000);
+    span m_shutdown_grace = span::seconds(3);
+    span m_status_retention = span::seconds(120);
+};
+
 /// Starts kcr_node processes on loopback ports and kills, terminates or pauses
 /// them.
 class deployment
@@ -25,6 +41,9 @@
                const std::string& store_address, int nodes,
                span worker_lease = span(6000),
                span shutdown_grace = span::seconds(3));
+    deployment(std::string program, std::string folder,
+               const std::vector<process_profile>& profiles,
+               const process_times& times);
 
     int size() const { return static_cast<int>(m_nodes.size()); }
     /// Returns the address for callers as "ip:port".
@@ -50,6 +69,9 @@
     /// Returns the time since the process last got SIGTERM, over all of its
     /// restarts. Callable from any thread.
     span time_since_signal(int node) const;
+    /// Returns when the process was last started or sent SIGTERM. Callable from
+    /// any thread.
+    instant undisturbed_since(int node) const;
     /// Starts the process again if it was killed or has exited after
     /// terminate(). Returns whether it was started.
     bool restart_if_ended(int node);
@@ -57,6 +79,9 @@
     void reload(int node);
     /// Waits until the process has exited. Returns false on timeout.
     bool wait_for_exit(int node, span timeout);
+    /// Kills the process if it still runs when its shutdown grace time is over,
+    /// as the platform does. Returns whether it did.
+    bool kill_after_grace(int node);
     /// Sends SIGSTOP.
     void pause(int node);
     /// Sends SIGCONT.
@@ -72,10 +97,12 @@
         bool m_terminating = false;
         /// Read by the callers' threads.
         std::atomic<std::int64_t> m_signalled_at_ms = 0;
+        std::atomic<std::int64_t> m_started_at_ms = 0;
     };
 
     std::string m_program;
     std::string m_folder;
+    process_times m_times;
     std::deque<node_process> m_nodes;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,3 +1,4 @@
+#include <soak/deployment_run.hpp>
 #include <soak/rolling_restarts.hpp>
 #include <soak/scenario.hpp>
 #include <soak/shutdown_profile.hpp>
@@ -13,6 +14,8 @@
 
 namespace soak = kingcuprudder::soak;
 
+constexpr double ms_per_s = 1000;
+
 /// Returns the path of kcr_node, which is beside this program.
 std::string node_program()
 {
@@ -73,6 +76,44 @@
     return unanswered.empty() && report.m_violations.empty() && report.m_exited;
 }
 
+/// Returns the machine's runnable threads, on average over the last minute. A
+/// machine with many more than processors delays answers by itself.
+double machine_load()
+{
+    double load = 0;
+    return ::getloadavg(&load, 1) == 1 ? load : 0;
+}
+
+/// Prints the results of a deployment's run with one seed. Returns whether
+/// nothing was violated.
+bool play_deployment(const soak::deployment_run_options& options)
+{
+    const soak::deployment_run_report report = soak::run_deployment(options);
+    const soak::call_counts& calls = report.m_calls;
+    std::printf(
+        "seed %u: jobs %d accepted %d cancelled %d completed %d, planned work "
+        "%d, faults %d, killed after grace %d, last job ended %.1f s after the "
+        "load; requests answered %d and %d of status callers, rejected %d "
+        "unanswered %zu and %d near "
+        "faults, connections refused %d, longest call %lld ms; load of the "
+        "machine %.0f; violations %zu\n",
+        options.m_seed, report.m_jobs, report.m_accepted, report.m_cancelled,
+        report.m_completed, report.m_planned_work, report.m_faults,
+        report.m_killed_after_grace,
+        static_cast<double>(report.m_time_to_completion.count()) / ms_per_s,
+        calls.m_answered, report.m_status_calls, calls.m_rejected,
+        calls.m_unanswered.size(), calls.m_unanswered_near_disruptions,
+        calls.m_refused_connections,
+        static_cast<long long>(calls.m_longest_call.count()), machine_load(),
+        report.m_violations.size());
+    for (const std::string& each : report.m_violations)
+    {
+        std::printf("  %s\n", each.c_str());
+    }
+    std::fflush(stdout);
+    return report.m_violations.empty();
+}
+
 /// Prints the time of one takeover in milliseconds, or -1 if it took too long.
 /// Returns whether the job was started in time.
 bool run_takeover(unsigned seed, const std::string& folder, int ended_jobs,
@@ -155,15 +196,22 @@
                                       "share of the answers to writes that "
                                       "--shutdown-profile loses",
                                       false, 0, "percent", line);
+    TCLAP::SwitchArg deployment(
+        "", "deployment",
+        "a deployment with its load and planned work, in the size of its sheet",
+        line);
+    TCLAP::SwitchArg faults("", "faults",
+                            "unplanned faults beside the planned work of "
+                            "--deployment",
+                            line);
     TCLAP::ValueArg<int> takeover(
         "", "takeover",
         "measure the time of a takeover beside the records of so many ended "
         "jobs, on a link of 10 Mbit/s",
         false, -1, "ended jobs", line);
     TCLAP::ValueArg<double> lost_share(
-        "", "lost-share",
-        "share of the store's answers that a takeover loses", false, 0, "share",
-        line);
+        "", "lost-share", "share of the store's answers that a takeover loses",
+        false, 0, "share", line);
     line.parse(argc, argv);
     int failed_seeds = 0;
     for (unsigned seed = first.getValue();
@@ -175,6 +223,16 @@
         options.m_program = node_program();
         options.m_folder = folder.getValue() + "/" + std::to_string(seed);
         std::filesystem::create_directories(options.m_folder);
+        if (deployment.getValue())
+        {
+            soak::deployment_run_options run;
+            run.m_program = options.m_program;
+            run.m_folder = options.m_folder;
+            run.m_seed = seed;
+            run.m_faults = faults.getValue();
+            failed_seeds += play_deployment(run) ? 0 : 1;
+            continue;
+        }
         if (rolling_restarts.getValue())
         {
             soak::rolling_restart_options rolling;
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -14,7 +14,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t server_threads = 200;
 constexpr span call_timeout = span(1000);
 
 constexpr int status_ok = 200;
@@ -85,11 +84,18 @@
 
 platform_stand_in::platform_stand_in(int minions, span max_hold,
                                      const list_page_limits& pages)
-    : m_pages(pages), m_minions(m_store, minions, max_hold)
+    : platform_stand_in(platform_options{
+          .m_minions = {.m_count = minions, .m_max_hold = max_hold},
+          .m_pages = pages})
+{
+}
+
+platform_stand_in::platform_stand_in(const platform_options& options)
+    : m_options(options), m_minions(m_store, options.m_minions)
 {
     write_configuration(1, "key");
     m_store_listener = std::make_unique<http_listener>(
-        "127.0.0.1:0", server_threads,
+        "127.0.0.1:0", options.m_store_threads,
         [this](httplib::Server& server) { install_store(server); });
 }
 
@@ -100,17 +106,22 @@
 
 void platform_stand_in::write_configuration(int version, const std::string& key)
 {
+    json routes = json::array();
+    for (const stand_in_queue& each : m_options.m_queues)
+    {
+        routes.push_back(
+            {{"name", each.m_name},
+             {"host", "h.example"},
+             {"prefix", each.m_prefix},
+             {"backend", "pool"},
+             {"priority", each.m_priority},
+             {"maxAttempts", each.m_max_attempts},
+             {"stretch", each.m_stretch},
+             {"targetDurationMs", each.m_target_duration.count()}});
+    }
     const json configuration{
         {"version", version},
-        {"routes",
-         {{{"name", "q"},
-           {"host", "h.example"},
-           {"prefix", "/q/"},
-           {"backend", "pool"},
-           {"priority", 1},
-           {"maxAttempts", 3},
-           {"stretch", 3.0},
-           {"targetDurationMs", 1000}}}},
+        {"routes", routes},
         {"backends", {{{"name", "pool"}}}},
         {"tenants", {{{"name", "t"}, {"apiKeys", {key}}}}}};
     node::store_transaction transaction;
@@ -190,8 +201,9 @@
                 }
                 json item = item_json(each);
                 bytes += item.dump().size();
-                const bool fits = body["items"].size() < m_pages.m_items &&
-                                  bytes <= m_pages.m_bytes;
+                const bool fits =
+                    body["items"].size() < m_options.m_pages.m_items &&
+                    bytes <= m_options.m_pages.m_bytes;
                 if (!fits && !body["items"].empty())
                 {
                     body["hasMore"] = true;
--- a/stand_ins/platform_stand_in.hpp
+++ b/stand_ins/platform_stand_in.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace kingcuprudder::stand_ins
 {
@@ -30,6 +31,27 @@
 /// Pages with which a short list takes several requests.
 inline constexpr list_page_limits small_pages{20, platform_pages.m_bytes};
 
+/// A queue of the operators' configuration.
+struct stand_in_queue
+{
+    std::string m_name = "q";
+    std::string m_prefix = "/q/";
+    int m_priority = 1;
+    int m_max_attempts = 3;
+    double m_stretch = 3;
+    span m_target_duration = span(1000);
+};
+
+/// Size of the stand-in of the platform.
+struct platform_options
+{
+    minion_options m_minions;
+    /// Each open connection to the store occupies a thread.
+    std::size_t m_store_threads = 200;
+    list_page_limits m_pages = small_pages;
+    std::vector<stand_in_queue> m_queues = {stand_in_queue()};
+};
+
 /// Serves the platform's store and minions over HTTP, with the interfaces of
 /// the platform's documentation.
 class platform_stand_in
@@ -39,6 +61,7 @@
     /// The minions hold their runs at most for `max_hold` after an order.
     explicit platform_stand_in(int minions, span max_hold = span(6000),
                                const list_page_limits& pages = small_pages);
+    explicit platform_stand_in(const platform_options& options);
 
     /// Returns the address of the store as "ip:port".
     const std::string& store_address() const;
@@ -49,15 +72,15 @@
     /// Sets the delays of the calls to the store. An empty function sets none.
     void set_delay_hook(delay_hook hook);
     simulated_minions& minions() { return m_minions; }
-    /// Writes the operators' configuration: one queue with priority 1 under /q/
-    /// at the host "h.example", and one client account with this key.
+    /// Writes the operators' configuration: the queues at the host
+    /// "h.example", and one client account with this key.
     void write_configuration(int version, const std::string& key);
 
 private:
     void install_store(httplib::Server& server);
     void delay(const std::string& path);
 
-    const list_page_limits m_pages;
+    const platform_options m_options;
     std::mutex m_mutex;
     delay_hook m_delay_hook;
     memory_store m_store;
