The retention of an ended job goes on under a new leader

With changes of the leader within the retention the records of ended jobs were never removed, so that each takeover read more.

Cause: a new leader knew only that a job had ended, and kept its record for the whole retention from then on. The final progress record now has the wall-clock time of the end, and a new leader keeps it for the rest of the retention, at most the whole one if the writer's clock was ahead. Records of earlier versions, which lack the time, are kept for the whole retention; earlier versions ignore the field.

The codec's test dispatch_codec.the_time_of_the_end_can_be_read_back was not built or run.

--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -163,6 +163,29 @@
     return task;
 }
 
+json progress_json(const job_progress& progress)
+{
+    json value{{"state", to_string(progress.m_state)},
+               {"account", progress.m_account}};
+    if (!is_final(progress.m_state))
+    {
+        json& tasks = value["tasks"] = json::array();
+        for (const auto& repeat : progress.m_tasks)
+        {
+            json& steps = tasks.emplace_back(json::array());
+            for (const auto& step : repeat)
+            {
+                json& entries = steps.emplace_back(json::array());
+                for (const task_progress& task : step)
+                {
+                    entries.push_back(encode_task(task));
+                }
+            }
+        }
+    }
+    return value;
+}
+
 } // namespace
 
 std::string encode_submission(const job_submission& submission)
@@ -221,25 +244,27 @@
 
 std::string encode_progress(const job_progress& progress)
 {
-    json value{{"state", to_string(progress.m_state)},
-               {"account", progress.m_account}};
-    if (!is_final(progress.m_state))
+    return progress_json(progress).dump();
+}
+
+std::string encode_ended_progress(const job_progress& progress,
+                                  instant ended_at)
+{
+    json value = progress_json(progress);
+    value["ended_at_ms"] = ended_at.count();
+    return value.dump();
+}
+
+std::optional<instant> decode_end_time(const std::string& text)
+{
+    const json value = json::parse(text, nullptr, false);
+    const auto found =
+        value.is_object() ? value.find("ended_at_ms") : value.end();
+    if (found == value.end() || !found->is_number_integer())
     {
-        json& tasks = value["tasks"] = json::array();
-        for (const auto& repeat : progress.m_tasks)
-        {
-            json& steps = tasks.emplace_back(json::array());
-            for (const auto& step : repeat)
-            {
-                json& entries = steps.emplace_back(json::array());
-                for (const task_progress& task : step)
-                {
-                    entries.push_back(encode_task(task));
-                }
-            }
-        }
+        return std::nullopt;
     }
-    return value.dump();
+    return instant(found->get<std::int64_t>());
 }
 
 std::optional<job_progress> decode_progress(const std::string& text)
--- a/kingcuprudder/codec/dispatch_codec.hpp
+++ b/kingcuprudder/codec/dispatch_codec.hpp
@@ -19,7 +19,13 @@
 /// Encodes the stored record of a job's progress, without tasks if the job has
 /// ended.
 std::string encode_progress(const job_progress& progress);
+/// Encodes the progress of a job that ended at this wall-clock time.
+std::string encode_ended_progress(const job_progress& progress,
+                                  instant ended_at);
 std::optional<job_progress> decode_progress(const std::string& text);
+/// Returns the wall-clock time of a job's end from its encoded progress, or
+/// nothing if it is absent, as in records of earlier versions.
+std::optional<instant> decode_end_time(const std::string& text);
 
 /// Queue lengths that the scheduler publishes for processes that accept jobs.
 struct queue_summary
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -431,9 +431,14 @@
     {
         const std::string key = record_keys::progress(write.m_job);
         transaction.m_expected.emplace_back(key, write.m_revision);
+        const bool ended = dispatch::is_final(write.m_progress.m_state);
         transaction.m_writes.push_back(
-            {key, dispatch::encode_progress(write.m_progress), 0});
-        if (dispatch::is_final(write.m_progress.m_state))
+            {key,
+             ended
+                 ? dispatch::encode_ended_progress(write.m_progress, wall_now())
+                 : dispatch::encode_progress(write.m_progress),
+             0});
+        if (ended)
         {
             transaction.m_removals.push_back(
                 record_keys::submission(write.m_job));
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -77,6 +77,9 @@
     bool load();
     void log_failed_load(const std::string& prefix, store_failure reason);
     void load_jobs(const record_list& live, const record_list& progress);
+    /// Returns how long the record of an ended job is still kept; the whole
+    /// retention if it does not have the time of the end.
+    span retention_left(const std::string& ended_progress) const;
     /// Adds the job of a listed submission, or holds it as unusable.
     void load_job(const record& found,
                   const std::map<std::string, stored_progress>& progress_of,
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -118,7 +118,7 @@
         else if (dispatch::is_final(decoded->m_state))
         {
             note_ended_job(id, each.m_revision,
-                           now + m_environment.m_record_retention);
+                           now + retention_left(each.m_value));
         }
         else
         {
@@ -141,6 +141,19 @@
     }
 }
 
+span scheduler::retention_left(const std::string& ended_progress) const
+{
+    const span retention = m_environment.m_record_retention;
+    const std::optional<instant> ended_at =
+        dispatch::decode_end_time(ended_progress);
+    if (!ended_at)
+    {
+        return retention;
+    }
+    // The clock of the process that wrote the time may be ahead.
+    return std::clamp(*ended_at + retention - wall_now(), span(0), retention);
+}
+
 void scheduler::load_job(
     const record& found,
     const std::map<std::string, stored_progress>& progress_of,
--- a/unit_tests/dispatch/values_test.cpp
+++ b/unit_tests/dispatch/values_test.cpp
@@ -61,6 +61,23 @@
     EXPECT_EQ(decode_submission(encode_submission(job)), job);
 }
 
+// Guards against a retention that begins anew, as the time of the end is lost.
+TEST(dispatch_codec, the_time_of_the_end_can_be_read_back)
+{
+    job_progress progress;
+    progress.m_state = job_state::completed;
+    progress.m_account = "account";
+    const instant ended_at(1'700'000'000'000);
+    const std::string text = encode_ended_progress(progress, ended_at);
+    EXPECT_EQ(decode_end_time(text), ended_at);
+    EXPECT_EQ(decode_progress(text), progress);
+    EXPECT_FALSE(decode_end_time(encode_progress(progress)));
+    for (const char* unreadable : {"", "7", "[]", R"({"ended_at_ms":"x"})"})
+    {
+        EXPECT_FALSE(decode_end_time(unreadable)) << unreadable;
+    }
+}
+
 TEST(dispatch_codec, progress_can_be_read_back)
 {
     job_progress progress;
