Cancellations of ended jobs are removed

A cancellation that was stored as its job ended stayed in the store for ever and was read by each later leader.

Cause: only the transaction that stores the end removes it. Now each cancellation that a leader sees is due for removal 5 s later, with its revision; it is postponed while the end of its job is not stored, and dropped when that transaction has removed it. A condition on the progress in the cancellation's own transaction would conflict with each step of a running job.

--- a/kingcuprudder/node/record_removals.cpp
+++ b/kingcuprudder/node/record_removals.cpp
@@ -19,9 +19,15 @@
 // How long records wait for others to fill a group.
 constexpr span partial_group_interval = span(1000);
 constexpr span retry_pause = span(1000);
+constexpr span needed_pause = span(5000);
 
 } // namespace
 
+record_removals::record_removals(needed_hook is_needed)
+    : m_is_needed(std::move(is_needed))
+{
+}
+
 void record_removals::schedule(const record_removal& removal, instant due)
 {
     const auto [found, added] =
@@ -49,6 +55,7 @@
     {
         return {};
     }
+    postpone_needed(now);
     std::vector<record_removal> group;
     for (auto each = m_by_due.begin();
          each != m_by_due.end() && each->first <= now &&
@@ -67,6 +74,26 @@
     return group;
 }
 
+void record_removals::postpone_needed(instant now)
+{
+    std::vector<std::string> needed;
+    for (auto each = m_by_due.begin();
+         each != m_by_due.end() && each->first <= now; ++each)
+    {
+        if (m_is_needed(each->second))
+        {
+            needed.push_back(each->second);
+        }
+    }
+    for (const std::string& key : needed)
+    {
+        instant& due = m_records.at(key).m_due;
+        m_by_due.erase({due, key});
+        due = now + needed_pause;
+        m_by_due.emplace(due, key);
+    }
+}
+
 void record_removals::failed(instant now)
 {
     m_in_flight.clear();
--- a/kingcuprudder/node/record_removals.hpp
+++ b/kingcuprudder/node/record_removals.hpp
@@ -4,6 +4,7 @@
 #include <kingcuprudder/node/record_store.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -29,6 +30,11 @@
 class record_removals
 {
 public:
+    /// Returns whether a record is still needed, so that it is removed later.
+    using needed_hook = std::function<bool(const std::string& key)>;
+
+    explicit record_removals(needed_hook is_needed);
+
     /// Schedules a removal. A key that is scheduled already keeps its time and
     /// takes over the revision.
     void schedule(const record_removal& removal, instant due);
@@ -60,7 +66,10 @@
     using scheduled_records = std::map<std::string, entry>;
 
     void erase(scheduled_records::iterator found);
+    /// Postpones the removals that are due of records that are still needed.
+    void postpone_needed(instant now);
 
+    needed_hook m_is_needed;
     scheduled_records m_records;
     std::set<std::pair<instant, std::string>> m_by_due;
     std::vector<record_removal> m_in_flight;
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -555,6 +555,8 @@
         {
             note_ended_job(write.m_job, std::get<std::int64_t>(answer),
                            boottime_now() + m_environment.m_record_retention);
+            m_removals.drop({record_keys::cancellation(write.m_job),
+                             std::get<std::int64_t>(answer)});
         }
         m_dispatcher.write_stored(write.m_job, write.m_version,
                                   std::get<std::int64_t>(answer));
@@ -677,6 +679,13 @@
     m_write_queue.try_push(std::move(next));
 }
 
+bool scheduler::is_needed(const std::string& key) const
+{
+    return key.starts_with(record_keys::cancellation_prefix) &&
+           m_dispatcher.jobs().contains(
+               after_prefix(key, record_keys::cancellation_prefix));
+}
+
 void scheduler::finish_removal(const std::vector<record_removal>& group,
                                const store_result<commit_answer>& outcome)
 {
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -91,6 +91,7 @@
     void watch_records();
     void add_submission(const record& found, const stored_progress& progress);
     void apply_live_record(const record& found);
+    void apply_cancellation(const record& found);
     void apply_worker_record(const record& found, bool removed);
     void apply_worker_list(const record_list& list);
 
@@ -134,6 +135,9 @@
     void publish_summary();
     void publish_metrics();
     void remove_old_records();
+    /// Returns whether a record that is due for removal is still needed: the
+    /// cancellation of a job whose end is not stored.
+    bool is_needed(const std::string& key) const;
     /// Handles the result of the removal of a group of records.
     void finish_removal(const std::vector<record_removal>& group,
                         const store_result<commit_answer>& outcome);
@@ -166,7 +170,8 @@
     instant m_load_began_at;
     /// The load has decided about all submissions up to this revision.
     std::int64_t m_loaded_revision = 0;
-    record_removals m_removals;
+    record_removals m_removals{[this](const std::string& key)
+                               { return is_needed(key); }};
     bool m_write_in_flight = false;
     bool m_raising_fence = false;
     instant m_next_raise_at;
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -14,6 +14,9 @@
 
 constexpr span load_timeout = span(1500);
 constexpr span watch_wait = span(1500);
+// A cancellation whose job is not known by then is not needed: the job has
+// ended.
+constexpr span unused_cancellation_time = span(5000);
 // Each worker updates its record about once per second, and few of these
 // changes affect scheduling.
 constexpr span worker_batching_delay = span(300);
@@ -292,12 +295,23 @@
     }
     else if (found.m_key.starts_with(record_keys::cancellation_prefix))
     {
-        const std::string id =
-            after_prefix(found.m_key, record_keys::cancellation_prefix);
-        if (!m_ended_jobs.contains(id))
-        {
-            m_dispatcher.cancel_job(id, boottime_now());
-        }
+        apply_cancellation(found);
+    }
+}
+
+void scheduler::apply_cancellation(const record& found)
+{
+    const std::string id =
+        after_prefix(found.m_key, record_keys::cancellation_prefix);
+    if (!m_ended_jobs.contains(id))
+    {
+        m_dispatcher.cancel_job(id, boottime_now());
+    }
+    // The end of the job removes the cancellation unless that was stored later.
+    if (!m_unusable_jobs.contains(id))
+    {
+        m_removals.schedule({found.m_key, found.m_revision},
+                            boottime_now() + unused_cancellation_time);
     }
 }
 
