A page that a new leader cannot read is read again alone

list_page is now the store's call; list_reader keeps the pages that were read, and the scheduler repeats only the one that failed. A page waits 500 ms for the next piece of the answer at first and 500 ms more after each failure, to 1.5 s at most, so that one lost answer costs less. A shutdown ends the reading after a page. The metrics of list calls count pages.

Records of ended jobs under a prefix that a takeover does not read would end the dependence on their number, but a status call would read two keys, or each write of a job's progress would have to be split; not done.

--- a/kingcuprudder/node/metered_store.cpp
+++ b/kingcuprudder/node/metered_store.cpp
@@ -37,10 +37,12 @@
     return metered(m_read, [&] { return m_inner.read(key, timeout); });
 }
 
-store_result<record_list> metered_store::list(const std::string& prefix,
-                                              span timeout)
+store_result<record_page> metered_store::list_page(const std::string& prefix,
+                                                   const std::string& after,
+                                                   span timeout)
 {
-    return metered(m_list, [&] { return m_inner.list(prefix, timeout); });
+    return metered(m_list,
+                   [&] { return m_inner.list_page(prefix, after, timeout); });
 }
 
 store_result<record_changes> metered_store::watch(const std::string& prefix,
--- a/kingcuprudder/node/metered_store.hpp
+++ b/kingcuprudder/node/metered_store.hpp
@@ -15,8 +15,9 @@
 
     store_result<std::optional<record>> read(const std::string& key,
                                              span timeout) override;
-    store_result<record_list> list(const std::string& prefix,
-                                   span timeout) override;
+    store_result<record_page> list_page(const std::string& prefix,
+                                        const std::string& after,
+                                        span timeout) override;
     store_result<record_changes> watch(const std::string& prefix,
                                        std::int64_t after, span wait) override;
     store_result<commit_answer> commit(const store_transaction& transaction,
--- a/kingcuprudder/node/record_store.cpp
+++ b/kingcuprudder/node/record_store.cpp
@@ -1,3 +1,4 @@
+#include <kingcuprudder/node/list_reader.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 
 namespace kingcuprudder::node
@@ -19,4 +20,18 @@
     return "unknown";
 }
 
+store_result<record_list> record_store::list(const std::string& prefix,
+                                             span timeout)
+{
+    list_reader reader(*this, prefix);
+    while (!reader.is_complete())
+    {
+        if (const auto failure = reader.read_page(timeout))
+        {
+            return *failure;
+        }
+    }
+    return reader.list();
+}
+
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/record_store.hpp
+++ b/kingcuprudder/node/record_store.hpp
@@ -52,6 +52,13 @@
     std::int64_t m_revision = 0;
 };
 
+/// One page of a list of records.
+struct record_page
+{
+    record_list m_list;
+    bool m_has_more = false;
+};
+
 /// Changes below a prefix. A removed record has no revision.
 struct record_changes
 {
@@ -101,8 +108,15 @@
 
     virtual store_result<std::optional<record>> read(const std::string& key,
                                                      span timeout) = 0;
-    virtual store_result<record_list> list(const std::string& prefix,
-                                           span timeout) = 0;
+    /// Returns the records whose keys begin with the prefix and come after the
+    /// given key, in the order of the keys, as far as a page holds them. The
+    /// timeout applies to the wait for each piece of the answer.
+    virtual store_result<record_page> list_page(const std::string& prefix,
+                                                const std::string& after,
+                                                span timeout) = 0;
+    /// Returns all records below the prefix, or the failure of the first page
+    /// that could not be read. The timeout applies to each page.
+    store_result<record_list> list(const std::string& prefix, span timeout);
     /// Waits up to `wait` for changes after the revision.
     virtual store_result<record_changes>
     watch(const std::string& prefix, std::int64_t after, span wait) = 0;
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <kingcuprudder/node/external_records.hpp>
 #include <kingcuprudder/node/leader_metrics.hpp>
 #include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/list_reader.hpp>
 #include <kingcuprudder/node/record_removals.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
@@ -74,7 +75,11 @@
     /// Handles the waiting events, then plans and sends orders if it is time.
     void handle_events();
     void apply(const event& next);
+    /// Reads the records that have not been read yet, and takes them over when
+    /// all have been. Returns whether they have.
     bool load();
+    void take_over(const record_list& workers, const record_list& live,
+                   const record_list& progress);
     void log_failed_load(const std::string& prefix, store_failure reason);
     void load_jobs(const record_list& live, const record_list& progress);
     /// Returns how long the record of an ended job is still kept; the whole
@@ -166,6 +171,8 @@
     std::map<std::string, std::int64_t> m_ended_jobs;
     /// Jobs whose records cannot be used. They stay as they are in the store.
     std::set<std::string> m_unusable_jobs;
+    /// Workers, live records and progress, in this order, until all are read.
+    std::vector<list_reader> m_lists_to_load;
     int m_load_attempts = 0;
     instant m_load_began_at;
     /// The load has decided about all submissions up to this revision.
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -12,7 +12,10 @@
 namespace
 {
 
-constexpr span load_timeout = span(1500);
+// Timeouts of the pages that a new leader reads: the first one, by which each
+// failed page lengthens it, and the longest.
+constexpr span first_page_timeout = span(500);
+constexpr span max_page_timeout = span(1500);
 constexpr span watch_wait = span(1500);
 // A cancellation whose job is not known by then is not needed: the job has
 // ended.
@@ -55,23 +58,44 @@
 bool scheduler::load()
 {
     ++m_load_attempts;
-    std::vector<record_list> lists;
-    for (const std::string& prefix :
-         {m_environment.m_records.m_workers_prefix, record_keys::live_prefix,
-          record_keys::progress_prefix})
+    if (m_lists_to_load.empty())
     {
-        store_result<record_list> read =
-            m_environment.m_store.list(prefix, load_timeout);
-        if (!is_ok(read))
+        // Progress is read after the submissions, so that it has each of them.
+        for (const std::string& prefix :
+             {m_environment.m_records.m_workers_prefix,
+              record_keys::live_prefix, record_keys::progress_prefix})
         {
-            log_failed_load(prefix, std::get<1>(read));
-            return false;
+            m_lists_to_load.emplace_back(m_environment.m_store, prefix);
         }
-        lists.push_back(std::move(std::get<0>(read)));
     }
-    const record_list& workers = lists[0];
-    const record_list& live = lists[1];
-    const record_list& progress = lists[2];
+    for (list_reader& each : m_lists_to_load)
+    {
+        while (!each.is_complete())
+        {
+            const span timeout = std::min(first_page_timeout * m_load_attempts,
+                                          max_page_timeout);
+            const std::optional<store_failure> failure =
+                each.read_page(timeout);
+            if (failure)
+            {
+                log_failed_load(each.prefix(), *failure);
+                return false;
+            }
+            if (m_stopping)
+            {
+                return false;
+            }
+        }
+    }
+    take_over(m_lists_to_load[0].list(), m_lists_to_load[1].list(),
+              m_lists_to_load[2].list());
+    m_lists_to_load.clear();
+    return true;
+}
+
+void scheduler::take_over(const record_list& workers, const record_list& live,
+                          const record_list& progress)
+{
     apply_worker_list(workers);
     load_jobs(live, progress);
     const std::size_t records = workers.m_records.size() +
@@ -90,7 +114,6 @@
          {"revision", std::to_string(live.m_revision)},
          {"fence", std::to_string(m_term->fence())}});
     watch_records();
-    return true;
 }
 
 void scheduler::log_failed_load(const std::string& prefix, store_failure reason)
--- a/stand_ins/memory_store.cpp
+++ b/stand_ins/memory_store.cpp
@@ -99,8 +99,9 @@
         node::record{key, found->second.m_value, found->second.m_revision});
 }
 
-node::store_result<node::record_list>
-memory_store::list(const std::string& prefix, span)
+node::store_result<node::record_page>
+memory_store::list_page(const std::string& prefix, const std::string& after,
+                        span)
 {
     std::lock_guard lock(m_mutex);
     if (next_fault("list") != fault::none)
@@ -108,16 +109,17 @@
         return store_failure::not_done;
     }
     expire_leases();
-    node::record_list list;
-    list.m_revision = m_revision;
+    node::record_page page;
+    page.m_list.m_revision = m_revision;
     for (const auto& [key, each] : m_items)
     {
-        if (key.starts_with(prefix))
+        if (key.starts_with(prefix) && key > after)
         {
-            list.m_records.push_back({key, each.m_value, each.m_revision});
+            page.m_list.m_records.push_back(
+                {key, each.m_value, each.m_revision});
         }
     }
-    return list;
+    return page;
 }
 
 node::store_result<node::record_changes>
--- a/unit_tests/node/forwarding_store.hpp
+++ b/unit_tests/node/forwarding_store.hpp
@@ -19,10 +19,11 @@
     {
         return m_inner.read(key, timeout);
     }
-    store_result<record_list> list(const std::string& prefix,
-                                   span timeout) override
+    store_result<record_page> list_page(const std::string& prefix,
+                                        const std::string& after,
+                                        span timeout) override
     {
-        return m_inner.list(prefix, timeout);
+        return m_inner.list_page(prefix, after, timeout);
     }
     store_result<record_changes> watch(const std::string& prefix,
                                        std::int64_t after, span wait) override
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -27,10 +27,11 @@
 
     static constexpr span delay = span(600);
 
-    store_result<record_list> list(const std::string& prefix,
-                                   span timeout) override
+    store_result<record_page> list_page(const std::string& prefix,
+                                        const std::string& after,
+                                        span timeout) override
     {
-        auto listed = forwarding_store::list(prefix, timeout);
+        auto listed = forwarding_store::list_page(prefix, after, timeout);
         std::this_thread::sleep_for(std::chrono::milliseconds(delay.count()));
         return listed;
     }
--- a/unit_tests/node/scheduler_log_test.cpp
+++ b/unit_tests/node/scheduler_log_test.cpp
@@ -68,15 +68,16 @@
 public:
     using forwarding_store::forwarding_store;
 
-    store_result<record_list> list(const std::string& prefix,
-                                   span timeout) override
+    store_result<record_page> list_page(const std::string& prefix,
+                                        const std::string& after,
+                                        span timeout) override
     {
         if (prefix == record_keys::progress_prefix && !m_failed)
         {
             m_failed = true;
             return store_failure::unknown;
         }
-        return forwarding_store::list(prefix, timeout);
+        return forwarding_store::list_page(prefix, after, timeout);
     }
 
 private:
