--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <kingcuprudder/node/external_records.hpp>
 #include <kingcuprudder/node/leader_metrics.hpp>
 #include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/list_reader.hpp>
 #include <kingcuprudder/node/record_removals.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
@@ -74,9 +75,16 @@
     /// Handles the waiting events, then plans and sends orders if it is time.
     void handle_events();
     void apply(const event& next);
+    /// Reads the records that have not been read yet, and takes them over when
+    /// all have been. Returns whether they have.
     bool load();
+    void take_over(const record_list& workers, const record_list& live,
+                   const record_list& progress);
     void log_failed_load(const std::string& prefix, store_failure reason);
     void load_jobs(const record_list& live, const record_list& progress);
+    /// Returns how long the record of an ended job is still kept; the whole
+    /// retention if it does not have the time of the end.
+    span retention_left(const std::string& ended_progress) const;
     /// Adds the job of a listed submission, or holds it as unusable.
     void load_job(const record& found,
                   const std::map<std::string, stored_progress>& progress_of,
@@ -88,6 +96,7 @@
     void watch_records();
     void add_submission(const record& found, const stored_progress& progress);
     void apply_live_record(const record& found);
+    void apply_cancellation(const record& found);
     void apply_worker_record(const record& found, bool removed);
     void apply_worker_list(const record_list& list);
 
@@ -131,6 +140,9 @@
     void publish_summary();
     void publish_metrics();
     void remove_old_records();
+    /// Returns whether a record that is due for removal is still needed: the
+    /// cancellation of a job whose end is not stored.
+    bool is_needed(const std::string& key) const;
     /// Handles the result of the removal of a group of records.
     void finish_removal(const std::vector<record_removal>& group,
                         const store_result<commit_answer>& outcome);
@@ -159,11 +171,14 @@
     std::map<std::string, std::int64_t> m_ended_jobs;
     /// Jobs whose records cannot be used. They stay as they are in the store.
     std::set<std::string> m_unusable_jobs;
+    /// Workers, live records and progress, in this order, until all are read.
+    std::vector<list_reader> m_lists_to_load;
     int m_load_attempts = 0;
     instant m_load_began_at;
     /// The load has decided about all submissions up to this revision.
     std::int64_t m_loaded_revision = 0;
-    record_removals m_removals;
+    record_removals m_removals{[this](const std::string& key)
+                               { return is_needed(key); }};
     bool m_write_in_flight = false;
     bool m_raising_fence = false;
     instant m_next_raise_at;
