The renewal of the lease follows the time that the store takes

Cause: each renewal was given up after 800 ms.

A renewal has twice the time that calls take, 0.6 to 1.1 s, and follows the one before after 400 ms in place of 600, less what that one took. A first one that is given up so leaves time for one of 1.1 s within the lease. The lease and the margin before its end are as they were.

--- a/kingcuprudder/node/leadership.cpp
+++ b/kingcuprudder/node/leadership.cpp
@@ -15,7 +15,13 @@
 {
 
 constexpr span lease_time = span(2500);
-constexpr span renewal_interval = span(600);
+constexpr span renewal_interval = span(400);
+// The first renewal that a slow store does not answer leaves time for one with
+// the longest timeout before the term ends.
+constexpr span min_renewal_timeout = span(600);
+constexpr span max_renewal_timeout = span(1100);
+// A renewal is given up after this multiple of the time that calls take.
+constexpr int renewal_patience_factor = 2;
 constexpr span renewal_retry = span(150);
 constexpr span call_timeout = span(800);
 // The leader stops this long before its lease can expire at the store.
@@ -33,6 +39,12 @@
     return std::to_string(any(device));
 }
 
+span renewal_timeout(const read_latency& latency)
+{
+    return std::clamp(latency.expected() * renewal_patience_factor,
+                      min_renewal_timeout, max_renewal_timeout);
+}
+
 } // namespace
 
 bool term::is_valid() const
@@ -241,12 +253,14 @@
         return;
     }
     const instant sent = boottime_now();
-    const store_result<std::monostate> renewed =
-        m_store.renew_lease(m_lease, call_timeout);
+    const store_result<std::monostate> renewed = observed(
+        m_latency, [this]
+        { return m_store.renew_lease(m_lease, renewal_timeout(m_latency)); });
+    const span took = boottime_now() - sent;
     if (is_ok(renewed))
     {
         m_term->extend(sent + lease_time - safety_margin);
-        pause(renewal_interval);
+        pause(std::max(span(0), renewal_interval - took));
     }
     else if (std::get<1>(renewed) == store_failure::lease_ended)
     {
@@ -256,7 +270,7 @@
     }
     else
     {
-        pause(renewal_retry);
+        pause(std::max(span(0), renewal_retry - took));
     }
     if (m_term && !m_term->is_valid() && !m_stopping)
     {
