--- a/soak/shutdown_callers.cpp
+++ b/soak/shutdown_callers.cpp
@@ -189,6 +189,7 @@
                               bool& open)
 {
     std::string request = job_request_text("POST", id, job_body(task_ms));
+    const instant began = node::boottime_now();
     if (kind == caller_kind::slow_post)
     {
         const std::size_t header_size = request.find("\r\n\r\n") + 4;
@@ -196,7 +197,8 @@
         request.erase(0, header_size);
         sleep_for(span(static_cast<int>(random() % max_body_pause_ms)));
     }
-    const observed_request seen = send(kind, connection, request, open);
+    connection.send(request);
+    const observed_request seen = receive(kind, connection, began, open);
     note(seen);
     if (seen.m_status == status_ok)
     {
