--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -32,6 +32,8 @@
 
 const std::string continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr int listen_backlog = 256;
+// The receipt of a request that is refused is cancelled this often.
+constexpr span refusal_retry = span(50);
 constexpr std::size_t first_read_bytes = 2048;
 constexpr std::uint32_t max_header_bytes = 16 * 1024;
 // Buffers of idle connections above this size are released.
@@ -164,7 +166,8 @@
                    {
                        ignore_new_connections(self->m_acceptor.native_handle());
                        self->m_close_listener = self->m_loop.run_after(
-                           handshake_time, [self] { self->close_listener(); });
+                           handshake_time,
+                           [self] { self->close_listener(true); });
                    });
     }
 
@@ -200,7 +203,7 @@
         asio::post(m_context,
                    [self = shared_from_this()]
                    {
-                       self->close_listener();
+                       self->close_listener(false);
                        self->m_closing = true;
                        self->m_reading = false;
                        const auto connections = self->m_connections;
@@ -253,16 +256,18 @@
 
         void await_request()
         {
-            set_busy(false);
+            m_refusal.reset();
+            const bool ends = !m_owner.m_reading;
+            set_busy(m_buffer.size() > 0 || (ends && has_arrived()));
             m_idle_since = std::chrono::steady_clock::now();
-            m_parser.emplace();
-            m_parser->body_limit(m_owner.m_limits.m_max_body_bytes);
-            m_parser->header_limit(max_header_bytes);
-            if (!m_owner.m_reading && !has_arrived())
+            if (ends && !m_busy)
             {
                 drain();
                 return;
             }
+            m_parser.emplace();
+            m_parser->body_limit(m_owner.m_limits.m_max_body_bytes);
+            m_parser->header_limit(max_header_bytes);
             if (m_buffer.size() > 0)
             {
                 receive();
@@ -335,9 +340,14 @@
             }
         }
 
-        /// Answers the request that waits for a thread or is being handled.
+        /// Answers the request that is being received, waits for a thread or is
+        /// being handled.
         void answer_without_handler()
         {
+            if (m_receiving)
+            {
+                end_receipt(http::status::service_unavailable);
+            }
             refuse_unless_begun();
             if (m_pending)
             {
@@ -381,10 +391,11 @@
         void receive()
         {
             set_busy(true);
-            m_received_at = std::chrono::steady_clock::now();
+            m_receiving = true;
+            m_begun_at = std::chrono::steady_clock::now();
             m_timer = m_owner.m_loop.run_after(
-                m_owner.m_limits.m_transfer_timeout,
-                [self = shared_from_this()] { self->end_receipt(); });
+                m_owner.m_limits.m_transfer_timeout, [self = shared_from_this()]
+                { self->end_receipt(http::status::request_timeout); });
             http::async_read_header(
                 m_socket, m_buffer, *m_parser,
                 [self = shared_from_this()](const error_code& error,
@@ -417,20 +428,25 @@
                              { error ? self->reject(error) : self->handle(); });
         }
 
-        /// Ends a receipt that takes too long.
-        void end_receipt()
+        /// Refuses the request that is being received. It is not begun, so its
+        /// caller may repeat it.
+        void end_receipt(http::status refusal)
         {
-            m_timed_out = true;
+            m_refusal = refusal;
             error_code ignored;
             m_socket.cancel(ignored);
+            // Nothing is cancelled if a read is complete and not handled yet.
+            m_timer = m_owner.m_loop.run_after(
+                refusal_retry, [self = shared_from_this(), refusal]
+                { self->end_receipt(refusal); });
         }
 
         /// Answers a request that could not be read, if the caller is there.
         void reject(const error_code& error)
         {
-            if (m_timed_out)
+            if (m_refusal && error == asio::error::operation_aborted)
             {
-                send(plain_response(http::status::request_timeout));
+                send(plain_response(*m_refusal));
             }
             else if (error == http::error::body_limit)
             {
@@ -456,6 +472,12 @@
 
         void handle()
         {
+            if (m_refusal)
+            {
+                send(plain_response(*m_refusal));
+                return;
+            }
+            m_receiving = false;
             m_timer = event_loop::timer();
             m_keep_alive = m_parser->get().keep_alive();
             auto received = std::make_shared<http_request>();
@@ -470,7 +492,8 @@
                     std::string(field.value()));
             }
             received->m_body = std::move(m_parser->get().body());
-            received->m_received_at = m_received_at;
+            received->m_begun_at = m_begun_at;
+            received->m_received_at = std::chrono::steady_clock::now();
             m_parser.reset();
             m_owner.dispatch(shared_from_this(), received);
         }
@@ -479,6 +502,7 @@
 
         void send(http_response response)
         {
+            m_receiving = false;
             m_pending.reset();
             const bool closing = response.m_close || !m_keep_alive ||
                                  m_ending || m_owner.m_closing;
@@ -569,13 +593,14 @@
         bool m_busy = false;
         /// No request is read any more; what arrives is dropped.
         bool m_draining = false;
-        /// The receipt of a request took too long.
-        bool m_timed_out = false;
+        bool m_receiving = false;
+        /// Why the receipt of a request was ended.
+        std::optional<http::status> m_refusal;
         /// The wait for a request was ended.
         bool m_ending = false;
         bool m_keep_alive = false;
         std::chrono::steady_clock::time_point m_idle_since;
-        std::chrono::steady_clock::time_point m_received_at;
+        std::chrono::steady_clock::time_point m_begun_at;
     };
 
     void accept()
@@ -622,17 +647,14 @@
         }
     }
 
-    /// Accepts the connections that the kernel has accepted, as closing the
-    /// listener resets them, and closes it.
-    void close_listener()
+    /// Accepts the connections that the kernel holds, as closing the listener
+    /// resets them. Returns why it ends, which is would_block if there are no
+    /// more.
+    error_code accept_queued()
     {
-        if (!m_acceptor.is_open())
-        {
-            return;
-        }
         error_code error;
         m_acceptor.non_blocking(true, error);
-        while (!error)
+        while (!error || error == asio::error::connection_aborted)
         {
             tcp::socket socket(m_context);
             m_acceptor.accept(socket, error);
@@ -641,7 +663,26 @@
                 begin_session(std::move(socket));
             }
         }
-        m_acceptor.close(error);
+        return error;
+    }
+
+    /// Closes the listener, later if the descriptors are used up for the moment
+    /// and there is time.
+    void close_listener(bool may_wait)
+    {
+        if (!m_acceptor.is_open())
+        {
+            return;
+        }
+        if (accept_queued() != asio::error::would_block && may_wait)
+        {
+            m_close_listener =
+                m_loop.run_after(accept_retry, [self = shared_from_this()]
+                                 { self->close_listener(true); });
+            return;
+        }
+        error_code ignored;
+        m_acceptor.close(ignored);
     }
 
     /// Runs the handler. Its exceptions must not end a thread.
