--- a/kingcuprudder/node/configuration_view.cpp
+++ b/kingcuprudder/node/configuration_view.cpp
@@ -64,7 +64,7 @@
                                                            span timeout)
 {
     const instant sent = boottime_now();
-    if (const snapshot recent = confirmed_since(sent - max_age))
+    if (snapshot recent = confirmed_since(sent - max_age))
     {
         return recent;
     }
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -169,8 +169,7 @@
 {
     if (const configuration_view::snapshot known = m_configuration.current())
     {
-        const service_result<caller_access> access =
-            access_given_by(*known, request);
+        service_result<caller_access> access = access_given_by(*known, request);
         if (std::holds_alternative<caller_access>(access))
         {
             return access;
