Review: silent machines and late orders in the stand-ins

Cause: a case needs a minion that loses power and one that carries an order out late. Change: a server that goes silent, a crash that is dark, orders that are held back, a line for each end that is taken note of, a node that is started again.

--- a/review/stand_ins-2/lab.py
+++ b/review/stand_ins-2/lab.py
@@ -83,6 +83,13 @@
         self.lab.log(f"{self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    async def start_when_ended(self):
+        while self.process.poll() is None:
+            await asyncio.sleep(0.05)
+        self.lab.log(f"{self.name} has ended with {self.process.returncode} "
+                     "and is started again")
+        self.start()
+
     def end(self):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
--- a/review/stand_ins-2/minions.py
+++ b/review/stand_ins-2/minions.py
@@ -62,7 +62,8 @@
         self.rack = rack
         self.capacity = capacity
         self.up = False
-        self.paused = False
+        self._dark = False
+        self.hold_back = None
         self.running = {}
         self.calls = {"run-start": 0, "run-stop": 0, "hold": 0}
         self.server = web.Server(self._handle)
@@ -79,19 +80,27 @@
         self.seq = 0
         self.up = True
         self._ended_event = asyncio.Event()
-        await self.server.start(self.server.port)
+        if self._dark:
+            self._dark = False
+            self.server.speak()
+        else:
+            await self.server.start(self.server.port)
         self._tasks = [asyncio.create_task(self._work()),
                        asyncio.create_task(self._register())]
 
-    async def crash(self):
-        """Ends at once; all runs are lost."""
+    async def crash(self, dark=False):
+        """Ends at once; all runs are lost. A dark machine answers nothing."""
         self.up = False
         for task in self._tasks:
             task.cancel()
         lost = [f"{r.task} run {r.run}" for r in self.running.values()]
         self.fleet.log(f"{self.id} crashes; lost: {', '.join(lost) or 'none'}")
         self.running = {}
-        await self.server.stop()
+        self._dark = dark
+        if dark:
+            self.server.go_silent()
+        else:
+            await self.server.stop()
 
     def clock(self):
         return 1000 + int((time.monotonic() - self._clock0) * 1000)
@@ -167,6 +176,12 @@
         if name not in ("run-start", "run-stop", "hold"):
             return 404, {}
         self.calls[name] += 1
+        if self.hold_back is not None and self.hold_back(name, body):
+            return web.NO_ANSWER
+        return await self.carry_out(name, body)
+
+    async def carry_out(self, name, body):
+        """Carries a call out, now or later."""
         if body.get("fencingToken", 0) < self.fence:
             return self._refuse("fence")
         self.fence = body.get("fencingToken", 0)
@@ -215,7 +230,12 @@
 
     async def _hold(self, body):
         self._extend(body.get("deadlineMs"))
-        self.ended = [e for e in self.ended if e[0] > body.get("lastSeen", 0)]
+        seen = body.get("lastSeen", 0)
+        for end in self.ended:
+            if end[0] <= seen:
+                self.fleet.log(f"{self.id}: the end of {end[1]} run {end[2]} "
+                               "is taken note of")
+        self.ended = [e for e in self.ended if e[0] > seen]
         if not self.ended and body.get("waitMs", 0) > 0:
             try:
                 await asyncio.wait_for(self._ended_event.wait(),
--- a/review/stand_ins-2/web.py
+++ b/review/stand_ins-2/web.py
@@ -43,6 +43,8 @@
         self._handle = handle
         self._server = None
         self._writers = set()
+        self._life = 0
+        self._silent = False
         self.port = 0
 
     @property
@@ -63,8 +65,19 @@
             writer.transport.abort()
         self._server = None
 
+    def go_silent(self):
+        """Answers nothing any more, like a machine without power. Connections
+        of before and of meanwhile stay silent also after speak()."""
+        self._silent = True
+        self._life += 1
+
+    def speak(self):
+        self._silent = False
+        self._life += 1
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        life = self._life
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -73,9 +86,11 @@
                 method, target, _ = first.split(" ", 2)
                 body = await reader.readexactly(
                     int(headers.get("content-length", 0)))
-                answer = await self._handle(
-                    Request(method, target, headers, body))
-                if answer is NO_ANSWER:
+                answer = NO_ANSWER
+                if life == self._life and not self._silent:
+                    answer = await self._handle(
+                        Request(method, target, headers, body))
+                if answer is NO_ANSWER or life != self._life:
                     # The connection returns nothing further.
                     await reader.read()
                     return
