--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,72 +1,63 @@
-"""A job that fills loses its minion. The others have tasks with a target, and
-room. Does the job ever run again?"""
+"""A client gives a submission up at a machine that stands still, and cancels the
+job elsewhere. Does the job start all the same when the machine continues?"""
 
 import asyncio
 import json
 import pathlib
+import signal
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "stand_ins-2"))
 
 import lab as laboratory  # noqa: E402
 
-MINIONS = 6
-FINISH_S = 14  # finish_s
-WAIT_S = 3     # "for 3 s, a job has nothing running"
-SERVING, FILLING = "d0d0d0d0d0d0d0d0", "e0e0e0e0e0e0e0e0"
+NODES = 10           # one of them stands still: a share of 0.1
+FREEZE_S = 5.0
+GIVE_UP_S = 0.5      # half of the objective of 1,000 ms
+CANCEL_S = 3.0       # cancel_ms
+STOP_S = 0.4         # stopTimeoutMs
+JOB = "c0c0c0c0c0c0c0c0"
+BODY = {"spec": json.dumps({"run_s": 8.5}),
+        "steps": [{"count": 5, "cpu": 26000, "memMb": 110000, "gpu": 1,
+                   "estimateMs": 8500}]}
 
 
 async def scenario(lab):
-    await lab.start(nodes=4)
-    for number in range(MINIONS):
+    await lab.start(nodes=NODES)
+    for number in range(6):
         await lab.fleet.add(rack=f"r1-{number // 2 + 1}")
     await lab.wait_until_ready()
-    await asyncio.sleep(3)
-    entry = lab.nodes[0]
-    # A service: one task that lasts on each of five of the six minions.
-    await lab.client(entry, "POST", SERVING, {
-        "spec": json.dumps({"run_s": 3600}),
-        "steps": [{"count": MINIONS - 1, "cpu": 8000, "memMb": 16000, "gpu": 1,
-                   "estimateMs": 1000, "persistent": True, "targetMs": 200,
-                   "image": "web", "antiAffinity": 1}]})
-    await asyncio.sleep(3)
-    status, _ = await lab.client(entry, "POST", FILLING, {
-        "spec": json.dumps({"run_s": 9.5}),
-        "steps": [{"count": 4, "cpu": 5600, "memMb": 16000, "gpu": 1,
-                   "estimateMs": 9500, "fills": True, "image": "batch"}]})
-    if status != 200:
-        raise laboratory.CannotRun("the job that fills was not accepted")
-    await asyncio.sleep(3)
-    hosts = {s[1] for s in lab.fleet.starts if s[2].startswith(FILLING)}
-    if len(hosts) != 1:
-        raise laboratory.CannotRun(f"the job runs on {len(hosts)} minions")
-    host = next(m for m in lab.fleet.minions if m.id in hosts)
+    await asyncio.sleep(4)
+    leader = lab.leader()
+    still, other = [n for n in lab.nodes if n is not leader][:2]
+
+    began = time.monotonic()
+    if lab.trouble:
+        still.signal(signal.SIGSTOP)
+    status, _ = await lab.client(still, "POST", JOB, BODY, timeout=GIVE_UP_S)
+    lab.log(f"the client {'has an answer' if status else 'gives up'}")
+    status, _ = await lab.client(other, "DELETE", JOB)
+    acknowledged = time.monotonic()
+    if status not in (200, 410):
+        raise laboratory.CannotRun("the cancel had no 2xx or 410")
+    await asyncio.sleep(began + FREEZE_S - time.monotonic())
     if lab.trouble:
-        # Lost for good: its entry is removed after three heartbeats.
-        await host.crash()
-        await asyncio.sleep(4.5)
-        lab.store.remove(f"servers/{host.id}")
-        await asyncio.sleep(FINISH_S - 4.5)
-    else:
-        await asyncio.sleep(FINISH_S)
-    waited = 0.0
-    while waited < WAIT_S + 60:
-        _, content = await lab.client(entry, "GET", FILLING, quiet=True)
-        if lab.fleet.tasks_at_work(FILLING) or \
-                content.get("state") == "completed":
-            if waited < WAIT_S:
-                return True, f"the job is {content.get('state')}"
-            break
-        await asyncio.sleep(0.1)
-        waited += 0.1
-    _, content = await lab.client(entry, "GET", FILLING)
-    busy = sum(len(m.running) for m in lab.fleet.minions)
+        still.signal(signal.SIGCONT)
+    await asyncio.sleep(6)
+    late = [s for s in lab.fleet.starts if s[2].startswith(JOB)
+            and s[0] > acknowledged + CANCEL_S]
+    at_work = len(lab.fleet.tasks_at_work(JOB))
+    await lab.client(other, "GET", JOB)
+    if not late and at_work == 0:
+        return True, f"the cancel was answered {status}; nothing started late"
+    same = lab.leader() is leader
+    first = f"{late[0][0] - acknowledged:.1f}" if late else "-"
     return False, (
-        f"{FINISH_S} s after the last request the job, which is "
-        f"{content.get('state')}, had nothing running for {waited:.0f} s; "
-        f"{busy} of {8 * (MINIONS - 1)} GPUs of the {MINIONS - 1} minions that "
-        f"are up are in use")
+        f"the cancel was answered {status}; {first} s later the leader, which "
+        f"{'led all the while' if same else 'has changed'}, started "
+        f"{len(late)} tasks of the job; {at_work} are at work now")
 
 
 laboratory.play(HERE, scenario)
