Review: case 6, the stopped leader starts again

Cause: roll_term stops machines and starts them again. Change: the process is started again when it has ended.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -44,7 +44,10 @@
     await asyncio.sleep(TERM_AFTER_S)
     if lab.trouble:
         leader.signal(signal.SIGTERM)
+        restart = asyncio.create_task(leader.start_when_ended())
     await asyncio.sleep(8)
+    if lab.trouble:
+        await restart
     lab.log(f"{lab.leader().name} leads; {len(lab.fleet.ends)} runs of the "
             f"cancelled job have ended, on all minions "
             f"{sum(len(m.running) for m in lab.fleet.minions)} are at work")
