--- a/review/stand_ins-2/lab.py
+++ b/review/stand_ins-2/lab.py
@@ -193,6 +193,8 @@
     not be played."""
     async def run():
         lab = Lab(folder)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             held, reason = await asyncio.wait_for(scenario(lab), limit_s)
             lab.log(("the rule held: " if held else "the rule was broken: ") +
@@ -203,7 +205,7 @@
             await lab.close()
     try:
         code = asyncio.run(run())
-    except Exception as error:  # whatever prevents the play
+    except (Exception, asyncio.CancelledError) as error:  # cannot be played
         print(f"cannot run: {error!r}")
         code = NOT_RUN
     sys.exit(code)
--- a/review/stand_ins-2/minions.py
+++ b/review/stand_ins-2/minions.py
@@ -96,6 +96,7 @@
         lost = [f"{r.task} run {r.run}" for r in self.running.values()]
         self.fleet.log(f"{self.id} crashes; lost: {', '.join(lost) or 'none'}")
         self.running = {}
+        self._expiry = asyncio.create_task(self._expire_entry())
         self._dark = dark
         if dark:
             self.server.go_silent()
@@ -116,8 +117,16 @@
         while True:
             self.seq += 1
             self.fleet.store.put(f"servers/{self.id}", self.entry())
+            self._last_beat = time.monotonic()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def _expire_entry(self):
+        """Removes the entry after three heartbeat intervals of silence."""
+        beat = self._last_beat
+        await asyncio.sleep(beat + 3 * HEARTBEAT_S - time.monotonic())
+        if self._last_beat == beat:
+            self.fleet.store.remove(f"servers/{self.id}")
+
     def _end(self, run, how):
         self.running.pop(run.task, None)
         self.barred[run.task] = max(self.barred.get(run.task, 0), run.run)
@@ -243,7 +252,8 @@
             except asyncio.TimeoutError:
                 pass
         return 200, {"clockMs": self.clock(), "born": self.born,
-                     "running": [[r.task, r.run, "", self._percent(r)]
+                     "running": [[r.task, r.run, "", self._percent(r),
+                                  0 if r.begun is None else 5000]
                                  for r in self.running.values()],
                      "ended": self.ended[:500]}
 
