A run that outlasts its stops is logged with what its worker says

Its log cannot say whether the worker does not answer, still lists the runs, or is not asked for a report.

Change: one line stop_repeated with the fourth stop of a run (age of the worker's last answer, reachable, renewed), a line unknown_run_over with the evidence, the gauge kcr_leader_unknown_run_workers, a counter, and the state dump. The orders to stop one run are a value type, stop_attempts.

The new test of release_log_test passes.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -68,6 +68,16 @@
     return first != m_unrecorded_runs.end() && first->first.first == worker;
 }
 
+std::size_t dispatcher::workers_with_unrecorded_runs() const
+{
+    std::set<std::string> workers;
+    for (const auto& [run, stops] : m_unrecorded_runs)
+    {
+        workers.insert(run.first);
+    }
+    return workers.size();
+}
+
 instant dispatcher::lease_end(instant sent) const
 {
     return sent + m_limits.m_worker_lease +
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include <kingcuprudder/dispatch/job_table.hpp>
 #include <kingcuprudder/dispatch/run_end_evidence.hpp>
 #include <kingcuprudder/dispatch/service_configuration.hpp>
+#include <kingcuprudder/dispatch/stop_attempts.hpp>
 #include <kingcuprudder/dispatch/urgent_headroom.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
 #include <kingcuprudder/dispatch/worker_loss.hpp>
@@ -131,6 +132,11 @@
     {
         return m_workers;
     }
+    /// Returns whether the worker holds runs without a record. Their demand is
+    /// unknown, so the worker gets no work until they have ended.
+    bool has_unrecorded_runs(const std::string& worker) const;
+    /// Returns the number of workers that hold runs without a record.
+    std::size_t workers_with_unrecorded_runs() const;
     const std::map<std::string, job_entry>& jobs() const
     {
         return m_jobs.jobs();
@@ -139,6 +145,10 @@
 private:
     friend class planner;
 
+    /// Runs without a record, by worker.
+    using unrecorded_runs =
+        std::map<std::pair<std::string, run_ref>, stop_attempts>;
+
     worker_entry& find_or_add_worker(const std::string& id);
     /// Returns the worker's renewal request; without an address if the worker
     /// needs no session.
@@ -148,9 +158,12 @@
     {
         m_changed_renewals.insert(worker);
     }
-    /// Returns whether the worker holds runs without a record. Their demand is
-    /// unknown, so the worker gets no work until they have ended.
-    bool has_unrecorded_runs(const std::string& worker) const;
+    std::vector<run_ref> unrecorded_runs_of(const std::string& worker) const;
+    void forget_unrecorded_runs(const std::string& worker,
+                                const run_end_evidence& evidence, instant now);
+    /// Removes a run without a record that has ended.
+    void forget_unrecorded_run(unrecorded_runs::iterator run,
+                               const run_end_evidence& evidence, instant now);
     /// Returns the time by which a lease that was renewed at the given time has
     /// expired, including the error of the worker's clock.
     instant lease_end(instant sent) const;
@@ -312,6 +325,11 @@
     bool send_start(job_entry& job, const task_ref& ref, instant now,
                     dispatch_effects& effects);
     void send_stops(instant now, dispatch_effects& effects);
+    /// Sends an order to stop the run if one is due. Logs a run that outlasts
+    /// its stops.
+    void send_stop(const worker_entry& worker, const run_ref& run,
+                   stop_attempts& stops, instant now,
+                   dispatch_effects& effects);
 
     dispatch_limits m_limits;
     decision_log m_log;
@@ -324,9 +342,7 @@
     std::set<task_ref> m_unsent_starts;
     /// Workers with completions that are applied but not stored.
     std::set<std::string> m_workers_awaiting_store;
-    /// Runs without a record by worker, with the time of the last stop order.
-    std::map<std::pair<std::string, run_ref>, std::optional<instant>>
-        m_unrecorded_runs;
+    unrecorded_runs m_unrecorded_runs;
     /// The ids of jobs that were cancelled before they were added.
     std::set<std::string> m_pending_cancellations;
     /// The workers whose renewal request may have changed since the last call
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -12,7 +12,8 @@
 // time, for example because a stop took longer than expected.
 constexpr span capacity_wait_limit = span(1500);
 constexpr int max_start_sends = 3;
-constexpr span stop_repeat_interval = span(500);
+// A run whose stop was sent so often has outlasted the longest stop.
+constexpr int notable_stop_count = 4;
 constexpr span busy_worker_quarantine = span(1000);
 const std::string gang_member_ended = "another member ended: ";
 
@@ -84,7 +85,7 @@
     }
     m_changed = true;
     task.m_active->m_phase = run_phase::stopping;
-    task.m_active->m_stop_sent_at.reset();
+    task.m_active->m_stops = stop_attempts();
     find_or_add_worker(task.m_active->m_worker).m_stopping +=
         job.step(ref).occupied();
     m_log("run_stopping", ref.str(),
@@ -254,8 +255,6 @@
 
 void dispatcher::send_stops(instant now, dispatch_effects& effects)
 {
-    const auto due = [now](const std::optional<instant>& sent)
-    { return !sent || now - *sent >= stop_repeat_interval; };
     for (auto& [id, worker] : m_workers)
     {
         if (worker.m_stopping == resources())
@@ -270,24 +269,43 @@
                 continue;
             }
             active_run& active = *job->task(ref).m_active;
-            if (active.m_phase == run_phase::stopping &&
-                due(active.m_stop_sent_at))
+            if (active.m_phase == run_phase::stopping)
             {
-                active.m_stop_sent_at = now;
-                effects.m_stops.push_back(
-                    {id, {ref, active.m_number}, worker.m_incarnation});
+                send_stop(worker, {ref, active.m_number}, active.m_stops, now,
+                          effects);
             }
         }
     }
-    for (auto& [run, sent] : m_unrecorded_runs)
+    for (auto& [run, stops] : m_unrecorded_runs)
     {
-        if (due(sent))
-        {
-            sent = now;
-            effects.m_stops.push_back(
-                {run.first, run.second,
-                 find_or_add_worker(run.first).m_incarnation});
-        }
+        send_stop(find_or_add_worker(run.first), run.second, stops, now,
+                  effects);
+    }
+}
+
+void dispatcher::send_stop(const worker_entry& worker, const run_ref& run,
+                           stop_attempts& stops, instant now,
+                           dispatch_effects& effects)
+{
+    if (!stops.is_due(now))
+    {
+        return;
+    }
+    stops.sent(now);
+    effects.m_stops.push_back({worker.id(), run, worker.m_incarnation});
+    if (stops.count() == notable_stop_count)
+    {
+        const bool recorded = !m_unrecorded_runs.contains({worker.id(), run});
+        m_log("stop_repeated", run.m_task.str(),
+              {{"run", number(run.m_run)},
+               {"worker", worker.id()},
+               {"recorded", recorded ? "true" : "false"},
+               {"sent", number(stops.count())},
+               {"first_sent_age_ms", number(stops.age(now).count())},
+               {"worker_answer_age_ms",
+                number((now - worker.m_last_answer).count())},
+               {"reachable", worker.m_reachable ? "true" : "false"},
+               {"renewed", renewal_of(worker).m_needed ? "true" : "false"}});
     }
 }
 
--- a/kingcuprudder/dispatch/dispatcher_releases.cpp
+++ b/kingcuprudder/dispatch/dispatcher_releases.cpp
@@ -174,14 +174,55 @@
                         now);
         }
     }
-    for (auto each = m_unrecorded_runs.begin();
-         each != m_unrecorded_runs.end();)
+    for (const run_ref& run : unrecorded_runs_of(worker.id()))
     {
-        const bool over = each->first.first == worker.id() &&
-                          !listed.contains({each->first.second.m_task.str(),
-                                            each->first.second.m_run});
-        m_changed = m_changed || over;
-        each = over ? m_unrecorded_runs.erase(each) : std::next(each);
+        if (!listed.contains({run.m_task.str(), run.m_run}))
+        {
+            forget_unrecorded_run(m_unrecorded_runs.find({worker.id(), run}),
+                                  run_end_evidence::unlisted(
+                                      worker.m_incarnation, instant(), sent),
+                                  now);
+        }
+    }
+}
+
+std::vector<run_ref>
+dispatcher::unrecorded_runs_of(const std::string& worker) const
+{
+    std::vector<run_ref> runs;
+    for (auto each = m_unrecorded_runs.lower_bound({worker, run_ref()});
+         each != m_unrecorded_runs.end() && each->first.first == worker; ++each)
+    {
+        runs.push_back(each->first.second);
+    }
+    return runs;
+}
+
+void dispatcher::forget_unrecorded_run(unrecorded_runs::iterator run,
+                                       const run_end_evidence& evidence,
+                                       instant now)
+{
+    const auto& [worker, ref] = run->first;
+    decision_fields fields{
+        {"run", number(ref.m_run)},
+        {"worker", worker},
+        {"stops", number(run->second.count())},
+        {"first_stop_age_ms", number(run->second.age(now).count())}};
+    append(fields, evidence.fields(now));
+    m_log("unknown_run_over", ref.m_task.str(), std::move(fields));
+    mark_renewal(worker);
+    m_changed = true;
+    m_unrecorded_runs.erase(run);
+}
+
+void dispatcher::forget_unrecorded_runs(const std::string& worker,
+                                        const run_end_evidence& evidence,
+                                        instant now)
+{
+    for (const run_ref& run : unrecorded_runs_of(worker))
+    {
+        forget_unrecorded_run(m_unrecorded_runs.find({worker, run}), evidence,
+                              now);
     }
 }
 
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -164,12 +164,9 @@
     worker.m_unstored_completions.clear();
     worker.m_failed_jobs.clear();
     worker.m_quarantined_until = instant();
-    for (auto each = m_unrecorded_runs.begin();
-         each != m_unrecorded_runs.end();)
-    {
-        each = each->first.first == worker.id() ? m_unrecorded_runs.erase(each)
-                                                : std::next(each);
-    }
+    forget_unrecorded_runs(
+        worker.id(),
+        run_end_evidence::process_ended(worker.m_incarnation, sent), now);
 }
 
 void dispatcher::settle_runs_of_earlier_process(worker_entry& worker,
@@ -224,7 +221,7 @@
     }
     active_run& active = *job.task(ref).m_active;
     // What the earlier process has answered does not hold for the new one.
-    active.m_stop_sent_at.reset();
+    active.m_stops = stop_attempts();
     active.m_listed_from.reset();
     if (held && active.m_phase != run_phase::stopping)
     {
@@ -396,7 +393,14 @@
     const std::optional<task_ref> ref = task_ref::parse(report.m_task);
     if (ref)
     {
-        m_unrecorded_runs.erase({worker.id(), run_ref{*ref, report.m_run}});
+        const auto unrecorded =
+            m_unrecorded_runs.find({worker.id(), run_ref{*ref, report.m_run}});
+        if (unrecorded != m_unrecorded_runs.end())
+        {
+            forget_unrecorded_run(
+                unrecorded,
+                run_end_evidence::reported(worker.m_incarnation, now), now);
+        }
     }
     job_entry* job = ref ? m_jobs.find_task(*ref) : nullptr;
     if (job == nullptr)
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -5,6 +5,7 @@
 #include <kingcuprudder/dispatch/job_progress.hpp>
 #include <kingcuprudder/dispatch/job_submission.hpp>
 #include <kingcuprudder/dispatch/run_progress.hpp>
+#include <kingcuprudder/dispatch/stop_attempts.hpp>
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 
 #include <map>
@@ -52,8 +53,7 @@
     /// The time of the first answer or report that confirmed the run.
     std::optional<instant> m_started_at;
     run_progress m_progress;
-    /// The time of the last stop order.
-    std::optional<instant> m_stop_sent_at;
+    stop_attempts m_stops;
     /// The checkpoint from which the run resumes; empty for none.
     std::string m_start_checkpoint;
 };
--- a/kingcuprudder/node/leader_metrics.cpp
+++ b/kingcuprudder/node/leader_metrics.cpp
@@ -10,7 +10,8 @@
 constexpr const char* counted_events[] = {
     "worker_lost",     "worker_unreliable", "crash_attributed",
     "crash_withdrawn", "crashes_cleared",   "suspected_task_waits",
-    "task_given_up",   "job_failed",        "late_start_possible"};
+    "task_given_up",   "job_failed",        "late_start_possible",
+    "stop_repeated"};
 
 } // namespace
 
@@ -22,7 +23,10 @@
           "kcr_leader_waiting_records", "Job records that wait to be stored")),
       m_silent_workers(registry.add_gauge(
           "kcr_leader_silent_workers",
-          "Workers in use that did not answer the last renewal"))
+          "Workers in use that did not answer the last renewal")),
+      m_workers_with_unknown_runs(registry.add_gauge(
+          "kcr_leader_unknown_run_workers",
+          "Workers that get no work as they hold runs without a record"))
 {
     // Each counter is there from the start, so that its first increase shows.
     for (const char* event : counted_events)
@@ -55,4 +59,9 @@
     m_silent_workers.set(static_cast<double>(silent_workers));
 }
 
+void leader_metrics::set_workers_with_unknown_runs(std::size_t workers) const
+{
+    m_workers_with_unknown_runs.set(static_cast<double>(workers));
+}
+
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/leader_metrics.hpp
+++ b/kingcuprudder/node/leader_metrics.hpp
@@ -26,11 +26,15 @@
     /// workers that did not answer the last renewal.
     void set_state(std::size_t waiting_records,
                    std::size_t silent_workers) const;
+    /// Sets the number of workers that get no work as they hold runs without a
+    /// record.
+    void set_workers_with_unknown_runs(std::size_t workers) const;
 
 private:
     metric_histogram m_planning_ms;
     metric_gauge m_waiting_records;
     metric_gauge m_silent_workers;
+    metric_gauge m_workers_with_unknown_runs;
     std::map<std::string, metric_counter> m_decisions;
 };
 
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -88,6 +88,7 @@
     m_sessions.clear();
     m_writer.join();
     m_environment.m_metrics.set_state(0, 0);
+    m_environment.m_metrics.set_workers_with_unknown_runs(0);
 }
 
 void scheduler::post(event next)
@@ -653,6 +654,8 @@
                       });
     m_environment.m_metrics.set_state(m_dispatcher.waiting_writes(),
                                       static_cast<std::size_t>(silent));
+    m_environment.m_metrics.set_workers_with_unknown_runs(
+        m_dispatcher.workers_with_unrecorded_runs());
 }
 
 void scheduler::remove_old_records()
@@ -739,12 +742,14 @@
             dump["fence"] = m_term->fence();
             for (const auto& [id, worker] : m_dispatcher.workers())
             {
-                dump["workers"][id] = {{"listed", worker.m_listed},
-                                       {"reachable", worker.m_reachable},
-                                       {"synced", worker.m_synced},
-                                       {"tasks", worker.m_tasks.size()},
-                                       {"gpus_held", worker.m_allocated.m_gpus},
-                                       {"acknowledged", worker.m_acknowledged}};
+                dump["workers"][id] = {
+                    {"listed", worker.m_listed},
+                    {"reachable", worker.m_reachable},
+                    {"synced", worker.m_synced},
+                    {"tasks", worker.m_tasks.size()},
+                    {"unknown_runs", m_dispatcher.has_unrecorded_runs(id)},
+                    {"gpus_held", worker.m_allocated.m_gpus},
+                    {"acknowledged", worker.m_acknowledged}};
             }
             for (const auto& [id, job] : m_dispatcher.jobs())
             {
--- a/unit_tests/dispatch/release_log_test.cpp
+++ b/unit_tests/dispatch/release_log_test.cpp
@@ -75,4 +75,34 @@
     EXPECT_EQ(over[0].field("worker_started"), "200");
 }
 
+// Guards against an order to stop that is repeated for ever without a line that
+// says whether the worker answers and is asked for a report.
+TEST_F(release_log_test, the_log_names_a_run_that_outlasts_its_stops)
+{
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {{"unknown.0.0.0", 3, "", 50}});
+    constexpr int half_seconds = 10;
+    for (int at = 0; at < half_seconds; ++at)
+    {
+        step();
+        pass(span(500));
+    }
+    const std::vector<log_line> repeated = m_log.lines("stop_repeated");
+    ASSERT_EQ(repeated.size(), 1u);
+    EXPECT_EQ(repeated[0].m_id, "unknown.0.0.0");
+    EXPECT_EQ(repeated[0].field("run"), "3");
+    EXPECT_EQ(repeated[0].field("worker"), "w1");
+    EXPECT_EQ(repeated[0].field("recorded"), "false");
+    EXPECT_EQ(repeated[0].field("worker_answer_age_ms"), "1500");
+    EXPECT_EQ(repeated[0].field("reachable"), "true");
+    EXPECT_NE(repeated[0].field("renewed"), "");
+    EXPECT_EQ(m_dispatcher.workers_with_unrecorded_runs(), 1u);
+    report("w1", {});
+    const std::vector<log_line> over = m_log.lines("unknown_run_over");
+    ASSERT_EQ(over.size(), 1u);
+    EXPECT_EQ(over[0].field("stops"), "10");
+    EXPECT_EQ(over[0].field("first_stop_age_ms"), "5000");
+    EXPECT_EQ(m_dispatcher.workers_with_unrecorded_runs(), 0u);
+}
+
 } // namespace kingcuprudder::dispatch
--- a/unit_tests/node/leader_metrics_test.cpp
+++ b/unit_tests/node/leader_metrics_test.cpp
@@ -183,7 +183,7 @@
     for (const std::string event :
          {"worker_lost", "worker_unreliable", "crash_attributed",
           "crash_withdrawn", "crashes_cleared", "suspected_task_waits",
-          "task_given_up", "job_failed"})
+          "task_given_up", "job_failed", "stop_repeated"})
     {
         EXPECT_NE(metrics.text().find(name + event + "\"} 0"),
                   std::string::npos);
@@ -192,7 +192,10 @@
                   std::string::npos);
     }
     metrics.leader().set_state(7, 3);
+    metrics.leader().set_workers_with_unknown_runs(2);
     metrics.leader().observe_planning(1.5);
+    EXPECT_NE(metrics.text().find("kcr_leader_unknown_run_workers 2"),
+              std::string::npos);
     EXPECT_NE(metrics.text().find("kcr_leader_waiting_records 7"),
               std::string::npos);
     EXPECT_NE(metrics.text().find("kcr_leader_silent_workers 3"),
