--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -152,7 +152,12 @@
     worker_entry& find_or_add_worker(const std::string& id);
     /// Returns the worker's renewal request; without an address if the worker
     /// needs no session.
-    static renewal_request renewal_of(const worker_entry& worker);
+    renewal_request renewal_of(const worker_entry& worker) const;
+    /// Returns whether the worker gets no work until it answers a renewal.
+    /// Whatever is true here is a reason to renew.
+    bool awaits_answer(const worker_entry& worker) const;
+    /// Returns whether tasks can be assigned to the worker now.
+    bool is_usable(const worker_entry& worker, instant now) const;
     /// Notes that the worker's renewal request may have changed.
     void mark_renewal(const std::string& worker)
     {
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -432,12 +432,27 @@
     return true;
 }
 
-renewal_request dispatcher::renewal_of(const worker_entry& worker)
+bool dispatcher::awaits_answer(const worker_entry& worker) const
+{
+    return !worker.m_synced || !worker.m_reachable ||
+           has_unrecorded_runs(worker.id());
+}
+
+bool dispatcher::is_usable(const worker_entry& worker, instant now) const
+{
+    return worker.m_listed && worker.is_described() &&
+           !worker.m_description.m_draining &&
+           worker.m_quarantined_until <= now && !awaits_answer(worker);
+}
+
+renewal_request dispatcher::renewal_of(const worker_entry& worker) const
 {
     renewal_request request;
     request.m_worker = worker.id();
+    const bool holds_runs =
+        !worker.m_tasks.empty() || has_unrecorded_runs(worker.id());
     const bool watched = worker.m_late_starts_until.has_value();
-    if (!worker.m_listed && worker.m_tasks.empty() && !watched)
+    if (!worker.m_listed && !holds_runs && !watched)
     {
         return request;
     }
@@ -445,9 +460,8 @@
     request.m_incarnation = worker.m_incarnation;
     request.m_acknowledged = worker.m_acknowledged;
     request.m_awaits_store = !worker.m_unstored_completions.empty();
-    request.m_needed =
-        (worker.m_listed && (!worker.m_synced || !worker.m_reachable)) ||
-        !worker.m_tasks.empty() || request.m_awaits_store || watched;
+    request.m_needed = (worker.m_listed && awaits_answer(worker)) ||
+                       holds_runs || request.m_awaits_store || watched;
     request.m_min_fence = worker.m_required_fence;
     request.m_draining = worker.m_description.m_draining;
     return request;
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -287,12 +287,7 @@
 {
     for (auto& [id, worker] : m_state.m_workers)
     {
-        const bool usable = worker.m_listed && worker.is_described() &&
-                            worker.m_synced && worker.m_reachable &&
-                            !worker.m_description.m_draining &&
-                            worker.m_quarantined_until <= m_now &&
-                            !m_state.has_unrecorded_runs(id);
-        if (usable)
+        if (m_state.is_usable(worker, m_now))
         {
             m_index.add(worker);
         }
--- /dev/null
+++ b/unit_tests/dispatch/usable_worker_test.cpp
@@ -0,0 +1,74 @@
+#include "dispatcher_fixture.hpp"
+
+#include <algorithm>
+
+namespace kingcuprudder::dispatch
+{
+
+namespace
+{
+
+class usable_worker_test : public dispatcher_fixture
+{
+protected:
+    /// Returns the newest renewal request of the worker.
+    renewal_request request_of(const std::string& worker)
+    {
+        for (const renewal_request& each : m_dispatcher.changed_renewals())
+        {
+            m_requests[each.m_worker] = each;
+        }
+        return m_requests[worker];
+    }
+
+    static running_report unknown_run(int index)
+    {
+        return {"cancelled.0.0." + std::to_string(index), 1, "", 50};
+    }
+
+    static completion_report stopped(std::int64_t number, int index)
+    {
+        return {number, unknown_run(index).m_task, 1, run_outcome::stopped, ""};
+    }
+
+    void lose(const std::string& worker, order_outcome outcome)
+    {
+        m_dispatcher.renewal_failed(worker, {outcome, call_failure::timed_out},
+                                    m_now);
+    }
+
+    std::map<std::string, renewal_request> m_requests;
+};
+
+} // namespace
+
+// Guards against a worker that a new leader never uses again, as the runs of a
+// cancelled job end there one by one and nobody asks for the later ends.
+TEST_F(usable_worker_test, a_worker_is_asked_until_its_unknown_runs_are_over)
+{
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {unknown_run(0), unknown_run(1)});
+    EXPECT_TRUE(request_of("w1").m_needed);
+    report("w1", {unknown_run(1)}, {stopped(1, 0)});
+    EXPECT_TRUE(request_of("w1").m_needed);
+    accept(job("j", 1, 8));
+    EXPECT_TRUE(start_all().empty());
+    report("w1", {}, {stopped(2, 1)});
+    EXPECT_FALSE(request_of("w1").m_needed);
+    EXPECT_EQ(start_all().size(), 1u);
+}
+
+// Guards against unknown runs that go on, as nobody calls a worker whose entry
+// has lapsed: the stops need a session.
+TEST_F(usable_worker_test, an_unlisted_worker_with_unknown_runs_is_called)
+{
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {unknown_run(0)});
+    m_dispatcher.worker_unlisted("w1", m_now);
+    EXPECT_EQ(request_of("w1").m_address, "address-of-w1");
+    EXPECT_TRUE(request_of("w1").m_needed);
+    report("w1", {}, {stopped(1, 0)});
+    EXPECT_EQ(request_of("w1").m_address, "");
+}
+
+} // namespace kingcuprudder::dispatch
