Unknown runs of a lost worker end with its lease or its process

Cause: runs without a record were forgotten only by a report of their worker. If the worker is cut off, dies or leaves, no report comes, and the orders to stop these runs go on every 500 ms for the rest of the term. If its entry comes back under the same id, it starts out unused.

Change: the end of the lease, and another process at the worker's address, end these runs too, by the same evidence as runs with a record.

Evidence: usable_worker_test, unknown_runs_of_a_silent_worker_end_with_its_lease and unknown_runs_end_with_the_process_that_was_replaced, failed before this commit (one worker with unknown runs for ever, then a further stop).

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -312,6 +312,7 @@
 {
     attribute_loss(worker, now);
     release_worker_runs(worker, evidence, now);
+    forget_unrecorded_runs(worker.id(), evidence, now);
 }
 
 void dispatcher::give_up(job_entry& job, const task_ref& ref, instant now)
--- a/kingcuprudder/dispatch/dispatcher_releases.cpp
+++ b/kingcuprudder/dispatch/dispatcher_releases.cpp
@@ -232,20 +232,28 @@
     for (auto& [id, worker] : m_workers)
     {
         const bool unresponsive = !worker.m_reachable || !worker.m_synced;
-        if (unresponsive && worker.m_lease_end < known_until &&
-            !worker.m_tasks.empty())
+        const bool holds_runs =
+            !worker.m_tasks.empty() || has_unrecorded_runs(id);
+        if (unresponsive && worker.m_lease_end < known_until && holds_runs)
         {
             m_log("worker_lease_over", id,
                   {{"tasks",
                     number(static_cast<std::int64_t>(worker.m_tasks.size()))},
+                   {"unknown_runs", number(static_cast<std::int64_t>(
+                                        unrecorded_runs_of(id).size()))},
                    {"last_answer_age_ms",
                     number((now - worker.m_last_answer).count())},
                    {"events_behind_ms", number((now - known_until).count())}});
-            lose_worker_runs(worker,
-                             run_end_evidence::lease_over(worker.m_incarnation,
-                                                          worker.m_lease_end,
-                                                          known_until),
-                             now);
+            const auto evidence = run_end_evidence::lease_over(
+                worker.m_incarnation, worker.m_lease_end, known_until);
+            if (worker.m_tasks.empty())
+            {
+                forget_unrecorded_runs(id, evidence, now);
+            }
+            else
+            {
+                lose_worker_runs(worker, evidence, now);
+            }
         }
     }
 }
--- a/unit_tests/dispatch/usable_worker_test.cpp
+++ b/unit_tests/dispatch/usable_worker_test.cpp
@@ -58,6 +58,32 @@
     EXPECT_EQ(start_all().size(), 1u);
 }
 
+// Guards against a worker that stays unused as it was lost with unknown runs;
+// so does the next test.
+TEST_F(usable_worker_test, unknown_runs_of_a_silent_worker_end_with_its_lease)
+{
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {unknown_run(0)});
+    m_dispatcher.renewal_sent("w1", m_now);
+    lose("w1", order_outcome::may_have_arrived);
+    pass(span(6000));
+    step();
+    EXPECT_EQ(m_dispatcher.workers_with_unrecorded_runs(), 1u);
+    pass(span(1000));
+    step();
+    EXPECT_EQ(m_dispatcher.workers_with_unrecorded_runs(), 0u);
+    EXPECT_TRUE(step().m_stops.empty());
+}
+
+TEST_F(usable_worker_test, unknown_runs_end_with_the_process_that_was_replaced)
+{
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    EXPECT_TRUE(request_of("w1").m_needed);
+    report("w1", {unknown_run(0)});
+    lose("w1", order_outcome::wrong_incarnation);
+    EXPECT_EQ(m_dispatcher.workers_with_unrecorded_runs(), 0u);
+}
+
 // Guards against unknown runs that go on, as nobody calls a worker whose entry
 // has lapsed: the stops need a session.
 TEST_F(usable_worker_test, an_unlisted_worker_with_unknown_runs_is_called)
