A worker is asked until the process that the list names has answered

Cause: if a worker restarts before its first answer to a new leader, that answer may still come from the process before. The entry in use is then that of another process, so the worker is left out of the plans, and nothing asks it again before its next heartbeat (1.5 s on the users' sites).

Change: an entry of another process is a reason to renew, as all else that an answer ends (awaits_answer).

--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -434,14 +434,13 @@
 
 bool dispatcher::awaits_answer(const worker_entry& worker) const
 {
-    return !worker.m_synced || !worker.m_reachable ||
+    return !worker.m_synced || !worker.m_reachable || !worker.is_described() ||
            has_unrecorded_runs(worker.id());
 }
 
 bool dispatcher::is_usable(const worker_entry& worker, instant now) const
 {
-    return worker.m_listed && worker.is_described() &&
-           !worker.m_description.m_draining &&
+    return worker.m_listed && !worker.m_description.m_draining &&
            worker.m_quarantined_until <= now && !awaits_answer(worker);
 }
 
--- a/unit_tests/dispatch/usable_worker_test.cpp
+++ b/unit_tests/dispatch/usable_worker_test.cpp
@@ -97,4 +97,20 @@
     EXPECT_EQ(request_of("w1").m_address, "");
 }
 
+// Guards against a worker that is not used until its next heartbeat: its first
+// answer came from a process before the listed one, and nobody asked again.
+TEST_F(usable_worker_test, a_worker_is_asked_until_the_listed_process_answers)
+{
+    worker_description restarted = worker("w1");
+    restarted.m_incarnation = 200;
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    m_dispatcher.worker_listed(restarted, m_now);
+    report("w1", {}, {}, 100);
+    EXPECT_TRUE(request_of("w1").m_needed);
+    report_restart("w1", 200);
+    EXPECT_FALSE(request_of("w1").m_needed);
+    accept(job("j", 1, 8));
+    EXPECT_EQ(start_all().size(), 1u);
+}
+
 } // namespace kingcuprudder::dispatch
