--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -10,6 +10,22 @@
 
 using nlohmann::json;
 
+constexpr const char* end_time_field = "ended_at_ms";
+constexpr const char* absence_time_field = "absent_at_ms";
+
+/// Returns the time in this field of an encoded object, or nothing if there is
+/// none.
+std::optional<instant> decode_time(const std::string& text, const char* field)
+{
+    const json value = json::parse(text, nullptr, false);
+    const auto found = value.is_object() ? value.find(field) : value.end();
+    if (found == value.end() || !found->is_number_integer())
+    {
+        return std::nullopt;
+    }
+    return instant(found->get<std::int64_t>());
+}
+
 json encode_step(const job_step& step)
 {
     return {{"count", step.m_count},
@@ -251,20 +267,28 @@
                                   instant ended_at)
 {
     json value = progress_json(progress);
-    value["ended_at_ms"] = ended_at.count();
+    value[end_time_field] = ended_at.count();
     return value.dump();
 }
 
 std::optional<instant> decode_end_time(const std::string& text)
 {
-    const json value = json::parse(text, nullptr, false);
-    const auto found =
-        value.is_object() ? value.find("ended_at_ms") : value.end();
-    if (found == value.end() || !found->is_number_integer())
-    {
-        return std::nullopt;
-    }
-    return instant(found->get<std::int64_t>());
+    return decode_time(text, end_time_field);
+}
+
+std::string encode_cancellation()
+{
+    return "{}";
+}
+
+std::string encode_cancellation_of_absent_job(instant cancelled_at)
+{
+    return json{{absence_time_field, cancelled_at.count()}}.dump();
+}
+
+std::optional<instant> decode_absence_time(const std::string& text)
+{
+    return decode_time(text, absence_time_field);
 }
 
 std::optional<job_progress> decode_progress(const std::string& text)
--- a/kingcuprudder/codec/dispatch_codec.hpp
+++ b/kingcuprudder/codec/dispatch_codec.hpp
@@ -27,6 +27,14 @@
 /// nothing if it is absent, as in records of earlier versions.
 std::optional<instant> decode_end_time(const std::string& text);
 
+/// Encodes the cancellation of a job that has a record.
+std::string encode_cancellation();
+/// Encodes the cancellation of an id without a job at this wall-clock time.
+std::string encode_cancellation_of_absent_job(instant cancelled_at);
+/// Returns the wall-clock time of an encoded cancellation if there was no job,
+/// else nothing.
+std::optional<instant> decode_absence_time(const std::string& text);
+
 /// Queue lengths that the scheduler publishes for processes that accept jobs.
 struct queue_summary
 {
--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -123,10 +123,17 @@
           {{"queue", submission.m_queue},
            {"revision", number(revision)},
            {"age_ms", number(age.count())}});
-    if (m_pending_cancellations.erase(submission.m_id) > 0)
+    const auto cancelled = m_pending_cancellations.find(submission.m_id);
+    if (cancelled == m_pending_cancellations.end())
     {
-        cancel_job(submission.m_id, now);
+        return;
+    }
+    // An older one was removed before the job could be accepted.
+    if (cancelled->second > revision)
+    {
+        cancel_job(submission.m_id, now, cancelled->second);
     }
+    m_pending_cancellations.erase(submission.m_id);
 }
 
 void dispatcher::restore_run(job_entry& job, const task_ref& ref, instant now)
@@ -184,12 +191,24 @@
     return m_jobs.find(id) != nullptr;
 }
 
-void dispatcher::cancel_job(const std::string& id, instant now)
+void dispatcher::forget_cancellation(const std::string& id,
+                                     std::int64_t revision)
+{
+    const auto found = m_pending_cancellations.find(id);
+    if (found != m_pending_cancellations.end() && found->second <= revision)
+    {
+        m_pending_cancellations.erase(found);
+    }
+}
+
+void dispatcher::cancel_job(const std::string& id, instant now,
+                            std::int64_t revision)
 {
     job_entry* job = m_jobs.find(id);
     if (job == nullptr)
     {
-        m_pending_cancellations.insert(id);
+        std::int64_t& pending = m_pending_cancellations[id];
+        pending = std::max(pending, revision);
         return;
     }
     if (is_final(job->m_state))
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -14,7 +14,9 @@
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/dispatch/worker_table.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -50,6 +52,10 @@
 class dispatcher
 {
 public:
+    /// The revision of a cancellation that is newer than any job.
+    static constexpr std::int64_t newest_revision =
+        std::numeric_limits<std::int64_t>::max();
+
     dispatcher(const dispatch_limits& limits, decision_log log);
 
     /// Begins a term of leadership with its fencing token. Workers may hold the
@@ -77,8 +83,11 @@
                  std::int64_t revision, instant now, instant wall_now);
     bool has_job(const std::string& id);
     /// Cancels the job. If the job has not been added yet, it is cancelled as
-    /// soon as it is added.
-    void cancel_job(const std::string& id, instant now);
+    /// soon as it is added, unless its record is newer than the cancellation.
+    void cancel_job(const std::string& id, instant now,
+                    std::int64_t revision = newest_revision);
+    /// Forgets a cancellation whose job has not been added.
+    void forget_cancellation(const std::string& id, std::int64_t revision);
 
     /// Adds a worker of the platform's worker list or updates it.
     void worker_listed(const worker_description& description, instant now);
@@ -348,8 +357,9 @@
     /// Workers with completions that are applied but not stored.
     std::set<std::string> m_workers_awaiting_store;
     unrecorded_runs m_unrecorded_runs;
-    /// The ids of jobs that were cancelled before they were added.
-    std::set<std::string> m_pending_cancellations;
+    /// The jobs that were cancelled before they were added, with the revision
+    /// of the cancellation.
+    std::map<std::string, std::int64_t> m_pending_cancellations;
     /// The workers whose renewal request may have changed since the last call
     /// of changed_renewals().
     std::set<std::string> m_changed_renewals;
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -110,6 +110,14 @@
     return access;
 }
 
+/// Returns whether the conflict is that the record exists.
+bool has_record(const store_conflict& conflict, const std::string& key)
+{
+    return std::any_of(conflict.m_records.begin(), conflict.m_records.end(),
+                       [&key](const record& found)
+                       { return found.m_key == key && found.m_revision != 0; });
+}
+
 /// Returns the part of a path after the last '/', which is the id in the path
 /// of a job.
 std::string last_segment(const std::string& path)
@@ -131,6 +139,8 @@
         return "unknown_key";
     case refusal::unknown_job:
         return "unknown_job";
+    case refusal::cancelled:
+        return "cancelled";
     case refusal::too_large:
         return "too_large";
     case refusal::invalid:
@@ -290,12 +300,21 @@
     {
         return write_outcome::done;
     }
+    if (has_record(*conflict, new_key))
+    {
+        return write_outcome::done; // Written by an earlier call.
+    }
+    const std::string id = last_segment(new_key);
+    if (has_record(*conflict, record_keys::cancellation(id)))
+    {
+        return write_outcome::cancelled;
+    }
+    if (has_record(*conflict, record_keys::progress(id)))
+    {
+        return write_outcome::outdated; // Accepted since it was looked for.
+    }
     for (const record& found : conflict->m_records)
     {
-        if (found.m_key == new_key && found.m_revision != 0)
-        {
-            return write_outcome::done; // Written by an earlier call.
-        }
         if (found.m_revision != 0)
         {
             m_configuration.adopt(found, sent);
@@ -332,6 +351,8 @@
             return refusal::unavailable;
         case write_outcome::unknown:
             return refusal::unknown;
+        case write_outcome::cancelled:
+            return refusal::cancelled;
         case write_outcome::unusable:
             m_log.write("jobs", "configuration_not_usable",
                         last_segment(new_key), {});
@@ -377,7 +398,8 @@
         store_transaction transaction;
         transaction.m_expected = {
             {m_configuration.key(), allowed.m_configuration_revision},
-            {progress_key, 0}};
+            {progress_key, 0},
+            {record_keys::cancellation(job.m_id), 0}};
         transaction.m_writes = {
             {record_keys::submission(job.m_id),
              dispatch::encode_submission(stored), 0},
@@ -485,15 +507,18 @@
     const instant began = boottime_now();
     call_retry retry(request.m_deadline, m_retries, m_read_latency);
     const std::string key = record_keys::cancellation(id);
+    bool is_absent = false;
     const auto build = [&]() -> prepared_write
     {
         const service_result<dispatch::job_state> found =
             find_state(request, id, retry);
-        if (const refusal* refused = std::get_if<refusal>(&found))
+        const refusal* not_found = std::get_if<refusal>(&found);
+        is_absent = not_found != nullptr && *not_found == refusal::unknown_job;
+        if (not_found != nullptr && !is_absent)
         {
-            return *refused;
+            return *not_found;
         }
-        if (dispatch::is_final(std::get<0>(found)))
+        if (!is_absent && dispatch::is_final(std::get<0>(found)))
         {
             return nothing_to_write();
         }
@@ -501,10 +526,23 @@
         transaction.m_expected = {
             {m_configuration.key(), m_configuration.current()->m_revision},
             {key, 0}};
-        transaction.m_writes = {{key, "{}", 0}};
+        if (is_absent)
+        {
+            // A submission may still be on its way. It expects no cancellation.
+            transaction.m_expected.emplace_back(record_keys::progress(id), 0);
+        }
+        transaction.m_writes = {
+            {key,
+             is_absent ? dispatch::encode_cancellation_of_absent_job(wall_now())
+                       : dispatch::encode_cancellation(),
+             0}};
         return transaction;
     };
-    const std::optional<refusal> refused = write(key, build, retry);
+    std::optional<refusal> refused = write(key, build, retry);
+    if (!refused && is_absent)
+    {
+        refused = refusal::unknown_job;
+    }
     if (refused)
     {
         log_outcome("cancellation_refused", id, to_string(*refused), request,
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -25,6 +25,7 @@
     unknown_queue,  ///< No queue has this host and path.
     unknown_key,    ///< The key belongs to no client account.
     unknown_job,    ///< No such job exists.
+    cancelled,      ///< The id was cancelled before the job was submitted.
     too_large,      ///< The body is larger than the configured limit.
     invalid,        ///< The request is malformed or can never be met.
     unavailable,    ///< The store is unavailable; nothing was written.
@@ -76,8 +77,12 @@
     authorize_provisionally(const caller_request& request);
 
     /// Stores the job. Submitting the same id again succeeds without a change.
+    /// An id that was cancelled while it had no job is refused.
     std::optional<refusal> submit(const caller_request& request,
                                   dispatch::job_submission submission);
+    /// Cancels the job. If there is none, a submission of the id that arrives
+    /// later is refused: it may be on its way through a process that stands
+    /// still.
     std::optional<refusal> cancel(const caller_request& request,
                                   const std::string& id);
     service_result<dispatch::job_state> state(const caller_request& request,
@@ -97,8 +102,9 @@
     enum class write_outcome
     {
         done,
-        outdated, ///< An older configuration prepared the transaction.
-        unusable, ///< The newest configuration cannot be used.
+        outdated,  ///< A record has changed since it was prepared.
+        cancelled, ///< The job was cancelled before it was submitted.
+        unusable,  ///< The newest configuration cannot be used.
         not_done,
         unknown,
     };
--- a/kingcuprudder/node/record_removals.cpp
+++ b/kingcuprudder/node/record_removals.cpp
@@ -32,11 +32,12 @@
 {
     const auto [found, added] =
         m_records.try_emplace(removal.m_key, entry{removal.m_revision, due});
-    if (added)
+    if (!added && found->second.m_revision < removal.m_revision)
     {
-        m_by_due.emplace(due, removal.m_key);
+        m_by_due.erase({found->second.m_due, removal.m_key});
+        found->second = {removal.m_revision, due};
     }
-    found->second.m_revision = removal.m_revision;
+    m_by_due.emplace(found->second.m_due, removal.m_key);
 }
 
 void record_removals::drop(const record_removal& removal)
--- a/kingcuprudder/node/record_removals.hpp
+++ b/kingcuprudder/node/record_removals.hpp
@@ -35,8 +35,8 @@
 
     explicit record_removals(needed_hook is_needed);
 
-    /// Schedules a removal. A key that is scheduled already keeps its time and
-    /// takes over the revision.
+    /// Schedules a removal. A key that is scheduled already keeps its time
+    /// unless the record is newer.
     void schedule(const record_removal& removal, instant due);
     /// Drops a removal of this revision or an earlier one, if it is scheduled.
     void drop(const record_removal& removal);
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -728,6 +728,12 @@
             m_ended_jobs.erase(
                 after_prefix(each.m_key, record_keys::progress_prefix));
         }
+        if (each.m_key.starts_with(record_keys::cancellation_prefix))
+        {
+            m_dispatcher.forget_cancellation(
+                after_prefix(each.m_key, record_keys::cancellation_prefix),
+                each.m_revision);
+        }
     }
 }
 
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -82,9 +82,9 @@
                    const record_list& progress);
     void log_failed_load(const std::string& prefix, store_failure reason);
     void load_jobs(const record_list& live, const record_list& progress);
-    /// Returns how long the record of an ended job is still kept; the whole
-    /// retention if it does not have the time of the end.
-    span retention_left(const std::string& ended_progress) const;
+    /// Returns how long the record of a job that ended at this wall-clock time
+    /// is still kept; the whole retention if the record does not have the time.
+    span retention_left(std::optional<instant> ended_at) const;
     /// Adds the job of a listed submission, or holds it as unusable.
     void load_job(const record& found,
                   const std::map<std::string, stored_progress>& progress_of,
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -143,8 +143,9 @@
         }
         else if (dispatch::is_final(decoded->m_state))
         {
-            note_ended_job(id, each.m_revision,
-                           now + retention_left(each.m_value));
+            note_ended_job(
+                id, each.m_revision,
+                now + retention_left(dispatch::decode_end_time(each.m_value)));
         }
         else
         {
@@ -167,11 +168,9 @@
     }
 }
 
-span scheduler::retention_left(const std::string& ended_progress) const
+span scheduler::retention_left(std::optional<instant> ended_at) const
 {
     const span retention = m_environment.m_record_retention;
-    const std::optional<instant> ended_at =
-        dispatch::decode_end_time(ended_progress);
     if (!ended_at)
     {
         return retention;
@@ -326,15 +325,23 @@
 {
     const std::string id =
         after_prefix(found.m_key, record_keys::cancellation_prefix);
+    const instant now = boottime_now();
     if (!m_ended_jobs.contains(id))
     {
-        m_dispatcher.cancel_job(id, boottime_now());
+        m_dispatcher.cancel_job(id, now, found.m_revision);
+    }
+    if (const auto absent_at = dispatch::decode_absence_time(found.m_value))
+    {
+        // Until then a submission that was under way is refused.
+        m_removals.schedule({found.m_key, found.m_revision},
+                            now + retention_left(absent_at));
     }
-    // The end of the job removes the cancellation unless that was stored later.
-    if (!m_unusable_jobs.contains(id))
+    else if (!m_unusable_jobs.contains(id))
     {
+        // The end of the job removes the cancellation unless that was stored
+        // later.
         m_removals.schedule({found.m_key, found.m_revision},
-                            boottime_now() + unused_cancellation_time);
+                            now + unused_cancellation_time);
     }
 }
 
--- a/unit_tests/dispatch/dispatcher_test.cpp
+++ b/unit_tests/dispatch/dispatcher_test.cpp
@@ -298,6 +298,19 @@
     EXPECT_FALSE(m_dispatcher.has_job("j"));
 }
 
+// Guards against a job that is cancelled by a cancellation of its id that was
+// removed before the job was submitted.
+TEST_F(dispatcher_fixture, a_cancellation_does_not_reach_a_newer_job)
+{
+    constexpr std::int64_t cancelled_at = 5;
+    add_worker("w1");
+    m_dispatcher.cancel_job("j", m_now, cancelled_at);
+    job_submission later = job("j", 1, 1);
+    later.m_accepted_at = m_now;
+    m_dispatcher.add_job(later, std::nullopt, cancelled_at + 1, m_now, m_now);
+    EXPECT_EQ(start_all().size(), 1u);
+}
+
 TEST_F(dispatcher_fixture, cancelling_stops_what_runs)
 {
     add_worker("w1");
--- a/unit_tests/dispatch/values_test.cpp
+++ b/unit_tests/dispatch/values_test.cpp
@@ -78,6 +78,17 @@
     }
 }
 
+// Guards against a cancelled id whose retention is not known, and against the
+// cancellation of a job that is taken for one without a job.
+TEST(dispatch_codec, the_time_of_a_cancellation_without_a_job_can_be_read_back)
+{
+    const instant cancelled_at(1'700'000'000'000);
+    EXPECT_EQ(
+        decode_absence_time(encode_cancellation_of_absent_job(cancelled_at)),
+        cancelled_at);
+    EXPECT_FALSE(decode_absence_time(encode_cancellation()));
+}
+
 TEST(dispatch_codec, progress_can_be_read_back)
 {
     job_progress progress;
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <functional>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace kingcuprudder::node
@@ -85,6 +86,28 @@
     std::atomic<std::int64_t> m_latency_ms = 0;
 };
 
+/// A store that answers no commit, and carries out the last one when asked to.
+class late_commit_store final : public forwarding_store
+{
+public:
+    using forwarding_store::forwarding_store;
+
+    store_result<commit_answer> commit(const store_transaction& transaction,
+                                       span) override
+    {
+        m_last = transaction;
+        return store_failure::unknown;
+    }
+
+    store_result<commit_answer> carry_out()
+    {
+        return forwarding_store::commit(m_last, span(100));
+    }
+
+private:
+    store_transaction m_last;
+};
+
 class job_service_test : public node_fixture
 {
 protected:
@@ -279,6 +302,90 @@
         m_store.read(record_keys::cancellation(job().m_id), span(1))));
 }
 
+// Guards against a job that starts after its cancellation was answered, as its
+// submission lay unread at a process that stood still; so do the tests up to
+// the next comment.
+TEST_F(job_service_test, a_submission_after_its_cancellation_is_refused)
+{
+    ASSERT_EQ(m_jobs.cancel(request(), job().m_id), refusal::unknown_job);
+    EXPECT_EQ(m_jobs.submit(request(), job()), refusal::cancelled);
+    EXPECT_EQ(m_jobs.submit(request(), job()), refusal::cancelled);
+    EXPECT_EQ(stored_jobs(), 0u);
+    EXPECT_EQ(m_jobs.state(request(), job().m_id),
+              service_result<dispatch::job_state>(refusal::unknown_job));
+    EXPECT_EQ(m_jobs.cancel(request(), job().m_id), refusal::unknown_job);
+}
+
+TEST_F(job_service_test, a_submission_that_is_cancelled_before_its_commit_fails)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    store.m_before_commit = [this]
+    { EXPECT_EQ(m_jobs.cancel(request(), job().m_id), refusal::unknown_job); };
+    EXPECT_EQ(jobs.submit(patient_request(), job()), refusal::cancelled);
+    EXPECT_EQ(stored_jobs(), 0u);
+}
+
+TEST_F(job_service_test,
+       a_commit_that_takes_effect_late_is_refused_by_the_store)
+{
+    late_commit_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    EXPECT_EQ(jobs.submit(request(), job()), refusal::unknown);
+    ASSERT_EQ(m_jobs.cancel(request(), job().m_id), refusal::unknown_job);
+    const auto late = store.carry_out();
+    EXPECT_TRUE(std::holds_alternative<store_conflict>(std::get<0>(late)));
+    EXPECT_EQ(stored_jobs(), 0u);
+}
+
+// Guards against a job that is accepted while it is cancelled, and whose caller
+// is told that it does not exist.
+TEST_F(job_service_test, a_job_that_is_accepted_meanwhile_is_cancelled)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    store.m_before_commit = [this, first = true]() mutable
+    {
+        if (std::exchange(first, false))
+        {
+            EXPECT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+        }
+    };
+    EXPECT_EQ(jobs.cancel(patient_request(), job().m_id), std::nullopt);
+    EXPECT_EQ(store.m_commits, 2);
+    EXPECT_TRUE(std::get<0>(
+        m_store.read(record_keys::cancellation(job().m_id), span(1))));
+}
+
+// A copy of an accepted submission that comes after the cancellation is the
+// same job, and a copy after a lost answer is not refused.
+TEST_F(job_service_test, a_copy_of_a_cancelled_job_remains_this_job)
+{
+    ASSERT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    ASSERT_EQ(m_jobs.cancel(request(), job().m_id), std::nullopt);
+    EXPECT_EQ(m_jobs.submit(request(), job()), std::nullopt);
+    EXPECT_EQ(stored_jobs(), 1u);
+}
+
+// Guards against cancellations of unknown ids that cost the store more than one
+// read and one write each.
+TEST_F(job_service_test, a_cancellation_of_an_unknown_id_is_one_read_and_write)
+{
+    constexpr int cancellations = 20;
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    for (int index = 0; index < cancellations; ++index)
+    {
+        EXPECT_EQ(jobs.cancel(request(),
+                              "00000000000000" + std::to_string(index + 10)),
+                  refusal::unknown_job);
+    }
+    EXPECT_EQ(store.m_commits, cancellations);
+    EXPECT_EQ(store.m_reads, cancellations);
+}
+
 // Guards against a caller without an answer after one refused call to the store
 // that a second call would have mended; so do the tests up to the next comment.
 TEST_F(job_service_test, a_refused_read_does_not_fail_a_status_call)
--- a/unit_tests/node/record_removals_test.cpp
+++ b/unit_tests/node/record_removals_test.cpp
@@ -76,4 +76,16 @@
     EXPECT_EQ(removals.take(start + pause), (group{{"needed", 1}}));
 }
 
+// Guards against a record that is removed too early, as an earlier one under
+// its key was scheduled before.
+TEST(record_removals, a_newer_record_has_its_own_time)
+{
+    record_removals removals(never_needed);
+    removals.schedule({"key", 1}, start);
+    removals.schedule({"key", 2}, start + pause);
+    removals.schedule({"key", 2}, start + pause * 2);
+    EXPECT_TRUE(removals.take(start).empty());
+    EXPECT_EQ(removals.take(start + pause), (group{{"key", 2}}));
+}
+
 } // namespace kingcuprudder::node
--- a/unit_tests/node/scheduler_removal_test.cpp
+++ b/unit_tests/node/scheduler_removal_test.cpp
@@ -164,4 +164,22 @@
     EXPECT_EQ(count(record_keys::progress_prefix), 1U);
 }
 
+// Guards against a late submission that is accepted, as the cancellation of its
+// id was removed before it came, and against one that is kept for ever.
+TEST_F(scheduler_removal_test, a_cancelled_id_without_a_job_is_retained)
+{
+    write(record_keys::cancellation(id_of(1)),
+          dispatch::encode_cancellation_of_absent_job(wall_now() - hour));
+    write(record_keys::cancellation(id_of(2)),
+          dispatch::encode_cancellation_of_absent_job(wall_now()));
+    const auto tested = make_node(m_store, span::seconds(60));
+    ASSERT_TRUE(eventually([&] { return has_summary(); }));
+    write(record_keys::cancellation(id_of(3)),
+          dispatch::encode_cancellation_of_absent_job(wall_now()));
+    EXPECT_TRUE(eventually(
+        [&] { return count(record_keys::cancellation_prefix) == 2; }));
+    EXPECT_FALSE(eventually(
+        [&] { return count(record_keys::cancellation_prefix) < 2; }));
+}
+
 } // namespace kingcuprudder::node
--- a/unit_tests/platform/caller_interface_test.cpp
+++ b/unit_tests/platform/caller_interface_test.cpp
@@ -37,7 +37,8 @@
     configuration_view m_configuration{m_store, m_records, m_log};
     job_service m_jobs{m_store, m_configuration, m_log};
     node_metrics m_metrics;
-    platform::caller_interface m_callers{m_jobs, m_metrics, m_log};
+    platform::caller_interface m_callers{m_jobs, m_metrics, m_log,
+                                         span::seconds(180)};
 };
 
 } // namespace
@@ -67,6 +68,34 @@
     EXPECT_EQ(stored_jobs(), 0u);
 }
 
+// Guards against a cancelled job that is accepted when its submission comes
+// late, and against a caller that is asked to repeat it within a second.
+TEST_F(caller_interface_test, a_submission_of_a_cancelled_id_is_refused)
+{
+    http_request cancellation = submission();
+    cancellation.m_method = "DELETE";
+    EXPECT_EQ(m_callers.handle(cancellation).m_status, 410);
+    const http_response refused = m_callers.handle(submission());
+    EXPECT_EQ(refused.m_status, 503);
+    EXPECT_EQ(refused.m_headers.at("Retry-After"), "180");
+    EXPECT_EQ(stored_jobs(), 0u);
+}
+
+// Guards against records under paths that no job can have.
+TEST_F(caller_interface_test, only_an_id_of_a_job_is_kept_as_cancelled)
+{
+    http_request cancellation = submission();
+    cancellation.m_method = "DELETE";
+    for (const char* path :
+         {"/queue/", "/queue/5c0e7a21d94b36f8/x", "/queue/5c0e7a21d94b36fx"})
+    {
+        cancellation.m_path = path;
+        EXPECT_EQ(m_callers.handle(cancellation).m_status, 410) << path;
+    }
+    const auto stored = m_store.list(record_keys::cancellation_prefix, span(1));
+    EXPECT_TRUE(std::get<0>(stored).m_records.empty());
+}
+
 // Guards against failed status calls that the log does not tell from failed
 // submissions, or whose time went by before they were begun.
 TEST_F(caller_interface_test, a_refusal_is_logged_with_its_method_and_its_wait)
