Nothing is stored for a caller whose deadline has passed

A process that stands still between that and the commit stores the submission when it goes on. (2) The time since a request was read is taken from the steady clock, which does not count a suspension of the machine; the deadline then lies that much too late.

The times of a request are read from boottime_now(), which counts a suspension. The clocks move to runtime/, as the HTTP server needs them.

(2) was found by reading; a suspension cannot be played here.

--- a/kingcuprudder/node/call_retry.cpp
+++ b/kingcuprudder/node/call_retry.cpp
@@ -97,6 +97,11 @@
                     std::min(call_timeout, time_left(m_deadline)));
 }
 
+bool call_retry::is_past_deadline() const
+{
+    return boottime_now() >= m_deadline;
+}
+
 bool call_retry::has_time() const
 {
     return time_left(m_deadline) >= min_call_timeout;
--- a/kingcuprudder/node/call_retry.hpp
+++ b/kingcuprudder/node/call_retry.hpp
@@ -63,6 +63,8 @@
     /// connection, unless the store is known to be slow.
     span read_timeout() const;
     span write_timeout() const;
+    /// Whether the caller waits no longer.
+    bool is_past_deadline() const;
     /// Whether the time left suffices for another call.
     bool has_time() const;
     /// Waits before the next attempt. Returns false, without waiting, if there
--- a/kingcuprudder/node/clocks.hpp
+++ b/kingcuprudder/node/clocks.hpp
@@ -1,17 +1,13 @@
 #ifndef KINGCUPRUDDER_NODE_CLOCKS_HPP
 #define KINGCUPRUDDER_NODE_CLOCKS_HPP
 
-#include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/runtime/clocks.hpp>
 
 namespace kingcuprudder::node
 {
 
-/// Returns the time since the machine booted. The clock also advances while the
-/// machine is suspended, so that leases expire in the meantime.
-instant boottime_now();
-
-/// Returns the time of day. The clock jumps when it is adjusted.
-instant wall_now();
+using kingcuprudder::boottime_now;
+using kingcuprudder::wall_now;
 
 } // namespace kingcuprudder::node
 
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -342,6 +342,11 @@
         {
             return std::nullopt;
         }
+        if (retry.is_past_deadline())
+        {
+            // The process may have stood still, and the caller has given up.
+            return refusal::unavailable;
+        }
         switch (
             commit_once(std::get<store_transaction>(prepared), new_key, retry))
         {
--- a/kingcuprudder/node/clocks.cpp
+++ b/kingcuprudder/runtime/clocks.cpp
@@ -1,8 +1,8 @@
-#include <kingcuprudder/node/clocks.hpp>
+#include <kingcuprudder/runtime/clocks.hpp>
 
 #include <ctime>
 
-namespace kingcuprudder::node
+namespace kingcuprudder
 {
 
 namespace
@@ -30,4 +30,4 @@
     return read_clock(CLOCK_REALTIME);
 }
 
-} // namespace kingcuprudder::node
+} // namespace kingcuprudder
--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -1,3 +1,4 @@
+#include <kingcuprudder/runtime/clocks.hpp>
 #include <kingcuprudder/runtime/connection_filter.hpp>
 #include <kingcuprudder/runtime/http_server.hpp>
 #include <kingcuprudder/runtime/ip_address.hpp>
@@ -392,7 +393,7 @@
         {
             set_busy(true);
             m_receiving = true;
-            m_begun_at = std::chrono::steady_clock::now();
+            m_begun_at = boottime_now();
             m_timer = m_owner.m_loop.run_after(
                 m_owner.m_limits.m_transfer_timeout, [self = shared_from_this()]
                 { self->end_receipt(http::status::request_timeout); });
@@ -493,7 +494,7 @@
             }
             received->m_body = std::move(m_parser->get().body());
             received->m_begun_at = m_begun_at;
-            received->m_received_at = std::chrono::steady_clock::now();
+            received->m_received_at = boottime_now();
             m_parser.reset();
             m_owner.dispatch(shared_from_this(), received);
         }
@@ -600,7 +601,7 @@
         bool m_ending = false;
         bool m_keep_alive = false;
         std::chrono::steady_clock::time_point m_idle_since;
-        std::chrono::steady_clock::time_point m_begun_at;
+        instant m_begun_at;
     };
 
     void accept()
--- a/kingcuprudder/runtime/http_server.hpp
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -4,7 +4,6 @@
 #include <kingcuprudder/base/time.hpp>
 #include <kingcuprudder/runtime/event_loop.hpp>
 
-#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,10 +21,11 @@
     /// The header fields, by name in lower case.
     std::map<std::string, std::string> m_headers;
     std::string m_body;
-    /// When the first bytes of the request were read.
-    std::chrono::steady_clock::time_point m_begun_at;
-    /// When the last byte of the request was read.
-    std::chrono::steady_clock::time_point m_received_at;
+    /// When the first bytes of the request were read, on the clock of
+    /// boottime_now().
+    instant m_begun_at;
+    /// When the last byte of the request was read, on the same clock.
+    instant m_received_at;
 
     /// Returns the value of the field with this name in lower case, or "".
     std::string header(const std::string& name) const;
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -368,6 +368,19 @@
     EXPECT_EQ(stored_jobs(), 1u);
 }
 
+// Guards against a submission that is stored for a caller that has given up, as
+// the process stood still between the check of its deadline and the commit.
+TEST_F(job_service_test, nothing_is_stored_after_the_deadline)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    ASSERT_TRUE(m_configuration.confirmed(span(0), span(500)));
+    caller_request late = request();
+    late.m_deadline = boottime_now() - span(1);
+    EXPECT_EQ(jobs.submit(late, job()), refusal::unavailable);
+    EXPECT_EQ(store.m_commits, 0);
+}
+
 // Guards against cancellations of unknown ids that cost the store more than one
 // read and one write each.
 TEST_F(job_service_test, a_cancellation_of_an_unknown_id_is_one_read_and_write)
--- a/unit_tests/platform/caller_interface_test.cpp
+++ b/unit_tests/platform/caller_interface_test.cpp
@@ -22,7 +22,7 @@
                              {"authorization", "Bearer key"},
                              {"x-deadline-ms", "3000"}};
         request.m_body = R"({"steps":[{"count":1}]})";
-        request.m_begun_at = std::chrono::steady_clock::now();
+        request.m_begun_at = boottime_now();
         request.m_received_at = request.m_begun_at;
         return request;
     }
@@ -61,7 +61,7 @@
 TEST_F(caller_interface_test, a_request_that_waited_for_a_thread_is_refused)
 {
     http_request late = submission();
-    late.m_received_at -= std::chrono::milliseconds(600);
+    late.m_received_at = late.m_received_at - span(600);
     const http_response refused = m_callers.handle(late);
     EXPECT_EQ(refused.m_status, 503);
     EXPECT_EQ(refused.m_headers.count("Retry-After"), 1u);
@@ -104,9 +104,9 @@
     http_request query = submission();
     query.m_method = "GET";
     query.m_headers["authorization"] = "Bearer other";
-    query.m_received_at -= std::chrono::milliseconds(100);
+    query.m_received_at = query.m_received_at - span(100);
     EXPECT_EQ(m_callers.handle(query).m_status, 401);
-    query.m_received_at -= std::chrono::milliseconds(600);
+    query.m_received_at = query.m_received_at - span(600);
     EXPECT_EQ(m_callers.handle(query).m_status, 503);
     m_log.flush();
     const std::string text = output.read_all();
