A request that lay unread while the process stood still counts as that old

A process that stood still reads what lay in its sockets as new, so it serves callers that gave up seconds ago, for example with a submission.

Change: the caller server checks every 250 ms, and before it uses what it has read, that its event loop was at work in the last 500 ms. If it was not, the requests that lay unread meanwhile (on open connections, on those that the kernel has accepted, and behind another request) count as begun when the loop was last at work.

Weighed: (a) to refuse all that lay unread, however short the standstill: callers that still wait would be sent away; (b) the age from TCP_INFO: not everywhere available; (c) not to serve a connection whose caller has closed its side: a caller that sends, shuts down its side and waits is sound HTTP, and would never be served.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -2,6 +2,7 @@
 #include <kingcuprudder/runtime/connection_filter.hpp>
 #include <kingcuprudder/runtime/http_server.hpp>
 #include <kingcuprudder/runtime/ip_address.hpp>
+#include <kingcuprudder/runtime/standstill_watch.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -158,6 +159,21 @@
         asio::post(m_context, [self = shared_from_this()] { self->accept(); });
     }
 
+    void watch_standstill(std::function<void(span)> noticed)
+    {
+        asio::post(m_context,
+                   [self = shared_from_this(), noticed = std::move(noticed)]
+                   {
+                       self->m_standstill = std::make_unique<standstill_watch>(
+                           self->m_loop,
+                           [owner = self.get(), noticed](instant last_at_work)
+                           {
+                               noticed(boottime_now() - last_at_work);
+                               owner->note_standstill(last_at_work);
+                           });
+                   });
+    }
+
     void begin_closing() { m_closing = true; }
 
     void stop_accepting()
@@ -271,7 +287,8 @@
             m_parser->header_limit(max_header_bytes);
             if (m_buffer.size() > 0)
             {
-                receive();
+                // These bytes came with the last request, or after it.
+                receive(m_begun_at);
                 return;
             }
             if (m_buffer.capacity() > kept_buffer_bytes)
@@ -289,7 +306,7 @@
                     if (!error)
                     {
                         self->m_buffer.commit(bytes);
-                        self->receive();
+                        self->receive(self->m_owner.earliest_arrival());
                         return;
                     }
                     self->end_idle_read();
@@ -304,6 +321,26 @@
 
         bool draining() const { return m_draining; }
 
+        /// Notes that the next request may have arrived since then. The one
+        /// that is being received began before.
+        void may_be_unread_since(instant when)
+        {
+            if (!m_receiving)
+            {
+                m_unread_since = m_unread_since.value_or(when);
+            }
+        }
+
+        /// Notes that what is not in the kernel now arrives later.
+        void ends_standstill()
+        {
+            error_code ignored;
+            if (m_socket.available(ignored) == 0)
+            {
+                m_unread_since.reset();
+            }
+        }
+
         /// Ends the connection unless it has a request. One that has arrived
         /// and is not read yet is answered.
         void end_when_idle()
@@ -381,7 +418,7 @@
             }
             else if (has_arrived())
             {
-                receive();
+                receive(m_owner.earliest_arrival());
             }
             else
             {
@@ -389,11 +426,13 @@
             }
         }
 
-        void receive()
+        void receive(instant earliest_arrival)
         {
             set_busy(true);
             m_receiving = true;
-            m_begun_at = boottime_now();
+            m_begun_at = std::min(earliest_arrival,
+                                  m_unread_since.value_or(earliest_arrival));
+            m_unread_since.reset();
             m_timer = m_owner.m_loop.run_after(
                 m_owner.m_limits.m_transfer_timeout, [self = shared_from_this()]
                 { self->end_receipt(http::status::request_timeout); });
@@ -602,6 +641,8 @@
         bool m_keep_alive = false;
         std::chrono::steady_clock::time_point m_idle_since;
         instant m_begun_at;
+        /// A request that is not read yet may have arrived since then.
+        std::optional<instant> m_unread_since;
     };
 
     void accept()
@@ -633,9 +674,45 @@
         make_room();
         const auto made = std::make_shared<session>(*this, std::move(socket));
         m_connections.insert(made);
+        if (m_standing_since)
+        {
+            made->may_be_unread_since(*m_standing_since);
+        }
         made->await_request();
     }
 
+    /// Returns the earliest time at which what is read now may have arrived.
+    instant earliest_arrival()
+    {
+        return m_standstill ? m_standstill->check() : boottime_now();
+    }
+
+    /// Marks all connections whose next request may have arrived since the
+    /// server was last at work: those that are open, and those that the kernel
+    /// has accepted. Reads that were complete before, and those connections,
+    /// are handled before the end of the mark, as the loop keeps their order.
+    void note_standstill(instant last_at_work)
+    {
+        m_standing_since = last_at_work;
+        if (m_reading && m_acceptor.is_open())
+        {
+            accept_queued();
+        }
+        for (const auto& each : m_connections)
+        {
+            each->may_be_unread_since(last_at_work);
+        }
+        asio::post(m_context,
+                   [self = shared_from_this()]
+                   {
+                       self->m_standing_since.reset();
+                       for (const auto& each : self->m_connections)
+                       {
+                           each->ends_standstill();
+                       }
+                   });
+    }
+
     /// Counts a request that has begun to arrive, or one that is over: its
     /// response was written or its connection was closed.
     void count_request(bool begun)
@@ -813,6 +890,9 @@
     bool m_stopped_reading = false;
     // The members below are used on the event loop's thread only.
     bool m_reading = true;
+    std::unique_ptr<standstill_watch> m_standstill;
+    /// Set from the notice of a standstill until what arrived before is known.
+    std::optional<instant> m_standing_since;
     std::size_t m_requests = 0;
     std::set<std::shared_ptr<session>> m_connections;
     std::optional<asio::thread_pool> m_threads;
@@ -853,6 +933,11 @@
     return m_implementation->open_requests();
 }
 
+void http_server::watch_standstill(std::function<void(span length)> noticed)
+{
+    m_implementation->watch_standstill(std::move(noticed));
+}
+
 void http_server::begin_closing()
 {
     m_implementation->begin_closing();
--- a/kingcuprudder/runtime/http_server.hpp
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -21,8 +21,8 @@
     /// The header fields, by name in lower case.
     std::map<std::string, std::string> m_headers;
     std::string m_body;
-    /// When the first bytes of the request were read, on the clock of
-    /// boottime_now().
+    /// The earliest time at which the first bytes of the request may have
+    /// arrived, on the clock of boottime_now().
     instant m_begun_at;
     /// When the last byte of the request was read, on the same clock.
     instant m_received_at;
@@ -93,6 +93,10 @@
     /// The address that it listens on, as "ip:port".
     const std::string& address() const;
 
+    /// From now on the server notices when it stands still. Requests that lay
+    /// unread meanwhile count as begun when it was last at work. The hook
+    /// receives the length of the standstill, on the event loop.
+    void watch_standstill(std::function<void(span length)> noticed);
     /// Closes each connection after its next response, which says so.
     void begin_closing();
     /// Ignores new attempts to connect, and closes the listener soon after,
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -1,4 +1,5 @@
 #include "raw_connection.hpp"
+#include <kingcuprudder/runtime/clocks.hpp>
 #include <kingcuprudder/runtime/http_server.hpp>
 
 #include <gtest/gtest.h>
@@ -8,7 +9,9 @@
 #include <filesystem>
 #include <future>
 #include <iterator>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <stdexcept>
 #include <thread>
 #include <unistd.h>
@@ -220,6 +223,54 @@
     m_loop.stop();
 }
 
+// Guards against a request that is taken for new, as it lay unread while the
+// process stood still: on an open connection, on one that was not accepted yet,
+// and behind another request.
+TEST_F(http_server_test, an_unread_request_is_as_old_as_the_standstill)
+{
+    constexpr span length = span(900);
+    std::mutex mutex;
+    std::map<std::string, instant> begun;
+    http_server server(m_loop, "127.0.0.1:0", pooled(2),
+                       [&](const http_request& request)
+                       {
+                           std::lock_guard lock(mutex);
+                           begun[request.m_path] = request.m_begun_at;
+                           return echo(request);
+                       });
+    std::atomic<std::int64_t> noticed_ms = 0;
+    server.watch_standstill([&](span noticed)
+                            { noticed_ms = noticed.count(); });
+    const raw_connection idle(server.address());
+    const raw_connection later(server.address());
+    ASSERT_TRUE(idle.send(get_request));
+    ASSERT_NE(idle.read_until("GET /a").find("200 OK"), std::string::npos);
+    blocked_loop blocked(m_loop);
+    const instant stopped_at = boottime_now();
+    const raw_connection fresh(server.address());
+    ASSERT_TRUE(idle.send("GET /idle HTTP/1.1\r\nHost: h\r\n\r\n"));
+    ASSERT_TRUE(fresh.send("GET /fresh HTTP/1.1\r\nHost: h\r\n\r\n"
+                           "GET /behind HTTP/1.1\r\nHost: h\r\n\r\n"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(length.count()));
+    blocked.release();
+    EXPECT_NE(idle.read_until("GET /idle").find("200 OK"), std::string::npos);
+    EXPECT_NE(fresh.read_until("GET /behind").find("200 OK"),
+              std::string::npos);
+    const instant served_at = boottime_now();
+    ASSERT_TRUE(idle.send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n"));
+    idle.read_until("GET /next");
+    ASSERT_TRUE(later.send("GET /later HTTP/1.1\r\nHost: h\r\n\r\n"));
+    later.read_until("GET /later");
+    std::lock_guard lock(mutex);
+    EXPECT_LE(begun.at("/idle"), stopped_at);
+    EXPECT_LE(begun.at("/fresh"), stopped_at);
+    EXPECT_LE(begun.at("/behind"), stopped_at);
+    EXPECT_GE(begun.at("/next"), served_at);
+    EXPECT_GE(begun.at("/later"), served_at);
+    EXPECT_GE(noticed_ms, length.count());
+    m_loop.stop();
+}
+
 // A request that is not begun gets its refusal at once, not at its deadline.
 TEST_F(http_server_test, requests_over_the_limit_are_refused_at_once)
 {
