Unrecorded runs are a table of their own

Cause: the dispatcher kept the runs without a record in a map of pairs, with the look-ups by worker spread over four files.

Change: unrecorded_runs holds them by worker, with their stops. No decision changes.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -62,22 +62,6 @@
     return found->second;
 }
 
-bool dispatcher::has_unrecorded_runs(const std::string& worker) const
-{
-    const auto first = m_unrecorded_runs.lower_bound({worker, run_ref()});
-    return first != m_unrecorded_runs.end() && first->first.first == worker;
-}
-
-std::size_t dispatcher::workers_with_unrecorded_runs() const
-{
-    std::set<std::string> workers;
-    for (const auto& [run, stops] : m_unrecorded_runs)
-    {
-        workers.insert(run.first);
-    }
-    return workers.size();
-}
-
 instant dispatcher::lease_end(instant sent) const
 {
     return sent + m_limits.m_worker_lease +
@@ -147,7 +131,7 @@
     worker_entry& worker = find_or_add_worker(stored.m_worker);
     const bool is_old = stored.m_worker_incarnation < worker.m_incarnation;
     const bool holds_it =
-        m_unrecorded_runs.contains({worker.id(), {ref, stored.m_last_run}});
+        m_unrecorded_runs.contains(worker.id(), {ref, stored.m_last_run});
     if (is_old && worker.m_synced && !holds_it)
     {
         // The run ended with its process.
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include <kingcuprudder/dispatch/run_end_evidence.hpp>
 #include <kingcuprudder/dispatch/service_configuration.hpp>
 #include <kingcuprudder/dispatch/stop_attempts.hpp>
+#include <kingcuprudder/dispatch/unrecorded_runs.hpp>
 #include <kingcuprudder/dispatch/urgent_headroom.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
 #include <kingcuprudder/dispatch/worker_loss.hpp>
@@ -143,9 +144,15 @@
     }
     /// Returns whether the worker holds runs without a record. Their demand is
     /// unknown, so the worker gets no work until they have ended.
-    bool has_unrecorded_runs(const std::string& worker) const;
+    bool has_unrecorded_runs(const std::string& worker) const
+    {
+        return m_unrecorded_runs.any_on(worker);
+    }
     /// Returns the number of workers that hold runs without a record.
-    std::size_t workers_with_unrecorded_runs() const;
+    std::size_t workers_with_unrecorded_runs() const
+    {
+        return m_unrecorded_runs.worker_count();
+    }
     const std::map<std::string, job_entry>& jobs() const
     {
         return m_jobs.jobs();
@@ -154,10 +161,6 @@
 private:
     friend class planner;
 
-    /// Runs without a record, by worker.
-    using unrecorded_runs =
-        std::map<std::pair<std::string, run_ref>, stop_attempts>;
-
     worker_entry& find_or_add_worker(const std::string& id);
     /// Returns the worker's renewal request; without an address if the worker
     /// needs no session.
@@ -172,11 +175,11 @@
     {
         m_changed_renewals.insert(worker);
     }
-    std::vector<run_ref> unrecorded_runs_of(const std::string& worker) const;
+    /// Forgets all runs without a record on the worker, which have ended.
     void forget_unrecorded_runs(const std::string& worker,
                                 const run_end_evidence& evidence, instant now);
-    /// Removes a run without a record that has ended.
-    void forget_unrecorded_run(unrecorded_runs::iterator run,
+    /// Forgets a run that has ended, if it is one without a record.
+    void forget_unrecorded_run(const std::string& worker, const run_ref& run,
                                const run_end_evidence& evidence, instant now);
     /// Returns the time by which a lease that was renewed at the given time has
     /// expired, including the error of the worker's clock.
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -276,10 +276,13 @@
             }
         }
     }
-    for (auto& [run, stops] : m_unrecorded_runs)
+    for (auto& [id, runs] : m_unrecorded_runs.by_worker())
     {
-        send_stop(find_or_add_worker(run.first), run.second, stops, now,
-                  effects);
+        const worker_entry& worker = find_or_add_worker(id);
+        for (auto& [run, stops] : runs)
+        {
+            send_stop(worker, run, stops, now, effects);
+        }
     }
 }
 
@@ -295,7 +298,7 @@
     effects.m_stops.push_back({worker.id(), run, worker.m_incarnation});
     if (stops.count() == notable_stop_count)
     {
-        const bool recorded = !m_unrecorded_runs.contains({worker.id(), run});
+        const bool recorded = !m_unrecorded_runs.contains(worker.id(), run);
         m_log("stop_repeated", run.m_task.str(),
               {{"run", number(run.m_run)},
                {"worker", worker.id()},
--- a/kingcuprudder/dispatch/dispatcher_releases.cpp
+++ b/kingcuprudder/dispatch/dispatcher_releases.cpp
@@ -174,55 +174,45 @@
                         now);
         }
     }
-    for (const run_ref& run : unrecorded_runs_of(worker.id()))
+    const auto unlisted =
+        run_end_evidence::unlisted(worker.m_incarnation, instant(), sent);
+    for (const run_ref& run : m_unrecorded_runs.runs_on(worker.id()))
     {
         if (!listed.contains({run.m_task.str(), run.m_run}))
         {
-            forget_unrecorded_run(m_unrecorded_runs.find({worker.id(), run}),
-                                  run_end_evidence::unlisted(
-                                      worker.m_incarnation, instant(), sent),
-                                  now);
+            forget_unrecorded_run(worker.id(), run, unlisted, now);
         }
     }
 }
 
-std::vector<run_ref>
-dispatcher::unrecorded_runs_of(const std::string& worker) const
-{
-    std::vector<run_ref> runs;
-    for (auto each = m_unrecorded_runs.lower_bound({worker, run_ref()});
-         each != m_unrecorded_runs.end() && each->first.first == worker; ++each)
-    {
-        runs.push_back(each->first.second);
-    }
-    return runs;
-}
-
-void dispatcher::forget_unrecorded_run(unrecorded_runs::iterator run,
+void dispatcher::forget_unrecorded_run(const std::string& worker,
+                                       const run_ref& run,
                                        const run_end_evidence& evidence,
                                        instant now)
 {
-    const auto& [worker, ref] = run->first;
+    const auto stops = m_unrecorded_runs.remove(worker, run);
+    if (!stops)
+    {
+        return;
+    }
     decision_fields fields{
-        {"run", number(ref.m_run)},
+        {"run", number(run.m_run)},
         {"worker", worker},
-        {"stops", number(run->second.count())},
-        {"first_stop_age_ms", number(run->second.age(now).count())}};
+        {"stops", number(stops->count())},
+        {"first_stop_age_ms", number(stops->age(now).count())}};
     append(fields, evidence.fields(now));
-    m_log("unknown_run_over", ref.m_task.str(), std::move(fields));
+    m_log("unknown_run_over", run.m_task.str(), std::move(fields));
     mark_renewal(worker);
     m_changed = true;
-    m_unrecorded_runs.erase(run);
 }
 
 void dispatcher::forget_unrecorded_runs(const std::string& worker,
                                         const run_end_evidence& evidence,
                                         instant now)
 {
-    for (const run_ref& run : unrecorded_runs_of(worker))
+    for (const run_ref& run : m_unrecorded_runs.runs_on(worker))
     {
-        forget_unrecorded_run(m_unrecorded_runs.find({worker, run}), evidence,
-                              now);
+        forget_unrecorded_run(worker, run, evidence, now);
     }
 }
 
@@ -240,7 +230,7 @@
                   {{"tasks",
                     number(static_cast<std::int64_t>(worker.m_tasks.size()))},
                    {"unknown_runs", number(static_cast<std::int64_t>(
-                                        unrecorded_runs_of(id).size()))},
+                                        m_unrecorded_runs.runs_on(id).size()))},
                    {"last_answer_age_ms",
                     number((now - worker.m_last_answer).count())},
                    {"events_behind_ms", number((now - known_until).count())}});
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -264,15 +264,10 @@
         task->m_active->m_worker != worker.id() ||
         task->m_active->m_number != report.m_run)
     {
-        if (ref)
+        if (ref && m_unrecorded_runs.add(worker.id(), {*ref, report.m_run}))
         {
-            const auto [found, added] = m_unrecorded_runs.try_emplace(
-                {worker.id(), run_ref{*ref, report.m_run}});
-            if (added)
-            {
-                m_log("unknown_run_found", report.m_task,
-                      {{"run", number(report.m_run)}, {"worker", worker.id()}});
-            }
+            m_log("unknown_run_found", report.m_task,
+                  {{"run", number(report.m_run)}, {"worker", worker.id()}});
         }
         return;
     }
@@ -393,14 +388,9 @@
     const std::optional<task_ref> ref = task_ref::parse(report.m_task);
     if (ref)
     {
-        const auto unrecorded =
-            m_unrecorded_runs.find({worker.id(), run_ref{*ref, report.m_run}});
-        if (unrecorded != m_unrecorded_runs.end())
-        {
-            forget_unrecorded_run(
-                unrecorded,
-                run_end_evidence::reported(worker.m_incarnation, now), now);
-        }
+        forget_unrecorded_run(
+            worker.id(), {*ref, report.m_run},
+            run_end_evidence::reported(worker.m_incarnation, now), now);
     }
     job_entry* job = ref ? m_jobs.find_task(*ref) : nullptr;
     if (job == nullptr)
