A request behind another one is no older than its bytes

A caller that always has its next request under way would be refused after the time of one deadline, as all its requests count as begun with the first one.

Change: what is left in the buffer arrived with the last read of the socket, or earlier if the request needed no further read.

--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -287,8 +287,7 @@
             m_parser->header_limit(max_header_bytes);
             if (m_buffer.size() > 0)
             {
-                // These bytes came with the last request, or after it.
-                receive(m_begun_at);
+                receive(m_buffered_since);
                 return;
             }
             if (m_buffer.capacity() > kept_buffer_bytes)
@@ -433,14 +432,20 @@
             m_begun_at = std::min(earliest_arrival,
                                   m_unread_since.value_or(earliest_arrival));
             m_unread_since.reset();
+            m_buffered_since = m_begun_at;
+            m_buffered_bytes = m_buffer.size();
+            m_parsed_bytes = 0;
             m_timer = m_owner.m_loop.run_after(
                 m_owner.m_limits.m_transfer_timeout, [self = shared_from_this()]
                 { self->end_receipt(http::status::request_timeout); });
             http::async_read_header(
                 m_socket, m_buffer, *m_parser,
                 [self = shared_from_this()](const error_code& error,
-                                            std::size_t)
-                { error ? self->reject(error) : self->receive_body(); });
+                                            std::size_t parsed)
+                {
+                    self->m_parsed_bytes += parsed;
+                    error ? self->reject(error) : self->receive_body();
+                });
         }
 
         void receive_body()
@@ -464,8 +469,22 @@
         {
             http::async_read(m_socket, m_buffer, *m_parser,
                              [self = shared_from_this()](
-                                 const error_code& error, std::size_t)
-                             { error ? self->reject(error) : self->handle(); });
+                                 const error_code& error, std::size_t parsed)
+                             {
+                                 self->m_parsed_bytes += parsed;
+                                 error ? self->reject(error) : self->handle();
+                             });
+        }
+
+        /// Notes since when the bytes behind the request, which are those of
+        /// the next one, may have arrived: with the last read, if the request
+        /// needed a further one.
+        void note_buffered_bytes()
+        {
+            if (m_parsed_bytes + m_buffer.size() > m_buffered_bytes)
+            {
+                m_buffered_since = m_owner.earliest_arrival();
+            }
         }
 
         /// Refuses the request that is being received. It is not begun, so its
@@ -518,6 +537,7 @@
                 return;
             }
             m_receiving = false;
+            note_buffered_bytes();
             m_timer = event_loop::timer();
             m_keep_alive = m_parser->get().keep_alive();
             auto received = std::make_shared<http_request>();
@@ -643,6 +663,12 @@
         instant m_begun_at;
         /// A request that is not read yet may have arrived since then.
         std::optional<instant> m_unread_since;
+        /// The earliest time at which what is in the buffer may have arrived.
+        instant m_buffered_since;
+        /// The bytes in the buffer when the receipt of the request began.
+        std::size_t m_buffered_bytes = 0;
+        /// The bytes of the request that were parsed.
+        std::size_t m_parsed_bytes = 0;
     };
 
     void accept()
--- a/unit_tests/runtime/http_server_test.cpp
+++ b/unit_tests/runtime/http_server_test.cpp
@@ -271,6 +271,40 @@
     m_loop.stop();
 }
 
+// Guards against a caller that always has its next request under way and whose
+// requests all count as begun with its first one.
+TEST_F(http_server_test, a_request_behind_another_is_no_older_than_its_bytes)
+{
+    constexpr span pause = span(300);
+    constexpr int requests = 4;
+    std::mutex mutex;
+    std::vector<instant> begun;
+    http_server server(m_loop, "127.0.0.1:0", pooled(1),
+                       [&](const http_request& request)
+                       {
+                           std::lock_guard lock(mutex);
+                           begun.push_back(request.m_begun_at);
+                           return echo(request);
+                       });
+    const raw_connection caller(server.address());
+    const std::string half = get_request.substr(0, get_request.size() / 2);
+    const std::string rest = get_request.substr(half.size());
+    ASSERT_TRUE(caller.send(half));
+    instant sent = boottime_now();
+    for (int index = 0; index < requests; ++index)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(pause.count()));
+        const instant next = boottime_now();
+        ASSERT_TRUE(caller.send(rest + half));
+        ASSERT_NE(caller.read_until("GET /a").find("200 OK"),
+                  std::string::npos);
+        std::lock_guard lock(mutex);
+        EXPECT_GE(begun.back() - sent, span(0) - pause / 2);
+        sent = next;
+    }
+    m_loop.stop();
+}
+
 // A request that is not begun gets its refusal at once, not at its deadline.
 TEST_F(http_server_test, requests_over_the_limit_are_refused_at_once)
 {
