What a connection makes a process keep is counted and bounded

Callers saw: their process ran out of memory and was killed while clients sent trailers or chunk extensions without end, or bodies far over the limit. Cause: the server read into a buffer without a size until Boost.Beast had found the end of a chunk line or of the trailers. A body was bounded by 1 MiB, four times the operators' limit, which was checked when the bytes were there, and all connections together by nothing; neither was their number when none was idle. Change: http_request_reader parses without I/O and bounds the header, a chunk's line, the trailers, all framing and the body while they arrive; connection_budget decides, also without I/O, which connection is dropped when all together hold too much or are too many: the most bytes times the time first, never one with an ordinary request, never one that a handler has begun. What was read whole is answered. Budgets follow from the new settings memory_mb and max_descriptors. The limits of the configuration are in force for the next request of each connection. The kernel holds 16 KiB of a connection that is not read. After the end of a response 256 KiB are dropped at most. Freed memory goes back to the system after a peak. Refusals are counted and logged by cause. http_server.cpp (982 lines) is parted into reader, budget, session, listener and server. Why this works: every byte that is kept belongs to a reader with a limit or to a response, and the sum of both is what the budget compares. Found on the way: the fuzz test found a chunk line over its limit that was accepted when it came in one read; such a line is refused in any case now.

--- a/kingcuprudder/dispatch/service_configuration.hpp
+++ b/kingcuprudder/dispatch/service_configuration.hpp
@@ -56,8 +56,14 @@
     std::vector<queue_configuration> m_queues;
     std::vector<account_configuration> m_accounts;
     std::vector<pool_configuration> m_pools;
-    /// The maximum size of a request body in bytes; 0 for no limit.
+    /// Limits of a caller's request; 0 for a default.
+    std::int64_t m_max_header_bytes = 0;
     std::int64_t m_max_body_bytes = 0;
+    /// Time until the header of a request is complete; 0 for a default.
+    span m_header_timeout;
+    /// Time after which a connection without a request is closed; 0 for a
+    /// default.
+    span m_idle_timeout;
 
     /// Returns the queue of the host with the longest matching path prefix, or
     /// null.
--- a/kingcuprudder/node/node.cpp
+++ b/kingcuprudder/node/node.cpp
@@ -52,6 +52,18 @@
         current_term);
 }
 
+void node::on_configuration(
+    const std::function<void(const dispatch::service_configuration&)>& changed)
+{
+    const auto pass_on = [changed](const configuration_view::snapshot& adopted)
+    { changed(adopted->m_configuration); };
+    m_configuration.on_change(pass_on);
+    if (const auto current = m_configuration.current())
+    {
+        pass_on(current);
+    }
+}
+
 bool node::is_ready() const
 {
     return !m_shutting_down && m_configuration.current() &&
--- a/kingcuprudder/node/node.hpp
+++ b/kingcuprudder/node/node.hpp
@@ -13,6 +13,7 @@
 #include <kingcuprudder/node/worker_calls.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -33,6 +34,12 @@
     node& operator=(const node&) = delete;
 
     job_service& jobs() { return m_jobs; }
+    /// Sets the hook for new versions of the configuration, and calls it with
+    /// the present one, if there is one. It runs on the thread that adopts the
+    /// version.
+    void on_configuration(
+        const std::function<void(const dispatch::service_configuration&)>&
+            changed);
     /// Returns whether the process is ready to serve callers.
     bool is_ready() const;
     /// Reports not ready from now on; callers are still served.
--- a/kingcuprudder/node/node_metrics.cpp
+++ b/kingcuprudder/node/node_metrics.cpp
@@ -43,4 +43,33 @@
     found->second.m_latency_ms.observe(took_ms);
 }
 
+void node_metrics::count_refusal(const std::string& server,
+                                 connection_refusal cause)
+{
+    std::lock_guard lock(m_mutex);
+    const auto [found, added] =
+        m_refusals.try_emplace(std::pair(server, cause));
+    if (added)
+    {
+        found->second = m_registry.add_counter(
+            "kcr_connections_refused_total",
+            "Requests refused and connections closed by a server",
+            {{"server", server}, {"cause", to_string(cause)}});
+    }
+    found->second.increment();
+}
+
+void node_metrics::set_held_bytes(const std::string& server, std::size_t bytes)
+{
+    std::lock_guard lock(m_mutex);
+    const auto [found, added] = m_held_bytes.try_emplace(server);
+    if (added)
+    {
+        found->second = m_registry.add_gauge(
+            "kcr_connections_held_bytes",
+            "What the connections of a server hold", {{"server", server}});
+    }
+    found->second.set(static_cast<double>(bytes));
+}
+
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/node_settings.cpp
+++ b/kingcuprudder/node/node_settings.cpp
@@ -14,6 +14,7 @@
 using nlohmann::json;
 
 constexpr double millis_per_second = 1000;
+constexpr double max_count = 1e9;
 
 /// Reads the fields of one object. Throws an error that names an invalid field.
 class field_reader
@@ -50,6 +51,23 @@
         return value.get<double>();
     }
 
+    /// Returns a whole number of at least 1, or the default if the field is
+    /// missing.
+    std::size_t count(const char* name, std::size_t otherwise) const
+    {
+        if (!m_object.contains(name))
+        {
+            return otherwise;
+        }
+        const double value = positive(name);
+        if (value < 1 || value > max_count)
+        {
+            throw std::runtime_error(std::string(name) +
+                                     " must be between 1 and 1000000000");
+        }
+        return static_cast<std::size_t>(value);
+    }
+
     span milliseconds(const char* name) const
     {
         return span(static_cast<std::int64_t>(positive(name)));
@@ -92,6 +110,10 @@
         settings.m_metrics_address = fields.address("metrics_address");
         settings.m_store_address = fields.address("store_address");
         settings.m_processor_share = fields.positive("processor_share");
+        settings.m_instance.m_memory_mb =
+            fields.count("memory_mb", settings.m_instance.m_memory_mb);
+        settings.m_instance.m_max_descriptors = fields.count(
+            "max_descriptors", settings.m_instance.m_max_descriptors);
         settings.m_status_retention = fields.seconds("status_s");
         settings.m_shutdown_grace = fields.seconds("shutdown_grace_s");
         settings.m_limits.m_worker_lease =
--- a/kingcuprudder/node/node_settings.hpp
+++ b/kingcuprudder/node/node_settings.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_NODE_NODE_SETTINGS_HPP
 
 #include <kingcuprudder/dispatch/dispatcher.hpp>
+#include <kingcuprudder/node/instance_limits.hpp>
 
 #include <string>
 #include <variant>
@@ -20,6 +21,7 @@
     std::string m_store_address;     ///< "ip:port" of the key-value service.
     /// Processor time of the instance in cores.
     double m_processor_share = 1;
+    instance_size m_instance;
     dispatch::dispatch_limits m_limits;
     /// How long the state of an ended job is retained.
     span m_status_retention = span::seconds(120);
--- a/kingcuprudder/runtime/http_server.hpp
+++ b/kingcuprudder/runtime/http_server.hpp
@@ -2,80 +2,24 @@
 #define KINGCUPRUDDER_RUNTIME_HTTP_SERVER_HPP
 
 #include <kingcuprudder/base/time.hpp>
+#include <kingcuprudder/runtime/connection_refusal.hpp>
 #include <kingcuprudder/runtime/event_loop.hpp>
+#include <kingcuprudder/runtime/http_message.hpp>
+#include <kingcuprudder/runtime/http_server_limits.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
 namespace kingcuprudder
 {
 
-/// A complete HTTP request.
-struct http_request
-{
-    std::string m_method;
-    /// The decoded path without the query.
-    std::string m_path;
-    /// The header fields, by name in lower case.
-    std::map<std::string, std::string> m_headers;
-    std::string m_body;
-    /// The earliest time at which the first bytes of the request may have
-    /// arrived, on the clock of boottime_now().
-    instant m_begun_at;
-    /// When the last byte of the request was read, on the same clock.
-    instant m_received_at;
-
-    /// Returns the value of the field with this name in lower case, or "".
-    std::string header(const std::string& name) const;
-
-    friend bool operator==(const http_request&, const http_request&) = default;
-};
-
-/// The response to an HTTP request.
-struct http_response
-{
-    int m_status = 200;
-    std::string m_content_type = "application/json";
-    std::map<std::string, std::string> m_headers;
-    std::string m_body;
-    /// Whether the connection is closed after the response.
-    bool m_close = false;
-
-    friend bool operator==(const http_response&,
-                           const http_response&) = default;
-};
-
-/// Limits of an HTTP server.
-struct http_server_limits
-{
-    /// Threads that carry out handlers; with 0 they run on the event loop and
-    /// must not block.
-    std::size_t m_handler_threads = 0;
-    /// Requests that wait for a handler thread or are being handled.
-    std::size_t m_max_requests = 512;
-    /// A request that has waited for a handler thread for this long is not
-    /// handled; 0 for no limit.
-    span m_max_thread_wait = span(0);
-    /// Over this number the connection that was idle longest is closed.
-    std::size_t m_max_connections = 1500;
-    std::size_t m_max_body_bytes = std::size_t{256} * 1024;
-    /// A connection without a request is closed after this time.
-    span m_idle_timeout = span(30'000);
-    /// Within this time a request is received whole, and a response sent.
-    span m_transfer_timeout = span(5000);
-
-    friend bool operator==(const http_server_limits&,
-                           const http_server_limits&) = default;
-};
-
 /// An HTTP/1.1 server on an event loop. A connection occupies no thread; a
 /// handler thread is used only for a request that was received whole.
 class http_server
 {
 public:
-    using handler = std::function<http_response(const http_request&)>;
+    using handler = http_handler;
 
     /// Listens on "ip:port"; port 0 selects a free port. `overloaded` makes the
     /// response to a request that is not handled as too many are waiting or as
@@ -97,6 +41,15 @@
     /// unread meanwhile count as begun when it was last at work. The hook
     /// receives the length of the standstill, on the event loop.
     void watch_standstill(std::function<void(span length)> noticed);
+    /// Sets the hook that learns of each request that the server refuses and
+    /// each connection that it closes by itself. It runs on the event loop.
+    void watch_refusals(std::function<void(connection_refusal)> refused);
+    /// Replaces the limits of requests that have not begun to arrive. Callable
+    /// from any thread.
+    void set_request_limits(const http_request_limits& limits);
+    /// What all connections hold of requests and responses, in bytes. Callable
+    /// from any thread.
+    std::size_t held_bytes() const;
     /// Closes each connection after its next response, which says so.
     void begin_closing();
     /// Ignores new attempts to connect, and closes the listener soon after,
--- a/unit_tests/platform/platform_records_test.cpp
+++ b/unit_tests/platform/platform_records_test.cpp
@@ -55,6 +55,29 @@
     EXPECT_EQ(read->m_max_body_bytes, 262144);
 }
 
+// Guards against a configuration that is not adopted for a limit of another
+// type, and against limits that are read from it in part.
+TEST(platform_records, limits_of_callers_are_read)
+{
+    const auto decode = platform_records().m_decode_configuration;
+    const auto read = decode(
+        R"({"version":7,"routes":[],"limits":{"maxHeaderBytes":16384,
+"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->m_max_header_bytes, 16384);
+    EXPECT_EQ(read->m_max_body_bytes, 262144);
+    EXPECT_EQ(read->m_header_timeout, span(3000));
+    EXPECT_EQ(read->m_idle_timeout, span(15'000));
+    const auto unusable = decode(
+        R"({"version":7,"routes":[],"limits":{"maxHeaderBytes":"x",
+"maxBodyBytes":-1,"headerTimeoutMs":1e300,"idleTimeoutMs":9}})");
+    ASSERT_TRUE(unusable);
+    EXPECT_EQ(unusable->m_max_header_bytes, 0);
+    EXPECT_EQ(unusable->m_max_body_bytes, 0);
+    EXPECT_EQ(unusable->m_header_timeout, span(0));
+    EXPECT_EQ(unusable->m_idle_timeout, span(9));
+}
+
 TEST(platform_records, a_worker_is_read)
 {
     const auto read = platform_records().m_decode_worker("i-1", worker_entry);
