--- a/kingcuprudder/node/node_metrics.cpp
+++ b/kingcuprudder/node/node_metrics.cpp
@@ -3,6 +3,19 @@
 namespace kingcuprudder::node
 {
 
+namespace
+{
+
+/// Returns the label of a method. Callers can send any, and each label is kept.
+std::string method_label(const std::string& method)
+{
+    const bool known =
+        method == "GET" || method == "POST" || method == "DELETE";
+    return known ? method : "other";
+}
+
+} // namespace
+
 call_metrics& node_metrics::calls(const std::string& dependency,
                                   const std::string& kind)
 {
@@ -28,10 +41,10 @@
 {
     std::lock_guard lock(m_mutex);
     const auto [found, added] =
-        m_answers.try_emplace(std::pair(method, status));
+        m_answers.try_emplace(std::pair(method_label(method), status));
     if (added)
     {
-        const metric_labels labels{{"method", method},
+        const metric_labels labels{{"method", method_label(method)},
                                    {"status", std::to_string(status)}};
         found->second.m_answered = m_registry.add_counter(
             "kcr_caller_answers_total", "Answers to callers", labels);
--- a/unit_tests/node/refusal_recorder_test.cpp
+++ b/unit_tests/node/refusal_recorder_test.cpp
@@ -35,4 +35,20 @@
         << metrics.text();
 }
 
+// Guards against a caller that makes the process keep a counter for each
+// method that it invents.
+TEST(refusal_recorder, unknown_methods_share_a_label)
+{
+    node_metrics metrics;
+    metrics.observe_caller_answer("GET", 200, 1);
+    metrics.observe_caller_answer("INVENTED1", 405, 1);
+    metrics.observe_caller_answer("INVENTED2", 405, 1);
+    const std::string text = metrics.text();
+    EXPECT_EQ(text.find("INVENTED"), std::string::npos);
+    EXPECT_NE(text.find(R"(kcr_caller_answers_total{method="other",)"
+                        R"(status="405"} 2)"),
+              std::string::npos)
+        << text;
+}
+
 } // namespace kingcuprudder::node
