A worker's answer without end is not kept

Callers saw: nothing yet. A worker that sends chunk extensions, trailers or chunks without end makes its leader keep them. Cause: the buffer of a connection to a worker had no size; an answer might have 8 MiB. A body announced over the limit of which a part came with the header made Beast 1.74 reserve the announced length, as its parser goes on after the error, and the exception left the call without a completion. Change: 64 KiB for what is not parsed, 512 KiB for a body (the largest legitimate one is under 100 KB), and the header is read by itself. The call counts as unanswered, with the cause too_large. The total over all workers is not bounded beyond 512 KiB each.

--- a/kingcuprudder/runtime/http_endpoint.cpp
+++ b/kingcuprudder/runtime/http_endpoint.cpp
@@ -25,8 +25,11 @@
 using boost::system::error_code;
 
 constexpr std::size_t max_idle_connections = 4;
-// A worker's report names up to 500 completions and all running tasks.
-constexpr std::uint64_t max_answer_bytes = std::uint64_t{8} * 1024 * 1024;
+// A worker's report names up to 500 completions and all running tasks, which
+// takes less than 100 KB.
+constexpr std::uint64_t max_answer_bytes = std::uint64_t{512} * 1024;
+// Bounds the line of a chunk and the trailers of an answer.
+constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
 
 /// An open connection. The buffer keeps bytes that follow an answer.
 struct connection
@@ -34,7 +37,7 @@
     explicit connection(asio::io_context& context) : m_socket(context) {}
 
     tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{max_unparsed_bytes};
 };
 
 /// Returns whether the peer has neither closed an idle connection nor sent
@@ -66,6 +69,12 @@
     {
         return http_failure_cause::timed_out;
     }
+    if (error == http::error::body_limit ||
+        error == http::error::header_limit ||
+        error == http::error::buffer_overflow)
+    {
+        return http_failure_cause::too_large;
+    }
     const bool ended_early = error == http::error::end_of_stream ||
                              error == http::error::partial_message;
     const bool wrong_content =
@@ -214,7 +223,25 @@
                               });
         }
 
+        /// Reads the header by itself, as Beast reserves memory for an
+        /// announced body over the limit if a part of it comes with the header.
         void receive()
+        {
+            http::async_read_header(m_connection->m_socket,
+                                    m_connection->m_buffer, m_parser,
+                                    [self = shared_from_this()](
+                                        const error_code& error, std::size_t)
+                                    {
+                                        if (error)
+                                        {
+                                            self->finish_unanswered(error);
+                                            return;
+                                        }
+                                        self->receive_body();
+                                    });
+        }
+
+        void receive_body()
         {
             http::async_read(m_connection->m_socket, m_connection->m_buffer,
                              m_parser,
--- a/kingcuprudder/runtime/http_outcome.hpp
+++ b/kingcuprudder/runtime/http_outcome.hpp
@@ -33,6 +33,7 @@
     unreachable, ///< No connection, for another reason.
     timed_out,   ///< The peer did not answer in time.
     unreadable,  ///< The peer sent something else than an answer.
+    too_large,   ///< The answer is over a limit.
 };
 
 /// An HTTP call without an answer.
