The store's answers are read within a limit and a time

Callers saw: nothing yet. A store that answers without end makes every process keep all of it: 1.8 to 9.6 GB in a few seconds. Cause: cpp-httplib's client bounds neither the number and length of header lines nor chunk lines nor the body. An answer may have a sixteenth of the memory, within 4 to 16 MiB (a page has at most 1 MB of values, as base64). A watch over that counts as compacted, so that a list is read in place of it.

--- a/kingcuprudder/node/instance_limits.cpp
+++ b/kingcuprudder/node/instance_limits.cpp
@@ -29,6 +29,12 @@
 // The part of the memory that responses to operators may hold.
 constexpr std::size_t monitoring_memory_share = 16;
 
+// The part of the memory that one response of the store may take.
+constexpr std::size_t store_response_share = 16;
+// A page of a list has 1 MB of values, which are base64 text in JSON.
+constexpr std::size_t least_store_response_bytes = 4 * bytes_per_mb;
+constexpr std::size_t most_store_response_bytes = 16 * bytes_per_mb;
+
 std::size_t memory_bytes(const instance_size& instance)
 {
     return instance.m_memory_mb * bytes_per_mb;
@@ -68,6 +74,12 @@
     return limits;
 }
 
+std::size_t max_store_response_bytes(const instance_size& instance)
+{
+    return std::clamp(memory_bytes(instance) / store_response_share,
+                      least_store_response_bytes, most_store_response_bytes);
+}
+
 http_request_limits
 request_limits(const dispatch::service_configuration& configuration,
                const instance_size& instance)
--- a/kingcuprudder/node/instance_limits.hpp
+++ b/kingcuprudder/node/instance_limits.hpp
@@ -27,6 +27,9 @@
 /// Returns the limits of the servers for the readiness check and for operators.
 http_server_limits monitoring_server_limits(const instance_size& instance);
 
+/// Returns the longest body of a response of the store, in bytes.
+std::size_t max_store_response_bytes(const instance_size& instance);
+
 /// Returns the limits of requests that a configuration sets, within what the
 /// instance can bear. Limits that it does not set are the defaults.
 http_request_limits
--- a/unit_tests/crowd/crowd_scripts.cpp
+++ b/unit_tests/crowd/crowd_scripts.cpp
@@ -151,6 +151,20 @@
     return crowds;
 }
 
+std::vector<crowd_script> lone_process_crowds()
+{
+    std::vector<crowd_script> crowds = {endless_trailers(20)};
+    for (const crowd_script& each : large_body_crowds())
+    {
+        if (each.m_name == "chunks_without_end" ||
+            each.m_name == "body_within_limit_without_its_end")
+        {
+            crowds.push_back(each);
+        }
+    }
+    return crowds;
+}
+
 std::vector<crowd_script> monitoring_crowds()
 {
     return {endless_trailers(20),
--- a/unit_tests/node/instance_limits_test.cpp
+++ b/unit_tests/node/instance_limits_test.cpp
@@ -52,4 +52,11 @@
                                            span(15'000)}));
 }
 
+TEST(instance_limits, a_page_of_the_store_fits_into_a_response)
+{
+    EXPECT_EQ(max_store_response_bytes({48, 400}), 4 * mb);
+    EXPECT_EQ(max_store_response_bytes({120, 3075}), 15 * mb / 2);
+    EXPECT_EQ(max_store_response_bytes({1024, 4096}), 16 * mb);
+}
+
 } // namespace kingcuprudder::node
--- a/unit_tests/platform/platform_store_test.cpp
+++ b/unit_tests/platform/platform_store_test.cpp
@@ -86,4 +86,16 @@
     EXPECT_EQ(conflict.m_records[0], (node::record{"k", "x", 4}));
 }
 
+// Guards against a watch that asks for the same changes again and again: what
+// does not fit into a response is read from a list.
+TEST_F(platform_store_test, changes_over_the_limit_count_as_compacted)
+{
+    platform_store small(m_listener.address(), 100);
+    answer(200, "{\"asOf\":1,\"events\":[" + std::string(200, ' ') + "]}");
+    EXPECT_EQ(std::get<1>(small.watch("k", 1, span(10), timeout)),
+              store_failure::compacted);
+    EXPECT_EQ(std::get<1>(small.read("k", timeout)), store_failure::unknown);
+    EXPECT_EQ(m_store.watch("k", 1, span(10), timeout).index(), 0u);
+}
+
 } // namespace kingcuprudder::platform
