A listener keeps its server until it accepts no more

Cause: found by reading: since the hook of a pending accept referred to a server that may end while its event loop still runs, for example when the next port of the process cannot be opened. Change: the pending accept keeps the owner of the hook again.

--- a/kingcuprudder/runtime/connection_listener.cpp
+++ b/kingcuprudder/runtime/connection_listener.cpp
@@ -45,10 +45,11 @@
                 std::to_string(m_acceptor.local_endpoint().port());
 }
 
-void connection_listener::accept()
+void connection_listener::accept(const std::shared_ptr<void>& owner)
 {
     m_acceptor.async_accept(
-        [self = shared_from_this()](const error_code& error, tcp::socket socket)
+        [self = shared_from_this(), owner](const error_code& error,
+                                           tcp::socket socket)
         {
             if (!error)
             {
@@ -61,21 +62,21 @@
             if (error)
             {
                 // Most likely the descriptors are used up for the moment.
-                self->accept_later();
+                self->accept_later(owner);
                 return;
             }
-            self->accept();
+            self->accept(owner);
         });
 }
 
-void connection_listener::accept_later()
+void connection_listener::accept_later(const std::shared_ptr<void>& owner)
 {
     m_retry = m_loop.run_after(accept_retry,
-                               [self = shared_from_this()]
+                               [self = shared_from_this(), owner]
                                {
                                    if (self->m_acceptor.is_open())
                                    {
-                                       self->accept();
+                                       self->accept(owner);
                                    }
                                });
 }
--- a/kingcuprudder/runtime/connection_listener.hpp
+++ b/kingcuprudder/runtime/connection_listener.hpp
@@ -31,8 +31,9 @@
     const std::string& address() const { return m_address; }
     bool is_open() const { return m_acceptor.is_open(); }
 
-    /// Accepts connections until the listener is closed.
-    void accept();
+    /// Accepts connections until the listener is closed. Keeps the owner of the
+    /// hook as long.
+    void accept(const std::shared_ptr<void>& owner);
     /// Accepts the connections that the kernel holds, as closing the listener
     /// resets them. Returns whether there are no more.
     bool accept_queued();
@@ -44,7 +45,7 @@
     void close(bool may_wait);
 
 private:
-    void accept_later();
+    void accept_later(const std::shared_ptr<void>& owner);
 
     event_loop& m_loop;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/kingcuprudder/runtime/http_server.cpp
+++ b/kingcuprudder/runtime/http_server.cpp
@@ -88,8 +88,8 @@
 
     void begin()
     {
-        asio::post(m_context,
-                   [self = shared_from_this()] { self->m_listener->accept(); });
+        asio::post(m_context, [self = shared_from_this()]
+                   { self->m_listener->accept(self); });
     }
 
     void watch_standstill(std::function<void(span)> noticed)
