Dropped bytes are read into memory of the server, not of each thread

Cause: the memory into which ended connections are read was thread-local, so that every thread of a process had 8 KiB of it from its start. Change: the server has it, and only once a connection is drained.

--- a/kingcuprudder/runtime/http_session.cpp
+++ b/kingcuprudder/runtime/http_session.cpp
@@ -5,7 +5,6 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
-#include <array>
 #include <string>
 #include <utility>
 
@@ -83,13 +82,6 @@
     return result;
 }
 
-/// Memory into which all connections of a thread read what they drop.
-asio::mutable_buffer dropped_bytes()
-{
-    static thread_local std::array<char, drain_read_bytes> bytes;
-    return asio::buffer(bytes);
-}
-
 } // namespace
 
 http_session::http_session(http_session_environment& environment,
@@ -460,8 +452,10 @@
 
 void http_session::read_and_drop()
 {
+    std::vector<char>& target = m_environment.m_dropped_bytes;
+    target.resize(drain_read_bytes);
     m_socket.async_read_some(
-        dropped_bytes(),
+        asio::buffer(target),
         [self = shared_from_this()](const error_code& error, std::size_t bytes)
         {
             self->m_dropped_bytes += bytes;
--- a/kingcuprudder/runtime/http_session.hpp
+++ b/kingcuprudder/runtime/http_session.hpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace kingcuprudder
 {
@@ -46,6 +47,8 @@
     bool m_reading = true;
     /// Each response closes its connection.
     std::atomic<bool> m_closing = false;
+    /// All connections read into it what they drop.
+    std::vector<char> m_dropped_bytes = {};
     /// Makes the response to a request that no handler has begun.
     http_handler m_overloaded = nullptr;
     /// Makes the response to a request whose handler is not waited for.
