--- a/review/stand_ins-3/minion.py
+++ b/review/stand_ins-3/minion.py
@@ -1,7 +1,8 @@
 """A stand-in of one minion (PROTOCOL.md), as a process of its own. It prints
 one JSON line for each start and each end. The text of a job's `spec` is an
 object with the time that a task works, `run_ms` (0 for tasks that last), and
-with `fails` if each run ends as failed after that time."""
+with `fails` if each run ends as failed after that time, and with `stop_ms` if a
+stop of it takes so long, after which it is answered."""
 
 import argparse
 import asyncio
@@ -26,6 +27,7 @@
         self.running = {}  # (task, run) -> when the work began
         self.work = {}  # (task, run) -> run_ms
         self.fails = set()  # the runs that end as failed
+        self.stop_ms = {}  # (task, run) -> how long a stop takes
         self.ended = []  # [number, task, run, how, saved]
         self.number = 0
         self.highest_ended = {}  # task -> run
@@ -46,6 +48,7 @@
         self.running.pop(key)
         self.work.pop(key)
         self.fails.discard(key)
+        self.stop_ms.pop(key, None)
         self.highest_ended[task] = max(run, self.highest_ended.get(task, 0))
         self.number += 1
         self.ended.append([self.number, task, run, how, ""])
@@ -91,6 +94,9 @@
             return self.start(request, answer)
         if path == "/kingcuprudder/run-stop":
             task, run = request["task"], request["run"]
+            if (task, run) in self.stop_ms:
+                await asyncio.sleep(self.stop_ms[task, run] / 1000)
+                answer["clockMs"] = int(self.clock_ms())
             self.highest_ended[task] = max(run, self.highest_ended.get(task, 0))
             if (task, run) in self.running:
                 self.end((task, run), "stopped")
@@ -126,6 +132,8 @@
         self.work[key] = spec["run_ms"]
         if spec.get("fails"):
             self.fails.add(key)
+        if spec.get("stop_ms"):
+            self.stop_ms[key] = spec["stop_ms"]
         self.note("start", task=key[0], run=key[1])
         return 200, answer
 
