--- a/review/stand_ins-3/store.py
+++ b/review/stand_ins-3/store.py
@@ -11,6 +11,7 @@
 
 PAGE_ITEMS = 500
 KEPT_EVENTS = 2000
+KEPT_BYTES = 200e6  # of values in the history
 MAX_VALUE_BYTES = 1048576
 
 
@@ -23,6 +24,7 @@
         self.items = {}
         self.revision = 100
         self.events = []  # (revision, key, item or None)
+        self.event_bytes = 0
         self.history_from = 0
         self.leases = {}  # id -> [expires, ttl_s]
         self.last_lease = 1000
@@ -77,16 +79,30 @@
                     "leaseId": lease}
             self.items[key] = item
             self.events.append((self.revision, key, item))
+            self.event_bytes += len(item["value"])
         for key in deletes:
             if self.items.pop(key, None) is not None:
                 self.events.append((self.revision, key, None))
-        if len(self.events) > 2 * KEPT_EVENTS:
-            del self.events[:-KEPT_EVENTS]
-            self.history_from = self.events[0][0]
+        if (len(self.events) > 2 * KEPT_EVENTS
+                or self.event_bytes > 2 * KEPT_BYTES):
+            self.trim()
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
         return self.revision
 
+    def trim(self):
+        """Discards the oldest part of the history."""
+        kept, size = 0, 0
+        for _, _, item in reversed(self.events):
+            size += len(item["value"]) if item else 0
+            if kept == KEPT_EVENTS or size > KEPT_BYTES:
+                break
+            kept += 1
+        del self.events[:-kept]
+        self.event_bytes = sum(len(item["value"])
+                               for _, _, item in self.events if item)
+        self.history_from = self.events[0][0]
+
     async def handle(self, method, path, query, headers, body):
         if self.before is not None:
             answer = await self.before(method, path, query, body)
