Review stand-ins: threads and ports that do not run out

Cause: with 16 minions the events of some were read late, as the default executor has few threads; on two cores a minion's port was taken once by a connection (exit 2); case 11 did not reach its limit in time on two cores (exit 2). Change: a thread for each minion, ports below those of connections, and runs that are only counted in case 11.

--- a/review/stand_ins-3/lab.py
+++ b/review/stand_ins-3/lab.py
@@ -2,8 +2,10 @@
 process, each minion's stand-in and each kcr_node in a process of its own."""
 
 import asyncio
+import concurrent.futures
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -23,9 +25,16 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port below those that the system gives to connections, which
+    might take it before the process that is to listen there."""
+    while True:
+        port = random.randrange(10000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 class CannotRun(Exception):
@@ -47,6 +56,8 @@
         self.starts = 0
         self.quiet = False  # The record leaves out what the minions print.
         self.readers = []
+        # One thread for each minion; the default may have fewer.
+        self.reader_threads = concurrent.futures.ThreadPoolExecutor(64)
 
     def record(self, text):
         self.record_file.write(f"{time.time() - self.began:8.3f} s  {text}\n")
@@ -150,10 +161,14 @@
     async def read_events(self, process):
         loop = asyncio.get_running_loop()
         while True:
-            line = await loop.run_in_executor(None, process.stdout.readline)
+            line = await loop.run_in_executor(self.reader_threads,
+                                              process.stdout.readline)
             if not line:
                 return
             event = json.loads(line)
+            if event["event"] == "counted":
+                self.starts += event["starts"]
+                continue
             self.events.append(event)
             self.starts += event["event"] == "start"
             if self.quiet:
--- a/review/stand_ins-3/minion.py
+++ b/review/stand_ins-3/minion.py
@@ -2,7 +2,8 @@
 one JSON line for each start and each end. The text of a job's `spec` is an
 object with the time that a task works, `run_ms` (0 for tasks that last), and
 with `fails` if each run ends as failed after that time, and with `stop_ms` if a
-stop of it takes so long, after which it is answered."""
+stop of it takes so long, after which it is answered. With `counted`, the starts
+are only counted, in a line from time to time."""
 
 import argparse
 import asyncio
@@ -28,6 +29,8 @@
         self.work = {}  # (task, run) -> run_ms
         self.fails = set()  # the runs that end as failed
         self.stop_ms = {}  # (task, run) -> how long a stop takes
+        self.counted = set()  # the runs without a line of their own
+        self.counted_starts = 0
         self.ended = []  # [number, task, run, how, saved]
         self.number = 0
         self.highest_ended = {}  # task -> run
@@ -52,7 +55,10 @@
         self.highest_ended[task] = max(run, self.highest_ended.get(task, 0))
         self.number += 1
         self.ended.append([self.number, task, run, how, ""])
-        self.note("end", task=task, run=run, how=how)
+        if key in self.counted:
+            self.counted.discard(key)
+        else:
+            self.note("end", task=task, run=run, how=how)
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
@@ -134,13 +140,20 @@
             self.fails.add(key)
         if spec.get("stop_ms"):
             self.stop_ms[key] = spec["stop_ms"]
-        self.note("start", task=key[0], run=key[1])
+        if spec.get("counted"):
+            self.counted.add(key)
+            self.counted_starts += 1
+        else:
+            self.note("start", task=key[0], run=key[1])
         return 200, answer
 
     async def beat(self):
         options = self.options
         while True:
             self.sequence += 1
+            if self.counted_starts:
+                self.note("counted", starts=self.counted_starts)
+                self.counted_starts = 0
             cpu, memory, gpu = (int(n) for n in options.capacity.split(","))
             await web.call(options.store, "POST", "/beat/" + options.id, {
                 "backend": options.backend,
