A caller cannot determine the length of a log line

Change: event_log, through which all lines go, cuts each value and id at 400 bytes and says how long it was. Result: event_log.long_values_of_callers_are_cut fails without the change (38,104 bytes in one line) and passes with it.

--- a/kingcuprudder/node/event_log.cpp
+++ b/kingcuprudder/node/event_log.cpp
@@ -27,9 +27,22 @@
 constexpr std::int64_t max_lines_per_second = 1200;
 constexpr std::int64_t max_burst_lines = 3000;
 constexpr std::int64_t millis_per_second = 1000;
+// Longer values, which callers and other programs may send, are cut.
+constexpr std::size_t max_value_bytes = 400;
 constexpr int flush_tries = 50;
 constexpr std::chrono::milliseconds flush_poll(5);
 
+/// Returns the value, or its first bytes and its length if it is too long.
+std::string bounded(const std::string& value)
+{
+    if (value.size() <= max_value_bytes)
+    {
+        return value;
+    }
+    return value.substr(0, max_value_bytes) + "... (" +
+           std::to_string(value.size()) + " bytes)";
+}
+
 log4cplus::Logger open_stdout_logger()
 {
     log4cplus::Logger logger =
@@ -99,11 +112,11 @@
         line["event"] = event;
         if (!id.empty())
         {
-            line["id"] = id;
+            line["id"] = bounded(id);
         }
         for (const auto& [name, value] : fields)
         {
-            line[name] = value;
+            line[name] = bounded(value);
         }
         return line.dump(-1, ' ', false,
                          nlohmann::json::error_handler_t::replace);
--- a/kingcuprudder/node/event_log.hpp
+++ b/kingcuprudder/node/event_log.hpp
@@ -10,7 +10,8 @@
 {
 
 /// Writes events to standard output as one JSON object per line: time, process,
-/// part, event, id and the fields of a decision. Never blocks: a thread writes
+/// part, event, id and the fields of a decision. Long values are cut, so that
+/// no caller determines the length of a line. Never blocks: a thread writes
 /// the lines from a bounded queue, and lines over its capacity or over the rate
 /// limit are dropped and counted in a line of their own. Safe to use from
 /// several threads.
--- a/unit_tests/node/event_log_test.cpp
+++ b/unit_tests/node/event_log_test.cpp
@@ -39,4 +39,23 @@
     EXPECT_LT(took.count(), 1500);
 }
 
+// Guards against callers that fill the collector's disk with long paths.
+TEST(event_log, long_values_of_callers_are_cut)
+{
+    constexpr std::size_t sent_bytes = 19'000;
+    constexpr std::size_t max_line_bytes = 1200;
+    captured_output output;
+    std::string text;
+    {
+        event_log log("test");
+        const std::string path(sent_bytes, 'p');
+        log.write("jobs", "access_not_given", path, {{"method", path}});
+        log.flush();
+        text = output.read_all();
+        output.restore();
+    }
+    EXPECT_NE(text.find("(19000 bytes)"), std::string::npos);
+    EXPECT_LT(text.size(), max_line_bytes);
+}
+
 } // namespace kingcuprudder::node
