Orders to one worker don't wait for one another's answers

Cause: a session had one order to its worker in flight. n stops took n answers, and an order without an answer held up all others for 450 ms. Change: beside an order that has had no answer for 10 ms further ones are sent, at most 32 to one worker and 256 beside the first ones of all workers, so that the connections stay within the process's descriptors. Orders to one task are still sent in turn. While answers come sooner, one connection is used as before.

--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -36,6 +36,9 @@
 // The fencing token covers the starts to all workers, so one write serves all
 // that became unanswered in this time. Each write wakes all followers.
 constexpr span min_raise_interval = span(1000);
+// Orders in flight beside the first one to each worker. The connections of all
+// workers stay within the descriptors that a process keeps for them.
+constexpr int max_additional_orders = 256;
 constexpr span summary_interval = span(500);
 constexpr span metrics_interval = span(500);
 // One entry of each transaction checks the leader record.
@@ -70,6 +73,7 @@
                        m_environment.m_metrics.count_decision(kind);
                        m_environment.m_log.write("scheduler", kind, id, fields);
                    }),
+      m_order_slots(max_additional_orders),
       m_worker_loop([this](const std::string& error) { abandon_term(error); }),
       m_events(max_queued_events), m_write_queue(max_queued_writes),
       m_writer([this] { run_writer(); }), m_thread([this] { run(); })
@@ -317,7 +321,7 @@
             m_environment.m_worker_calls(
                 m_worker_loop, request.m_worker, request.m_address,
                 [current = m_term] { return current->is_valid(); }),
-            m_term, m_environment.m_limits.m_worker_lease,
+            m_term, m_environment.m_limits.m_worker_lease, m_order_slots,
             session_hooks(request.m_address));
     }
     catch (const std::exception& error)
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <kingcuprudder/node/leader_metrics.hpp>
 #include <kingcuprudder/node/leadership.hpp>
 #include <kingcuprudder/node/list_reader.hpp>
+#include <kingcuprudder/node/order_slots.hpp>
 #include <kingcuprudder/node/record_removals.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
@@ -163,6 +164,7 @@
     scheduler_environment m_environment;
     std::shared_ptr<term> m_term;
     dispatch::dispatcher m_dispatcher;
+    order_slots m_order_slots; ///< Used on the thread of m_worker_loop.
     /// Carries the calls to all workers.
     event_loop m_worker_loop;
     std::map<std::string, std::shared_ptr<worker_session>> m_sessions;
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -27,6 +27,12 @@
 // The lease that a start order grants; the next renewal extends it. A short
 // lease bounds how late an unanswered start can take effect.
 constexpr span start_lease = span(2000);
+// Further orders are sent beside one that has had no answer for this long. An
+// order usually takes less, and each that is in flight needs a connection.
+constexpr span order_overlap_delay = span(10);
+// All runs of a worker can be stopped in time although each stop takes as long
+// as it may.
+constexpr std::size_t max_orders_in_flight = 32;
 const dispatch::call_result given_up{dispatch::order_outcome::not_sent,
                                      dispatch::call_failure::given_up};
 
@@ -35,15 +41,24 @@
     return std::holds_alternative<dispatch::stop_order>(checked);
 }
 
+const dispatch::task_ref& task_of(const worker_session::order& checked)
+{
+    const auto* start = std::get_if<dispatch::start_order>(&checked);
+    return start == nullptr
+               ? std::get<dispatch::stop_order>(checked).m_run.m_task
+               : start->m_run.m_task;
+}
+
 } // namespace
 
 worker_session::worker_session(event_loop& loop, std::string address,
                                std::unique_ptr<worker_calls> calls,
                                std::shared_ptr<term> current_term,
-                               span worker_lease, hooks callbacks)
+                               span worker_lease, order_slots& slots,
+                               hooks callbacks)
     : m_loop(loop), m_address(std::move(address)), m_calls(std::move(calls)),
       m_term(std::move(current_term)), m_worker_lease(worker_lease),
-      m_hooks(std::move(callbacks))
+      m_slots(slots), m_hooks(std::move(callbacks))
 {
 }
 
@@ -158,8 +173,8 @@
 
 bool worker_session::start_needs_clock(instant now) const
 {
-    return !m_orders.empty() &&
-           std::holds_alternative<dispatch::start_order>(m_orders.front()) &&
+    const std::size_t next = next_order();
+    return next < m_orders.size() && !is_stop(m_orders[next]) &&
            !m_clock.is_recent(now);
 }
 
@@ -325,23 +340,85 @@
                                        });
 }
 
+std::size_t worker_session::next_order() const
+{
+    const auto found =
+        std::find_if(m_orders.begin(), m_orders.end(),
+                     [this](const order& waiting)
+                     { return !m_tasks_in_flight.contains(task_of(waiting)); });
+    return static_cast<std::size_t>(found - m_orders.begin());
+}
+
+bool worker_session::may_send_order(instant now)
+{
+    if (m_tasks_in_flight.empty())
+    {
+        return true;
+    }
+    const span unanswered = now - m_last_order_sent;
+    if (unanswered < order_overlap_delay)
+    {
+        m_order_timer = m_loop.run_after(order_overlap_delay - unanswered,
+                                         [self = shared_from_this()]
+                                         { self->execute_next(); });
+        return false;
+    }
+    return m_tasks_in_flight.size() < max_orders_in_flight &&
+           m_slots.any_free();
+}
+
+void worker_session::order_sent(const dispatch::task_ref& task, instant now)
+{
+    if (!m_tasks_in_flight.empty())
+    {
+        m_slots.take();
+    }
+    m_tasks_in_flight.insert(task);
+    m_last_order_sent = now;
+}
+
+void worker_session::order_finished(const dispatch::task_ref& task)
+{
+    m_tasks_in_flight.erase(task);
+    if (!m_tasks_in_flight.empty())
+    {
+        m_slots.give_back();
+    }
+}
+
+void worker_session::give_up_orders()
+{
+    for (const order& waiting : std::exchange(m_orders, {}))
+    {
+        report_order(waiting, given_up);
+    }
+}
+
 void worker_session::execute_next()
 {
-    while (!m_orders.empty() && (m_closed || !m_order_in_flight))
+    if (m_closed)
+    {
+        give_up_orders();
+        return;
+    }
+    for (std::size_t at = next_order(); at < m_orders.size(); at = next_order())
     {
         const instant now = boottime_now();
+        if (!may_send_order(now))
+        {
+            return;
+        }
         const bool needs_clock = start_needs_clock(now);
         if (needs_clock)
         {
             consider_renewal();
         }
-        if (!m_closed && needs_clock &&
-            m_renewal_phase == renewal_phase::in_flight)
+        if (needs_clock && m_renewal_phase == renewal_phase::in_flight)
         {
             return; // The answer to the renewal contains the clock.
         }
-        const order next = std::move(m_orders.front());
-        m_orders.pop_front();
+        const order next = std::move(m_orders[at]);
+        m_orders.erase(m_orders.begin() + static_cast<std::ptrdiff_t>(at));
         const auto reason =
             needs_clock ? given_up : reason_not_to_send(next, now);
         if (reason)
@@ -356,7 +433,7 @@
 std::optional<dispatch::call_result>
 worker_session::reason_not_to_send(const order& next, instant now) const
 {
-    if (m_closed || !m_term->is_valid_at(now))
+    if (!m_term->is_valid_at(now))
     {
         return given_up;
     }
@@ -391,7 +468,7 @@
 
 void worker_session::send_order(const order& next, instant now)
 {
-    m_order_in_flight = true;
+    order_sent(task_of(next), now);
     const std::int64_t fence = fence_of(next);
     const auto done =
         [self = shared_from_this(), next, fence,
@@ -414,7 +491,7 @@
                                   std::int64_t incarnation,
                                   const order_answer& answer)
 {
-    m_order_in_flight = false;
+    order_finished(task_of(sent));
     if (answer.m_clock && incarnation == m_answering_incarnation)
     {
         m_clock.observe(*answer.m_clock, boottime_now());
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 #include <kingcuprudder/node/leadership.hpp>
+#include <kingcuprudder/node/order_slots.hpp>
 #include <kingcuprudder/node/worker_calls.hpp>
 #include <kingcuprudder/node/worker_clock.hpp>
 #include <kingcuprudder/runtime/event_loop.hpp>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -19,10 +21,12 @@
 {
 
 /// Sends orders to one worker and renews its lease. Orders and renewals are
-/// independent, so that a slow order delays no renewal. Sends nothing after the
-/// term has become invalid, and no start to a worker that drains. All sessions
-/// share one event loop; the calls that are pending on the loop share the
-/// ownership of their session.
+/// independent, so that a slow order delays no renewal. Orders are sent one
+/// after the other while they are answered soon; beside one that is not, more
+/// are sent, but for orders to the same task. Sends nothing after the term has
+/// become invalid, and no start to a worker that drains. All sessions share one
+/// event loop; the calls that are pending on the loop share the ownership of
+/// their session.
 class worker_session : public std::enable_shared_from_this<worker_session>
 {
 public:
@@ -51,7 +55,7 @@
     worker_session(event_loop& loop, std::string address,
                    std::unique_ptr<worker_calls> calls,
                    std::shared_ptr<term> current_term, span worker_lease,
-                   hooks callbacks);
+                   order_slots& slots, hooks callbacks);
     worker_session(const worker_session&) = delete;
     worker_session& operator=(const worker_session&) = delete;
 
@@ -104,10 +108,20 @@
                       const dispatch::worker_report& report);
     void continue_after_report();
     void pause_renewals(span pause);
-    /// Sends the next order. A start without a recent reading of the worker's
-    /// clock waits for the answer to a renewal and is given up if there is
-    /// none.
+    /// Sends the orders whose turn has come. A start without a recent reading
+    /// of the worker's clock waits for the answer to a renewal and is given up
+    /// if there is none.
     void execute_next();
+    /// Returns the position of the first waiting order whose task has no order
+    /// in flight, or the number of waiting orders if there is none.
+    std::size_t next_order() const;
+    /// Returns whether one more order may be in flight now. If not, it is asked
+    /// again when an order has been answered or has had no answer for a while.
+    bool may_send_order(instant now);
+    void order_sent(const dispatch::task_ref& task, instant now);
+    void order_finished(const dispatch::task_ref& task);
+    /// Reports all orders that wait as not sent.
+    void give_up_orders();
     void send_order(const order& next, instant now);
     /// Returns the fencing token with which the order is sent.
     std::int64_t fence_of(const order& next) const;
@@ -128,6 +142,7 @@
     std::unique_ptr<worker_calls> m_calls;
     std::shared_ptr<term> m_term;
     span m_worker_lease;
+    order_slots& m_slots;
     hooks m_hooks;
     /// The request of the last update; used by the updating thread only.
     std::optional<dispatch::renewal_request> m_last_update;
@@ -155,7 +170,11 @@
     renewal_phase m_renewal_phase = renewal_phase::idle;
     event_loop::timer m_renewal_timer;
     std::deque<order> m_orders;
-    bool m_order_in_flight = false;
+    /// The tasks with an order in flight.
+    std::set<dispatch::task_ref> m_tasks_in_flight;
+    /// When the newest order in flight was sent.
+    instant m_last_order_sent;
+    event_loop::timer m_order_timer;
     bool m_closed = false;
 };
 
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -34,6 +34,9 @@
     std::vector<instant> m_renewal_times;
     std::vector<renewal_answer> m_renewal_answers;
     span m_start_delay = span(0);
+    span m_stop_delay = span(0);
+    int m_in_flight = 0;
+    int m_most_in_flight = 0;
     dispatch::call_result m_start_result = dispatch::order_outcome::accepted;
 
     std::size_t renewals()
@@ -67,25 +70,24 @@
             m_record.m_start_lease_ends.push_back(lease_end);
             m_record.m_start_fences.push_back(used_fence);
         }
-        m_start_timer = m_loop.run_after(
-            m_record.m_start_delay,
-            [this, done, used_fence, result = m_record.m_start_result]
-            {
-                done({refuses(used_fence)
-                          ? dispatch::order_outcome::refused_fence
-                          : result,
-                      shown_clock});
-            });
+        answer_after(m_record.m_start_delay,
+                     [this, done, used_fence, result = m_record.m_start_result]
+                     {
+                         done({refuses(used_fence)
+                                   ? dispatch::order_outcome::refused_fence
+                                   : result,
+                               shown_clock});
+                     });
     }
 
     void stop(const dispatch::stop_order& order, std::int64_t, span,
               order_done done) override
     {
         note("stop " + order.m_run.m_task.str());
-        m_loop.post(
-            [done] {
-                done({dispatch::order_outcome::accepted, shown_clock});
-            });
+        answer_after(m_record.m_stop_delay,
+                     [done] {
+                         done({dispatch::order_outcome::accepted, shown_clock});
+                     });
     }
 
     void renew(const renewal_call& call, span, renewal_done done) override
@@ -119,11 +121,23 @@
         std::lock_guard lock(m_record.m_mutex);
         m_record.m_orders.push_back(text);
     }
+    void answer_after(span delay, const event_loop::callback& answer)
+    {
+        ++m_record.m_in_flight;
+        m_record.m_most_in_flight =
+            std::max(m_record.m_most_in_flight, m_record.m_in_flight);
+        m_answers.push_back(m_loop.run_after(delay,
+                                             [this, answer]
+                                             {
+                                                 --m_record.m_in_flight;
+                                                 answer();
+                                             }));
+    }
 
     event_loop& m_loop;
     recorded_calls& m_record;
     event_loop::timer m_timer;
-    event_loop::timer m_start_timer;
+    std::vector<event_loop::timer> m_answers;
 };
 
 class worker_session_test : public ::testing::Test
@@ -165,7 +179,7 @@
         return std::make_shared<worker_session>(
             m_loop, "127.0.0.1:1",
             std::make_unique<recording_calls>(m_loop, m_record), m_term,
-            worker_lease, hooks);
+            worker_lease, *m_slots, hooks);
     }
 
     void note(const dispatch::call_result& outcome)
@@ -196,6 +210,24 @@
         return made;
     }
 
+    static dispatch::stop_order stop(int index)
+    {
+        return {"w", start(index).m_run};
+    }
+
+    /// Sends the stops of so many runs. Returns how long their answers take.
+    span time_to_stop(worker_session& tested, int runs)
+    {
+        const instant began = boottime_now();
+        for (int index = 0; index < runs; ++index)
+        {
+            tested.send(stop(index));
+        }
+        EXPECT_TRUE(eventually(
+            [&] { return finished() == static_cast<std::size_t>(runs); }));
+        return boottime_now() - began;
+    }
+
     static dispatch::start_order start(int index)
     {
         return {"w",   {{"5c0e7a21d94b36f8", 0, 0, index}, 1},
@@ -217,6 +249,8 @@
         return false;
     }
 
+    /// Without slots, orders are sent in turn.
+    std::unique_ptr<order_slots> m_slots = std::make_unique<order_slots>(0);
     event_loop m_loop{[](const std::string&) {}};
     std::shared_ptr<term> m_term = std::make_shared<term>(
         fence, boottime_now() + span(60'000), record_write());
@@ -259,6 +293,80 @@
     m_loop.stop();
 }
 
+// Guards against cancelled tasks that run on while other stops are answered.
+TEST_F(worker_session_test, slow_stops_do_not_wait_for_one_another)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_stop_delay = span(40);
+    m_slots = std::make_unique<order_slots>(100);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    EXPECT_LT(time_to_stop(*tested, 64), span(64 * 40 / 2));
+    m_loop.stop();
+}
+
+// Guards against a worker whose unanswered start holds up its other orders.
+TEST_F(worker_session_test, an_unanswered_start_holds_up_no_other_task)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_start_delay = span(2000);
+    m_slots = std::make_unique<order_slots>(100);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->send(start(100));
+    EXPECT_LT(time_to_stop(*tested, 1), span(1000));
+    m_loop.stop();
+}
+
+// Guards against a stop that overtakes the start of the same task.
+TEST_F(worker_session_test, orders_to_one_task_are_sent_in_turn)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_start_delay = span(150);
+    m_slots = std::make_unique<order_slots>(100);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    tested->send(start(0));
+    ASSERT_TRUE(eventually([&] { return m_record.orders().size() == 1; }));
+    tested->send(stop(0));
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    EXPECT_EQ(m_record.orders().size(), 1u);
+    ASSERT_TRUE(eventually([&] { return finished() == 2; }));
+    m_loop.stop();
+    EXPECT_EQ(m_record.m_most_in_flight, 1);
+}
+
+// Guards against connections that are opened although each answer comes soon.
+TEST_F(worker_session_test, orders_that_are_answered_soon_are_sent_in_turn)
+{
+    m_record.m_renewal_answers = {report()};
+    m_slots = std::make_unique<order_slots>(100);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    time_to_stop(*tested, 30);
+    m_loop.stop();
+    EXPECT_LE(m_record.m_most_in_flight, 4);
+}
+
+// Guards against more connections than a process has descriptors for.
+TEST_F(worker_session_test, orders_in_flight_stay_within_the_slots)
+{
+    m_record.m_renewal_answers = {report()};
+    m_record.m_stop_delay = span(30);
+    m_slots = std::make_unique<order_slots>(3);
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_answered > 0; }));
+    time_to_stop(*tested, 24);
+    m_loop.stop();
+    EXPECT_LE(m_record.m_most_in_flight, 4);
+    EXPECT_GE(m_record.m_most_in_flight, 2);
+}
+
 // Guards against two leaders that both send orders around a hand-over.
 TEST_F(worker_session_test, nothing_is_sent_after_the_term_has_ended)
 {
