--- a/review/stand_ins-2/lab.py
+++ b/review/stand_ins-2/lab.py
@@ -70,7 +70,8 @@
                   "listen": {"front": self.front, "ready": self.ready},
                   "portRange": [metrics, metrics],
                   "platform": {"address": lab.store_address},
-                  "limits": {"cpuShare": 0.25}, "bounds": BOUNDS}
+                  "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": 260,
+                             "maxFds": 4100}, "bounds": BOUNDS}
         self.settings = lab.folder / f"{name}.json"
         self.settings.write_text(fill(lab.template, fields))
         self.process = None
--- a/review/stand_ins/lab.py
+++ b/review/stand_ins/lab.py
@@ -63,7 +63,8 @@
             "name": name, "availability_zone": "zone",
             "caller_address": caller, "readiness_address": ready,
             "metrics_address": metrics, "store_address": self.store_address,
-            "processor_share": 0.25, "worker_lease_ms": 6000,
+            "processor_share": 0.25, "memory_mb": 260,
+            "max_descriptors": 4100, "worker_lease_ms": 6000,
             "worker_stop_ms": 400, "reclaim_ms": 2900, "distance_factor": 3,
             "restore_ms": 100, "status_s": 120, "shutdown_grace_s": 6}
         path = os.path.join(self.temporary, name + ".json")
