Linter: a changed header relints only the sources that include it

Cause: the stamp of a clean run named all headers of the tree, so that a change of any of them linted all 261 sources again, 9 minutes and more of 8 cores. Change: the stamp names the headers that the build found in the source, by ninja's record of dependencies; a source that the build does not know is linted again when any header changes, as before. A warning in a header is still found, by each source that includes it.

--- a/scripts/check_style.sh
+++ b/scripts/check_style.sh
@@ -30,24 +30,42 @@
 fi
 echo "platform names: in platform/ only"
 
-# A source is linted again only when it, a header or the linter's settings have
-# changed since its last clean run on this machine.
+# A source is linted again only when it, a header that it includes or the
+# linter's settings have changed since its last clean run on this machine.
 stamps=${KCR_LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/kingcuprudder-lint}
 mkdir -p "$stamps"
-headers=$(git ls-files --cached --others --exclude-standard '*.hpp' \
-    .clang-tidy | sort | xargs cat | sha1sum)
 mapfile -t sources < <(git ls-files --cached --others --exclude-standard \
     'kingcuprudder/*.cpp' 'tools/*.cpp' 'stand_ins/*.cpp' \
     'performance_test/*.cpp' 'platform/*.cpp' 'soak/*.cpp')
+header_sums=$(git ls-files --cached --others --exclude-standard '*.hpp' |
+    sort | xargs sha1sum)
+# Prints a line for each source: the source and a key of the headers that the
+# build found in it, or of all headers if the build does not know the source.
+source_keys()
+{
+    ninja -C "$build" -t deps | awk -v root="$PWD/" '
+        /#deps/ { source = ""; next }
+        NF == 1 {
+            path = $1
+            sub("^" root, "", path)
+            sub(/^(\.\.\/)+/, "", path)
+            if (source == "") { source = path }
+            else { print source, path }
+        }' | sort -u |
+    awk -v all_headers="$(echo "$header_sums" | sha1sum | cut -c1-40)" '
+        FILENAME == "-" { keys[$1] = keys[$1] sums[$2]; next }
+        NF == 2 { sums[$2] = $1; next }
+        { print $1, ($1 in keys) ? keys[$1] : all_headers }' \
+        <(echo "$header_sums") - <(printf '%s\n' "${sources[@]}")
+}
 lint_source()
 {
     local stamp
-    stamp=$2/$( (echo "$3"; echo "$4"; cat "$4") | sha1sum | cut -c1-40)
+    stamp=$2/$( (echo "$4"; cat .clang-tidy "$3") | sha1sum | cut -c1-40)
     [ -e "$stamp" ] && return 0
-    clang-tidy -p "$1" --quiet "$4" 2>/dev/null && touch "$stamp"
+    clang-tidy -p "$1" --quiet "$3" 2>/dev/null && touch "$stamp"
 }
 export -f lint_source
-printf '%s\n' "${sources[@]}" |
-    xargs -P "$(nproc)" -I{} bash -c 'lint_source "$@"' _ \
-        "$build" "$stamps" "$headers" {}
+source_keys |
+    xargs -P "$(nproc)" -L 1 bash -c 'lint_source "$@"' _ "$build" "$stamps"
 echo "linter: clean"
