The record of a lasting job does not grow with its failed runs

Cause: dispatcher::apply_failure recorded the number of each failed run, also of tasks that last, whose attempts have no maximum. The job's record grew by about 4 bytes per failure until the store refused it, as it was over 1 MiB.

Change: failed runs are counted only for tasks whose attempts are limited, where the list has fewer entries than the maximum of attempts. It stays a list of run numbers, so that a gang's run and an end that is reported again to the next leader still count once.

--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -324,6 +324,10 @@
     void apply_done(job_entry& job, const task_ref& ref, int run, instant now);
     void apply_failure(job_entry& job, const task_ref& ref, int run,
                        worker_entry& worker, instant now);
+    /// Counts a failed run of a task whose attempts are limited. The job fails
+    /// if it was the last attempt.
+    void count_attempt(job_entry& job, const task_ref& ref, int run,
+                       instant now);
     /// Releases the runs that the report lacks, unless it may have been written
     /// before their start was confirmed. Removes unlisted runs without a
     /// record.
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -488,6 +488,15 @@
                 number(static_cast<std::int64_t>(worker.m_failed_jobs.size()))},
                {"for_ms", number(failing_worker_quarantine.count())}});
     }
+    if (!job.step(ref).m_persistent)
+    {
+        count_attempt(job, ref, run, now);
+    }
+}
+
+void dispatcher::count_attempt(job_entry& job, const task_ref& ref, int run,
+                               instant now)
+{
     task_ref counted = ref;
     counted.m_index = job.step(ref).m_gang ? 0 : ref.m_index;
     std::vector<int>& failed = job.task(counted).m_progress.m_failed_runs;
@@ -496,8 +505,7 @@
         failed.push_back(run);
     }
     const int max_attempts = job.m_policy.m_max_attempts;
-    if (!job.step(ref).m_persistent &&
-        static_cast<int>(failed.size()) >= max_attempts)
+    if (static_cast<int>(failed.size()) >= max_attempts)
     {
         fail_job(job,
                  {{"task", counted.str()},
--- a/kingcuprudder/dispatch/job_progress.hpp
+++ b/kingcuprudder/dispatch/job_progress.hpp
@@ -38,7 +38,8 @@
     std::string m_worker;
     /// The incarnation of that worker: the start time of its process.
     std::int64_t m_worker_incarnation = 0;
-    /// The numbers of the failed runs.
+    /// The numbers of the failed runs, fewer than the maximum of attempts.
+    /// Empty for tasks that last, whose attempts have no maximum.
     std::vector<int> m_failed_runs;
     /// The newest checkpoint; empty for none.
     std::string m_checkpoint;
--- a/kingcuprudder/dispatch/job_table.cpp
+++ b/kingcuprudder/dispatch/job_table.cpp
@@ -57,6 +57,31 @@
     return true;
 }
 
+void restore_progress(job_entry& job, const job_progress& progress)
+{
+    job.m_state = progress.m_state;
+    for (std::size_t repeat = 0; repeat < progress.m_tasks.size(); ++repeat)
+    {
+        const auto& steps = progress.m_tasks[repeat];
+        for (std::size_t step = 0; step < steps.size(); ++step)
+        {
+            const bool persistent =
+                job.m_submission.m_steps.at(step).m_persistent;
+            for (std::size_t index = 0; index < steps[step].size(); ++index)
+            {
+                task_progress& restored =
+                    job.m_tasks.at(repeat).at(step).at(index).m_progress;
+                restored = steps[step][index];
+                if (persistent)
+                {
+                    // Earlier versions recorded each failed run of such a task.
+                    restored.m_failed_runs.clear();
+                }
+            }
+        }
+    }
+}
+
 } // namespace
 
 std::string_view to_string(run_phase phase)
@@ -132,21 +157,7 @@
     }
     if (progress)
     {
-        job.m_state = progress->m_state;
-        for (std::size_t repeat = 0; repeat < progress->m_tasks.size();
-             ++repeat)
-        {
-            for (std::size_t step = 0; step < progress->m_tasks[repeat].size();
-                 ++step)
-            {
-                const auto& tasks = progress->m_tasks[repeat][step];
-                for (std::size_t index = 0; index < tasks.size(); ++index)
-                {
-                    job.m_tasks.at(repeat).at(step).at(index).m_progress =
-                        tasks[index];
-                }
-            }
-        }
+        restore_progress(job, *progress);
     }
     return m_jobs.insert_or_assign(submission.m_id, std::move(job))
         .first->second;
