A job whose record is too large for the store is answered 413 at once

What callers saw: a job of some thousand steps, within the limit of a body, was answered 504 each time it was submitted.

Cause: the stored form of a step has all fields, some 330 bytes, so that that of a body of 256 KiB can be over the store's limit of 1 MiB for a value. The store's refusal was taken for a lost answer and the write repeated until the deadline.

Change: job_service compares the encoded submission with the limit before it writes, and refuses the job as too large (413). The limit stands beside the one for the entries of a transaction in record_store.hpp.

Result: a_job_whose_record_is_too_large_is_refused_unstored failed before: the job was written. It passes now, without a call to the store.

--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace kingcuprudder::node
 {
@@ -398,6 +399,11 @@
         stored.m_queue = allowed.m_queue.m_name;
         stored.m_policy = allowed.m_queue.m_policy;
         stored.m_account = allowed.m_account;
+        std::string submission = dispatch::encode_submission(stored);
+        if (submission.size() > max_value_bytes)
+        {
+            return refusal::too_large;
+        }
         dispatch::job_progress progress;
         progress.m_account = allowed.m_account;
         store_transaction transaction;
@@ -406,8 +412,7 @@
             {progress_key, 0},
             {record_keys::cancellation(job.m_id), 0}};
         transaction.m_writes = {
-            {record_keys::submission(job.m_id),
-             dispatch::encode_submission(stored), 0},
+            {record_keys::submission(job.m_id), std::move(submission), 0},
             {progress_key, dispatch::encode_progress(progress), 0}};
         return transaction;
     };
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -26,7 +26,7 @@
     unknown_key,    ///< The key belongs to no client account.
     unknown_job,    ///< No such job exists.
     cancelled,      ///< The id was cancelled before the job was submitted.
-    too_large,      ///< The body is larger than the configured limit.
+    too_large,      ///< The body or the job's record is larger than its limit.
     invalid,        ///< The request is malformed or can never be met.
     unavailable,    ///< The store is unavailable; nothing was written.
     unreadable,     ///< The record of the job cannot be decoded.
--- a/kingcuprudder/node/record_store.hpp
+++ b/kingcuprudder/node/record_store.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/base/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -87,6 +88,9 @@
     std::vector<std::string> m_removals;
 };
 
+/// The longest value that the store takes, in bytes.
+constexpr std::size_t max_value_bytes = std::size_t{1024} * 1024;
+
 /// Maximum number of entries in a transaction.
 constexpr std::size_t max_transaction_entries = 32;
 
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -185,6 +185,19 @@
               service_result<dispatch::job_state>(dispatch::job_state::queued));
 }
 
+// Guards against a job whose record the store never takes, and whose caller
+// gets no certain answer however often it submits it.
+TEST_F(job_service_test, a_job_whose_record_is_too_large_is_refused_unstored)
+{
+    failing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    dispatch::job_submission large = job();
+    large.m_steps.resize(5000, large.m_steps[0]);
+    EXPECT_EQ(jobs.submit(patient_request(), large), refusal::too_large);
+    EXPECT_EQ(store.m_commits, 0);
+    EXPECT_EQ(stored_jobs(), 0u);
+}
+
 // A caller submits the same id again after a lost answer, to any process.
 TEST_F(job_service_test, the_same_id_remains_one_job)
 {
