One record that the store does not take no longer stops all jobs

Cause: the scheduler put up to 15 records into a transaction, put all of them back after any failure and sent the same ones again. A refusal of the content (400, 413) was taken for a lost answer, and a conflict without a changed record was repeated without a pause. Starts wait for their record, so none was sent.

The same cause elsewhere: - Starts that wait for the refused record hold no capacity: its job gets no new runs, and unsent ones are released, until its record is stored. - Unstored ends hold up the acknowledgement of later ends of a worker, which reports 500 at a time.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -333,7 +333,14 @@
 
 std::vector<job_write> dispatcher::take_writes(std::size_t max_entries)
 {
-    return m_jobs.take_writes(max_entries);
+    return take_writes(max_entries,
+                       [](const std::string&, bool) { return true; });
+}
+
+std::vector<job_write> dispatcher::take_writes(std::size_t max_entries,
+                                               const write_filter& may_take)
+{
+    return m_jobs.take_writes(max_entries, may_take);
 }
 
 void dispatcher::write_stored(const std::string& job, std::int64_t version,
@@ -361,6 +368,16 @@
     m_jobs.write_failed(job);
 }
 
+void dispatcher::write_refused(const std::string& id, instant now)
+{
+    m_jobs.write_refused(id);
+    if (job_entry* job = m_jobs.find(id))
+    {
+        // They would keep capacity from other jobs.
+        release_assignments(*job, "record refused", now);
+    }
+}
+
 void dispatcher::update_revision(const std::string& id, std::int64_t revision)
 {
     if (job_entry* job = m_jobs.find(id))
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -112,9 +112,16 @@
                        instant now);
 
     std::vector<job_write> take_writes(std::size_t max_entries);
+    /// Takes only the records that the filter selects.
+    std::vector<job_write> take_writes(std::size_t max_entries,
+                                       const write_filter& may_take);
     void write_stored(const std::string& job, std::int64_t version,
                       std::int64_t revision);
     void write_failed(const std::string& job);
+    /// Notes that the store does not take the job's record for its own sake.
+    /// Until it takes a later one, the job gets no new runs, and its ends do
+    /// not keep a worker's newer ones from being acknowledged.
+    void write_refused(const std::string& job, instant now);
     /// Sets the revision of the stored record after a conflicting write.
     void update_revision(const std::string& job, std::int64_t revision);
     bool has_writes() const { return m_jobs.has_writes(); }
@@ -339,6 +346,12 @@
 
     void expire_leases(instant now);
     void release_stuck_assignments(instant now);
+    /// Releases the runs of a job that were never sent.
+    void release_assignments(job_entry& job, const std::string& reason,
+                             instant now);
+    /// Gives up ends of jobs whose records the store does not take, if newer
+    /// ends of the worker wait for their acknowledgement.
+    void forget_ends_of_refused_records(worker_entry& worker);
     void send_starts(instant now, dispatch_effects& effects);
     bool has_free_capacity(job_entry& job, const task_ref& ref);
     /// Returns false if the start must wait for its record to be stored or for
--- a/kingcuprudder/dispatch/dispatcher_orders.cpp
+++ b/kingcuprudder/dispatch/dispatcher_orders.cpp
@@ -344,6 +344,24 @@
     }
 }
 
+void dispatcher::release_assignments(job_entry& job, const std::string& reason,
+                                     instant now)
+{
+    const std::vector<task_ref> unsent(m_unsent_starts.begin(),
+                                       m_unsent_starts.end());
+    for (const task_ref& ref : unsent)
+    {
+        const bool is_assigned =
+            ref.m_job == job.m_submission.m_id && job.task(ref).m_active &&
+            job.task(ref).m_active->m_phase == run_phase::assigned;
+        if (is_assigned)
+        {
+            release_run(job, ref, run_end_evidence::never_sent(reason, now),
+                        now);
+        }
+    }
+}
+
 bool dispatcher::has_free_capacity(job_entry& job, const task_ref& ref)
 {
     const resources demand = job.step(ref).occupied();
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -14,6 +14,9 @@
 constexpr span slow_worker_quarantine = span(3000);
 // As many start times in false entries are remembered for a worker.
 constexpr std::size_t max_refuted_incarnations = 64;
+// A worker reports 500 ends at a time and repeats those that have not been
+// acknowledged, so that newer ones would not be reported.
+constexpr std::int64_t max_unacknowledged_ends = 250;
 
 } // namespace
 
@@ -553,9 +556,31 @@
            {"chain_ms", number(job.m_critical_path.count())}});
 }
 
+void dispatcher::forget_ends_of_refused_records(worker_entry& worker)
+{
+    auto& unstored = worker.m_unstored_completions;
+    while (!unstored.empty() &&
+           worker.m_last_completion - unstored.begin()->first >=
+               max_unacknowledged_ends)
+    {
+        const auto& [end, waits_for] = *unstored.begin();
+        const job_entry* job = m_jobs.find(waits_for.first);
+        if (job != nullptr && !job->m_record_refused)
+        {
+            return;
+        }
+        m_log("end_not_stored", waits_for.first,
+              {{"worker", worker.id()},
+               {"end_number", number(end)},
+               {"last_end", number(worker.m_last_completion)}});
+        unstored.erase(unstored.begin());
+    }
+}
+
 void dispatcher::advance_acknowledged(worker_entry& worker)
 {
     mark_renewal(worker.id());
+    forget_ends_of_refused_records(worker);
     worker.m_acknowledged =
         worker.m_unstored_completions.empty()
             ? worker.m_last_completion
--- a/kingcuprudder/dispatch/job_table.cpp
+++ b/kingcuprudder/dispatch/job_table.cpp
@@ -190,22 +190,30 @@
     }
 }
 
-std::vector<job_write> job_table::take_writes(std::size_t max_entries)
+std::vector<job_write> job_table::take_writes(std::size_t max_entries,
+                                              const write_filter& may_take)
 {
     std::vector<job_write> writes;
     std::size_t entries = 0;
-    while (!m_pending_writes.empty())
+    for (auto each = m_pending_writes.begin(); each != m_pending_writes.end();)
     {
-        const std::string id = m_pending_writes.begin()->second;
+        const std::string id = each->second;
         job_entry* job = find(id);
         KCR_ASSERT(job != nullptr);
-        entries += is_final(job->m_state) ? entries_per_final_record
-                                          : entries_per_record;
-        if (entries > max_entries)
+        const bool ended = is_final(job->m_state);
+        const std::size_t needed =
+            ended ? entries_per_final_record : entries_per_record;
+        if (entries + needed > max_entries)
         {
             break;
         }
-        m_pending_writes.erase(m_pending_writes.begin());
+        if (!may_take(id, ended))
+        {
+            ++each;
+            continue;
+        }
+        entries += needed;
+        each = m_pending_writes.erase(each);
         job->m_write_sequence = 0;
         writes.push_back(
             {id, job->m_revision, job->m_version, progress_of(*job)});
@@ -221,6 +229,15 @@
     }
 }
 
+void job_table::write_refused(const std::string& id)
+{
+    if (job_entry* job = find(id))
+    {
+        job->m_record_refused = true;
+        enqueue_write(*job);
+    }
+}
+
 void job_table::stored(const std::string& id, std::int64_t version,
                        std::int64_t revision)
 {
@@ -230,6 +247,7 @@
         return;
     }
     job->m_revision = revision;
+    job->m_record_refused = false;
     job->m_stored_version = std::max(job->m_stored_version, version);
     if (is_final(job->m_state) && job->m_stored_version == job->m_version &&
         has_no_active_runs(*job))
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -90,6 +90,8 @@
     std::int64_t m_stored_version = 1;
     /// The position in the FIFO queue of writes; 0 for no pending write.
     std::int64_t m_write_sequence = 0;
+    /// The store did not take the record when it was last written.
+    bool m_record_refused = false;
     /// The length of the critical path over all steps, by predicted durations.
     span m_critical_path;
     /// The length of the critical path from each step.
@@ -137,9 +139,13 @@
 
     /// Removes pending writes in FIFO order, up to the given number of
     /// transaction entries. The record of an ended job needs more entries.
-    std::vector<job_write> take_writes(std::size_t max_entries);
+    /// Records that the filter does not select stay where they are.
+    std::vector<job_write> take_writes(std::size_t max_entries,
+                                       const write_filter& may_take);
     /// Enqueues a record again after its write failed.
     void write_failed(const std::string& id);
+    /// Enqueues a record again that the store did not take for its own sake.
+    void write_refused(const std::string& id);
     /// Applies a successful write. Removes the job if it has ended, has no
     /// active run and its newest version is stored.
     void stored(const std::string& id, std::int64_t version,
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -168,7 +168,7 @@
     std::vector<waiting_step> steps;
     for (auto& [id, job] : m_state.m_jobs.jobs())
     {
-        if (!is_final(job.m_state))
+        if (!is_final(job.m_state) && !job.m_record_refused)
         {
             collect_job(job, steps);
         }
--- a/kingcuprudder/dispatch/worker_orders.hpp
+++ b/kingcuprudder/dispatch/worker_orders.hpp
@@ -6,6 +6,7 @@
 #include <kingcuprudder/dispatch/task_ref.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,9 @@
     job_progress m_progress;
 };
 
+/// Returns whether a job's record may be written now. The job may have ended.
+using write_filter = std::function<bool(const std::string& job, bool ended)>;
+
 /// The orders to send to the workers.
 struct dispatch_effects
 {
--- a/kingcuprudder/node/job_service.cpp
+++ b/kingcuprudder/node/job_service.cpp
@@ -282,6 +282,22 @@
     }
 }
 
+job_service::write_outcome job_service::outcome_of(store_failure failure)
+{
+    switch (failure)
+    {
+    case store_failure::not_done:
+        return write_outcome::not_done;
+    case store_failure::refused:
+        return write_outcome::refused;
+    case store_failure::unknown:
+    case store_failure::compacted:
+    case store_failure::lease_ended:
+        return write_outcome::unknown;
+    }
+    return write_outcome::unknown;
+}
+
 job_service::write_outcome
 job_service::commit_once(const store_transaction& transaction,
                          const std::string& new_key, const call_retry& retry)
@@ -291,9 +307,7 @@
         m_store.commit(transaction, retry.write_timeout());
     if (!is_ok(outcome))
     {
-        return std::get<1>(outcome) == store_failure::not_done
-                   ? write_outcome::not_done
-                   : write_outcome::unknown;
+        return outcome_of(std::get<1>(outcome));
     }
     const commit_answer& answer = std::get<0>(outcome);
     const auto* conflict = std::get_if<store_conflict>(&answer);
@@ -359,6 +373,8 @@
             return refusal::unknown;
         case write_outcome::cancelled:
             return refusal::cancelled;
+        case write_outcome::refused:
+            return refusal::invalid;
         case write_outcome::unusable:
             m_log.write("jobs", "configuration_not_usable",
                         last_segment(new_key), {});
--- a/kingcuprudder/node/job_service.hpp
+++ b/kingcuprudder/node/job_service.hpp
@@ -105,6 +105,7 @@
         outdated,  ///< A record has changed since it was prepared.
         cancelled, ///< The job was cancelled before it was submitted.
         unusable,  ///< The newest configuration cannot be used.
+        refused,   ///< The store never takes what was to be written.
         not_done,
         unknown,
     };
@@ -130,6 +131,7 @@
                                                     call_retry& retry);
     service_result<int> find_waiting_count(const caller_request& request,
                                            call_retry& retry);
+    static write_outcome outcome_of(store_failure failure);
     /// A conflict on `new_key` means that an earlier call has written it.
     write_outcome commit_once(const store_transaction& transaction,
                               const std::string& new_key,
--- a/kingcuprudder/node/record_removals.cpp
+++ b/kingcuprudder/node/record_removals.cpp
@@ -20,11 +20,13 @@
 constexpr span partial_group_interval = span(1000);
 constexpr span retry_pause = span(1000);
 constexpr span needed_pause = span(5000);
+// A record whose removal the store refuses is tried again after this time.
+constexpr span refused_pause = span::seconds(60);
 
 } // namespace
 
 record_removals::record_removals(needed_hook is_needed)
-    : m_is_needed(std::move(is_needed))
+    : m_is_needed(std::move(is_needed)), m_max_group(max_group)
 {
 }
 
@@ -60,12 +62,13 @@
     std::vector<record_removal> group;
     for (auto each = m_by_due.begin();
          each != m_by_due.end() && each->first <= now &&
-         group.size() < max_group;
+         group.size() < m_max_group;
          ++each)
     {
         group.push_back({each->second, m_records.at(each->second).m_revision});
     }
-    if (group.empty() || (group.size() < max_group && now < m_next_partial_at))
+    if (group.empty() ||
+        (group.size() < m_max_group && now < m_next_partial_at))
     {
         return {};
     }
@@ -88,13 +91,22 @@
     }
     for (const std::string& key : needed)
     {
-        instant& due = m_records.at(key).m_due;
-        m_by_due.erase({due, key});
-        due = now + needed_pause;
-        m_by_due.emplace(due, key);
+        postpone(key, now + needed_pause);
     }
 }
 
+void record_removals::postpone(const std::string& key, instant until)
+{
+    const auto found = m_records.find(key);
+    if (found == m_records.end())
+    {
+        return;
+    }
+    m_by_due.erase({found->second.m_due, key});
+    found->second.m_due = until;
+    m_by_due.emplace(until, key);
+}
+
 void record_removals::failed(instant now)
 {
     m_in_flight.clear();
@@ -102,6 +114,21 @@
     m_next_partial_at = m_next_at;
 }
 
+void record_removals::refused(instant now)
+{
+    if (m_in_flight.size() == 1)
+    {
+        postpone(m_in_flight.front().m_key, now + refused_pause);
+        m_max_group = max_group;
+    }
+    else
+    {
+        m_max_group = std::max<std::size_t>(1, m_in_flight.size() / 2);
+    }
+    m_in_flight.clear();
+    m_next_partial_at = m_next_at;
+}
+
 void record_removals::removed()
 {
     for (const record_removal& each : m_in_flight)
@@ -109,11 +136,13 @@
         drop(each);
     }
     m_in_flight.clear();
+    m_max_group = std::min(max_group, m_max_group * 2);
 }
 
-void record_removals::conflicted(const store_conflict& conflict)
+bool record_removals::conflicted(const store_conflict& conflict)
 {
     const std::vector<record>& found = conflict.m_records;
+    std::vector<record_removal> changed;
     for (const record_removal& each : m_in_flight)
     {
         const bool unchanged =
@@ -125,11 +154,20 @@
                         });
         if (!unchanged)
         {
-            drop(each);
+            changed.push_back(each);
         }
     }
+    if (changed.empty())
+    {
+        return false;
+    }
+    for (const record_removal& each : changed)
+    {
+        drop(each);
+    }
     m_in_flight.clear();
     m_next_partial_at = m_next_at;
+    return true;
 }
 
 void record_removals::erase(scheduled_records::iterator found)
--- a/kingcuprudder/node/record_removals.hpp
+++ b/kingcuprudder/node/record_removals.hpp
@@ -3,6 +3,7 @@
 
 #include <kingcuprudder/node/record_store.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -54,8 +55,13 @@
     /// Notes that the store no longer has the records of the group in flight.
     void removed();
     /// Notes that nothing was removed, as some records of the group in flight
-    /// no longer have their revision, and drops those.
-    void conflicted(const store_conflict& conflict);
+    /// no longer have their revision, and drops those. Returns false, and
+    /// changes nothing, if all of them still have it.
+    bool conflicted(const store_conflict& conflict);
+    /// Notes that the store refused the group in flight for its content.
+    /// Smaller groups are returned until the refused record stands alone, which
+    /// then waits while all others go on.
+    void refused(instant now);
 
 private:
     struct entry
@@ -66,6 +72,7 @@
     using scheduled_records = std::map<std::string, entry>;
 
     void erase(scheduled_records::iterator found);
+    void postpone(const std::string& key, instant until);
     /// Postpones the removals that are due of records that are still needed.
     void postpone_needed(instant now);
 
@@ -73,6 +80,8 @@
     scheduled_records m_records;
     std::set<std::pair<instant, std::string>> m_by_due;
     std::vector<record_removal> m_in_flight;
+    /// The most records in a group.
+    std::size_t m_max_group;
     /// No group is returned before.
     instant m_next_at;
     /// No group that is not full is returned before.
--- a/kingcuprudder/node/record_store.hpp
+++ b/kingcuprudder/node/record_store.hpp
@@ -33,6 +33,7 @@
     unknown,     ///< A write may have taken effect or may still do so.
     compacted,   ///< The store no longer has the requested history.
     lease_ended, ///< The lease no longer exists.
+    refused,     ///< Not done, and it never will be with the same content.
 };
 
 std::string_view to_string(store_failure failure);
@@ -103,6 +104,12 @@
 /// The revision of a committed transaction, or the conflict that prevented it.
 using commit_answer = std::variant<std::int64_t, store_conflict>;
 
+/// Returns the revision of a transaction that was committed.
+std::optional<std::int64_t>
+committed_revision(const store_result<commit_answer>& outcome);
+/// Returns the conflict that prevented a transaction, or null.
+const store_conflict* conflict_of(const store_result<commit_answer>& outcome);
+
 /// Interface of the key-value service that holds all state that must survive
 /// the processes. Safe to use from several threads.
 class record_store
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -16,7 +16,6 @@
 {
 
 constexpr std::size_t max_queued_events = 20'000;
-constexpr std::size_t max_queued_writes = 8;
 constexpr std::chrono::milliseconds max_event_wait(40);
 // Planning covers all workers, so events are batched for this long.
 constexpr span min_step_interval = span(10);
@@ -30,9 +29,7 @@
 constexpr std::size_t max_events_per_step = 200;
 // Sessions are updated this often when there are no new orders.
 constexpr span session_interval = span(50);
-constexpr span store_timeout = span(1500);
 constexpr span load_retry = span(150);
-constexpr span write_retry = span(80);
 // The fencing token covers the starts to all workers, so one write serves all
 // that became unanswered in this time. Each write wakes all followers.
 constexpr span min_raise_interval = span(1000);
@@ -41,26 +38,12 @@
 constexpr int max_additional_orders = 256;
 constexpr span summary_interval = span(500);
 constexpr span metrics_interval = span(500);
-// One entry of each transaction checks the leader record.
-constexpr std::size_t max_record_entries = max_transaction_entries - 1;
 
 std::string after_prefix(const std::string& key, const std::string& prefix)
 {
     return key.substr(prefix.size());
 }
 
-/// Returns the revision of a transaction that was committed.
-std::optional<std::int64_t>
-committed_revision(const store_result<commit_answer>& outcome)
-{
-    if (!is_ok(outcome))
-    {
-        return std::nullopt;
-    }
-    const auto* revision = std::get_if<std::int64_t>(&std::get<0>(outcome));
-    return revision == nullptr ? std::nullopt : std::optional(*revision);
-}
-
 } // namespace
 
 scheduler::scheduler(scheduler_environment environment,
@@ -75,8 +58,8 @@
                    }),
       m_order_slots(max_additional_orders),
       m_worker_loop([this](const std::string& error) { abandon_term(error); }),
-      m_events(max_queued_events), m_write_queue(max_queued_writes),
-      m_writer([this] { run_writer(); }), m_thread([this] { run(); })
+      m_events(max_queued_events), m_writer(m_environment.m_store, m_term),
+      m_thread([this] { run(); })
 {
 }
 
@@ -84,7 +67,7 @@
 {
     m_stopping = true;
     m_events.close();
-    m_write_queue.close();
+    m_writer.close();
     m_thread.join();
     m_worker_watcher.reset();
     m_job_watcher.reset();
@@ -392,10 +375,18 @@
         return;
     }
     m_next_raise_at = now + min_raise_interval;
-    queued_write next;
-    next.m_transaction.m_writes.push_back(m_term->leader_record());
-    next.m_raises_fence = true;
-    m_raising_fence = m_write_queue.try_push(std::move(next));
+    store_transaction transaction;
+    transaction.m_writes.push_back(m_term->leader_record());
+    m_raising_fence = m_writer.try_push(
+        std::move(transaction),
+        [this](const store_result<commit_answer>& outcome)
+        {
+            if (const auto revision = committed_revision(outcome))
+            {
+                m_term->raise_fence(*revision);
+            }
+            post([this] { m_raising_fence = false; });
+        });
 }
 
 void scheduler::apply_raised_fence()
@@ -417,154 +408,37 @@
 {
     // No other thread pushes to this queue, so a push succeeds if the queue is
     // not full now.
-    if (m_write_in_flight || !m_dispatcher.has_writes() ||
-        boottime_now() < m_next_write_at || m_write_queue.full())
+    if (m_writer.full())
     {
         return;
     }
-    queued_write next;
-    next.m_writes = m_dispatcher.take_writes(max_record_entries);
-    next.m_transaction = make_transaction(next.m_writes);
-    m_write_in_flight = m_write_queue.try_push(std::move(next));
-}
-
-store_transaction scheduler::make_transaction(
-    const std::vector<dispatch::job_write>& writes) const
-{
-    store_transaction transaction;
-    for (const dispatch::job_write& write : writes)
-    {
-        const std::string key = record_keys::progress(write.m_job);
-        transaction.m_expected.emplace_back(key, write.m_revision);
-        const bool ended = dispatch::is_final(write.m_progress.m_state);
-        transaction.m_writes.push_back(
-            {key,
-             ended
-                 ? dispatch::encode_ended_progress(write.m_progress, wall_now())
-                 : dispatch::encode_progress(write.m_progress),
-             0});
-        if (ended)
-        {
-            transaction.m_removals.push_back(
-                record_keys::submission(write.m_job));
-            transaction.m_removals.push_back(
-                record_keys::cancellation(write.m_job));
-        }
-    }
-    return transaction;
-}
-
-void scheduler::run_writer()
-{
-    constexpr std::chrono::milliseconds idle(1000);
-    while (true)
-    {
-        std::optional<queued_write> next = m_write_queue.pop(idle);
-        if (!next)
-        {
-            if (m_write_queue.closed())
-            {
-                return;
-            }
-            continue;
-        }
-        const store_result<commit_answer> outcome =
-            commit_as_leader(std::move(next->m_transaction));
-        if (!next->m_removals.empty())
-        {
-            post([this, group = next->m_removals, outcome]
-                 { finish_removal(group, outcome); });
-        }
-        if (next->m_raises_fence)
-        {
-            if (const auto revision = committed_revision(outcome))
-            {
-                m_term->raise_fence(*revision);
-            }
-            post([this] { m_raising_fence = false; });
-        }
-        if (!next->m_writes.empty())
-        {
-            post([this, writes = next->m_writes, outcome]
-                 { finish_write(writes, outcome); });
-        }
-    }
-}
-
-store_result<commit_answer>
-scheduler::commit_as_leader(store_transaction transaction)
-{
-    transaction.m_expected.emplace_back(record_keys::leader, 0);
-    std::int64_t& expected_fence = transaction.m_expected.back().second;
-    store_result<commit_answer> outcome = store_failure::not_done;
-    do
+    std::optional<store_transaction> next =
+        m_progress_writer.begin(boottime_now(), wall_now());
+    if (!next)
     {
-        if (!m_term->is_valid())
-        {
-            return store_failure::not_done;
-        }
-        expected_fence = m_term->fence();
-        outcome = m_environment.m_store.commit(transaction, store_timeout);
-    } while (adopt_fence(outcome));
-    return outcome;
-}
-
-bool scheduler::adopt_fence(const store_result<commit_answer>& outcome)
-{
-    const store_conflict* conflict =
-        is_ok(outcome) ? std::get_if<store_conflict>(&std::get<0>(outcome))
-                       : nullptr;
-    if (conflict == nullptr)
-    {
-        return false;
+        return;
     }
-    for (const record& found : conflict->m_records)
+    const bool pushed = m_writer.try_push(
+        std::move(*next), [this](const store_result<commit_answer>& outcome)
+        { post([this, outcome] { finish_write(outcome); }); });
+    if (!pushed)
     {
-        if (found.m_key == record_keys::leader &&
-            found.m_value == m_term->leader_record().m_value &&
-            found.m_revision > m_term->fence())
-        {
-            m_term->raise_fence(found.m_revision);
-            return true;
-        }
+        m_progress_writer.withdraw();
     }
-    return false;
 }
 
-void scheduler::finish_write(const std::vector<dispatch::job_write>& writes,
-                             const store_result<commit_answer>& outcome)
+void scheduler::finish_write(const store_result<commit_answer>& outcome)
 {
-    m_write_in_flight = false;
-    if (!is_ok(outcome))
+    const store_conflict* conflict = conflict_of(outcome);
+    if (conflict != nullptr && ended_by(*conflict))
     {
-        m_environment.m_log.write(
-            "scheduler", "progress_not_stored", writes.front().m_job,
-            {{"records", std::to_string(writes.size())},
-             {"reason", std::string(to_string(std::get<1>(outcome)))}});
-        for (const dispatch::job_write& write : writes)
-        {
-            m_dispatcher.write_failed(write.m_job);
-        }
-        m_next_write_at = boottime_now() + write_retry;
         return;
     }
-    const commit_answer& answer = std::get<0>(outcome);
-    if (const auto* conflict = std::get_if<store_conflict>(&answer))
-    {
-        resolve_conflict(writes, *conflict);
-        return;
-    }
-    for (const dispatch::job_write& write : writes)
+    const instant now = boottime_now();
+    for (const auto& [job, revision] : m_progress_writer.finish(outcome, now))
     {
-        if (dispatch::is_final(write.m_progress.m_state))
-        {
-            note_ended_job(write.m_job, std::get<std::int64_t>(answer),
-                           boottime_now() + m_environment.m_record_retention);
-            m_removals.drop({record_keys::cancellation(write.m_job),
-                             std::get<std::int64_t>(answer)});
-        }
-        m_dispatcher.write_stored(write.m_job, write.m_version,
-                                  std::get<std::int64_t>(answer));
+        note_ended_job(job, revision, now + m_environment.m_record_retention);
+        m_removals.drop({record_keys::cancellation(job), revision});
     }
 }
 
@@ -582,28 +456,6 @@
     return found != m_ended_jobs.end() && submission_revision <= found->second;
 }
 
-void scheduler::resolve_conflict(const std::vector<dispatch::job_write>& writes,
-                                 const store_conflict& conflict)
-{
-    if (ended_by(conflict))
-    {
-        return;
-    }
-    for (const record& found : conflict.m_records)
-    {
-        if (found.m_key.starts_with(record_keys::progress_prefix))
-        {
-            m_dispatcher.update_revision(
-                after_prefix(found.m_key, record_keys::progress_prefix),
-                found.m_revision);
-        }
-    }
-    for (const dispatch::job_write& write : writes)
-    {
-        m_dispatcher.write_failed(write.m_job);
-    }
-}
-
 bool scheduler::ended_by(const store_conflict& conflict)
 {
     for (const record& found : conflict.m_records)
@@ -630,13 +482,13 @@
         return;
     }
     m_summary_published_at = now;
-    queued_write next;
-    next.m_transaction.m_writes.push_back(
+    store_transaction transaction;
+    transaction.m_writes.push_back(
         {record_keys::summary,
          dispatch::encode_summary(
              {m_dispatcher.waiting_by_queue(), wall_now()}),
          0});
-    m_write_queue.try_push(std::move(next));
+    m_writer.try_push(std::move(transaction), nullptr);
 }
 
 void scheduler::publish_metrics()
@@ -666,24 +518,27 @@
 {
     // No other thread pushes to this queue, so a push succeeds if the queue is
     // not full now.
-    if (m_write_queue.full())
+    if (m_writer.full())
     {
         return;
     }
-    queued_write next;
-    next.m_removals = m_removals.take(boottime_now());
-    if (next.m_removals.empty())
+    const std::vector<record_removal> group = m_removals.take(boottime_now());
+    if (group.empty())
     {
         return;
     }
-    for (const record_removal& each : next.m_removals)
+    store_transaction transaction;
+    for (const record_removal& each : group)
     {
         // A job that was submitted again after its record was removed has a
         // record with another revision.
-        next.m_transaction.m_expected.emplace_back(each.m_key, each.m_revision);
-        next.m_transaction.m_removals.push_back(each.m_key);
+        transaction.m_expected.emplace_back(each.m_key, each.m_revision);
+        transaction.m_removals.push_back(each.m_key);
     }
-    m_write_queue.try_push(std::move(next));
+    m_writer.try_push(
+        std::move(transaction),
+        [this, group](const store_result<commit_answer>& outcome)
+        { post([this, group, outcome] { finish_removal(group, outcome); }); });
 }
 
 bool scheduler::is_needed(const std::string& key) const
@@ -708,17 +563,25 @@
          {"reason", is_ok(outcome)
                         ? "conflict"
                         : std::string(to_string(std::get<1>(outcome)))}});
-    if (!is_ok(outcome))
+    if (const store_conflict* conflict = conflict_of(outcome))
     {
-        m_removals.failed(boottime_now());
-        return;
+        if (ended_by(*conflict))
+        {
+            return;
+        }
+        if (!m_removals.conflicted(*conflict))
+        {
+            m_removals.refused(boottime_now());
+        }
+        forget_removed(group);
     }
-    const auto& conflict =
-        std::get<store_conflict>(std::get<commit_answer>(outcome));
-    if (!ended_by(conflict))
+    else if (std::get<store_failure>(outcome) == store_failure::refused)
     {
-        m_removals.conflicted(conflict);
-        forget_removed(group);
+        m_removals.refused(boottime_now());
+    }
+    else
+    {
+        m_removals.failed(boottime_now());
     }
 }
 
--- a/kingcuprudder/node/scheduler.hpp
+++ b/kingcuprudder/node/scheduler.hpp
@@ -7,9 +7,11 @@
 #include <kingcuprudder/node/event_log.hpp>
 #include <kingcuprudder/node/external_records.hpp>
 #include <kingcuprudder/node/leader_metrics.hpp>
+#include <kingcuprudder/node/leader_writer.hpp>
 #include <kingcuprudder/node/leadership.hpp>
 #include <kingcuprudder/node/list_reader.hpp>
 #include <kingcuprudder/node/order_slots.hpp>
+#include <kingcuprudder/node/progress_writer.hpp>
 #include <kingcuprudder/node/record_removals.hpp>
 #include <kingcuprudder/node/record_store.hpp>
 #include <kingcuprudder/node/record_watcher.hpp>
@@ -117,20 +119,7 @@
     /// Lets the dispatcher use the token, if it was raised.
     void apply_raised_fence();
     void begin_write();
-    store_transaction
-    make_transaction(const std::vector<dispatch::job_write>& writes) const;
-    void run_writer();
-    /// Commits the transaction under the condition that this process is still
-    /// the leader. Runs on the writer's thread.
-    store_result<commit_answer> commit_as_leader(store_transaction transaction);
-    /// Takes over the fencing token from a conflict that shows that a write of
-    /// this term's leader record, whose answer was lost, was applied. Returns
-    /// whether it did.
-    bool adopt_fence(const store_result<commit_answer>& outcome);
-    void finish_write(const std::vector<dispatch::job_write>& writes,
-                      const store_result<commit_answer>& outcome);
-    void resolve_conflict(const std::vector<dispatch::job_write>& writes,
-                          const store_conflict& conflict);
+    void finish_write(const store_result<commit_answer>& outcome);
     /// Notes that a job has ended and schedules the removal of its progress
     /// record, which has this revision.
     void note_ended_job(const std::string& job, std::int64_t revision,
@@ -165,6 +154,7 @@
     std::shared_ptr<term> m_term;
     dispatch::dispatcher m_dispatcher;
     order_slots m_order_slots; ///< Used on the thread of m_worker_loop.
+    progress_writer m_progress_writer{m_dispatcher, m_environment.m_log};
     /// Carries the calls to all workers.
     event_loop m_worker_loop;
     std::map<std::string, std::shared_ptr<worker_session>> m_sessions;
@@ -181,7 +171,6 @@
     std::int64_t m_loaded_revision = 0;
     record_removals m_removals{[this](const std::string& key)
                                { return is_needed(key); }};
-    bool m_write_in_flight = false;
     bool m_raising_fence = false;
     instant m_next_raise_at;
     instant m_last_step_at;
@@ -190,30 +179,17 @@
     instant m_sessions_updated_at;
     /// Whether events were handled since the last step.
     bool m_step_due = false;
-    instant m_next_write_at;
     instant m_summary_published_at;
     instant m_metrics_published_at;
     /// The configuration that the dispatcher uses.
     configuration_view::snapshot m_applied_configuration;
 
-    /// A transaction and the progress records that it stores or the records
-    /// that it removes, if any.
-    struct queued_write
-    {
-        store_transaction m_transaction;
-        std::vector<dispatch::job_write> m_writes;
-        std::vector<record_removal> m_removals;
-        /// The transaction writes the leader record.
-        bool m_raises_fence = false;
-    };
-
     std::atomic<bool> m_stopping = false;
     bounded_ring<event> m_events;
     event_horizon m_horizon;
-    bounded_ring<queued_write> m_write_queue;
     std::unique_ptr<record_watcher> m_worker_watcher;
     std::unique_ptr<record_watcher> m_job_watcher;
-    std::thread m_writer;
+    leader_writer m_writer;
     std::thread m_thread;
 };
 
--- a/stand_ins/memory_store.cpp
+++ b/stand_ins/memory_store.cpp
@@ -220,6 +220,10 @@
         {
             return store_failure::lease_ended;
         }
+        if (write.m_value.size() > node::max_value_bytes)
+        {
+            return store_failure::refused;
+        }
     }
     const node::commit_answer answer = apply(transaction);
     if (injected == fault::lose_answer)
--- a/stand_ins/platform_stand_in.cpp
+++ b/stand_ins/platform_stand_in.cpp
@@ -17,6 +17,7 @@
 constexpr span call_timeout = span(1000);
 
 constexpr int status_ok = 200;
+constexpr int status_invalid = 400;
 constexpr int status_not_found = 404;
 constexpr int status_gone = 410;
 constexpr int status_conditions_failed = 412;
@@ -44,6 +45,9 @@
     case node::store_failure::lease_ended:
         response.status = status_not_found;
         return;
+    case node::store_failure::refused:
+        response.status = status_invalid;
+        return;
     case node::store_failure::unknown:
         std::this_thread::sleep_for(std::chrono::milliseconds(2000));
         response.status = 500;
--- a/unit_tests/dispatch/values_test.cpp
+++ b/unit_tests/dispatch/values_test.cpp
@@ -11,6 +11,16 @@
 namespace kingcuprudder::dispatch
 {
 
+namespace
+{
+
+bool take_all(const std::string&, bool)
+{
+    return true;
+}
+
+} // namespace
+
 TEST(task_ref, its_text_can_be_read_back)
 {
     const task_ref ref{"5c0e7a21d94b36f8", 2, 1, 17};
@@ -147,8 +157,8 @@
         job.m_steps = {job_step{1, {}, span(1)}};
         table.mark_changed(table.add(job, std::nullopt, 1, instant()));
     }
-    EXPECT_EQ(table.take_writes(31).size(), 15u);
-    EXPECT_EQ(table.take_writes(31).size(), 5u);
+    EXPECT_EQ(table.take_writes(31, take_all).size(), 15u);
+    EXPECT_EQ(table.take_writes(31, take_all).size(), 5u);
     EXPECT_FALSE(table.has_writes());
 }
 
@@ -164,7 +174,8 @@
         job.m_steps = {job_step{1, {}, span(1)}};
         table.mark_changed(table.add(job, std::nullopt, 1, instant()));
     }
-    const auto take_one = [&table] { return table.take_writes(2).at(0).m_job; };
+    const auto take_one = [&table]
+    { return table.take_writes(2, take_all).at(0).m_job; };
     EXPECT_EQ(take_one(), "c");
     table.mark_changed(*table.find("c"));
     EXPECT_EQ(take_one(), "a");
--- a/unit_tests/node/job_service_test.cpp
+++ b/unit_tests/node/job_service_test.cpp
@@ -86,6 +86,21 @@
     std::atomic<std::int64_t> m_latency_ms = 0;
 };
 
+/// A store that refuses every commit for its content.
+class refusing_store final : public forwarding_store
+{
+public:
+    using forwarding_store::forwarding_store;
+
+    store_result<commit_answer> commit(const store_transaction&, span) override
+    {
+        ++m_commits;
+        return store_failure::refused;
+    }
+
+    std::atomic<int> m_commits = 0;
+};
+
 /// A store that answers no commit, and carries out the last one when asked to.
 class late_commit_store final : public forwarding_store
 {
@@ -198,6 +213,17 @@
     EXPECT_EQ(stored_jobs(), 0u);
 }
 
+// Guards against a caller that waits until its deadline for a write that the
+// store has refused for its content.
+TEST_F(job_service_test, a_write_that_the_store_refuses_is_not_repeated)
+{
+    refusing_store store(m_store);
+    job_service jobs(store, m_configuration, m_log);
+    EXPECT_EQ(jobs.submit(patient_request(), job()), refusal::invalid);
+    EXPECT_EQ(jobs.cancel(patient_request(), job().m_id), refusal::invalid);
+    EXPECT_EQ(store.m_commits, 2);
+}
+
 // A caller submits the same id again after a lost answer, to any process.
 TEST_F(job_service_test, the_same_id_remains_one_job)
 {
--- a/unit_tests/node/record_removals_test.cpp
+++ b/unit_tests/node/record_removals_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 namespace kingcuprudder::node
@@ -88,4 +89,54 @@
     EXPECT_EQ(removals.take(start + pause), (group{{"key", 2}}));
 }
 
+// Guards against one removal that the store never carries out and that holds up
+// all others.
+TEST(record_removals, a_refused_removal_does_not_hold_up_the_others)
+{
+    record_removals removals(never_needed);
+    removals.schedule({"bad", 1}, start);
+    constexpr int others = 30;
+    for (int number = 0; number < others; ++number)
+    {
+        removals.schedule({std::to_string(number), 1}, start + span(number));
+    }
+    instant now = start + pause;
+    constexpr int enough_groups = 20;
+    for (int sent = 0; sent < enough_groups; ++sent)
+    {
+        const group taken = removals.take(now);
+        now = now + span::seconds(1);
+        if (std::find(taken.begin(), taken.end(), record_removal{"bad", 1}) ==
+            taken.end())
+        {
+            removals.removed();
+        }
+        else
+        {
+            removals.refused(now);
+        }
+    }
+    for (int number = 0; number < others; ++number)
+    {
+        EXPECT_FALSE(removals.is_scheduled(std::to_string(number))) << number;
+    }
+    EXPECT_TRUE(removals.is_scheduled("bad"));
+    constexpr span longer = span::minutes(10);
+    EXPECT_EQ(removals.take(now + longer), (group{{"bad", 1}}));
+}
+
+// Guards against a group that is returned again and again after conflicts that
+// show no changed record.
+TEST(record_removals, an_unexplained_conflict_changes_nothing)
+{
+    record_removals removals(never_needed);
+    removals.schedule({"key", 1}, start);
+    EXPECT_EQ(removals.take(start).size(), 1U);
+    EXPECT_FALSE(removals.conflicted({{{"key", "", 1}}}));
+    EXPECT_TRUE(removals.take(start + pause).empty());
+    removals.refused(start);
+    EXPECT_TRUE(removals.take(start + pause).empty());
+    EXPECT_TRUE(removals.is_scheduled("key"));
+}
+
 } // namespace kingcuprudder::node
--- a/unit_tests/platform/platform_store_test.cpp
+++ b/unit_tests/platform/platform_store_test.cpp
@@ -86,6 +86,30 @@
     EXPECT_EQ(conflict.m_records[0], (node::record{"k", "x", 4}));
 }
 
+// Guards against a write that is repeated for ever, as a refusal of its content
+// is taken for a lost answer.
+TEST_F(platform_store_test, a_refusal_is_told_from_an_unknown_outcome)
+{
+    const auto failure_of_commit = [this](int status)
+    {
+        answer(status, "{}");
+        return std::get<1>(m_store.commit({}, timeout));
+    };
+    for (const int status : {400, 403, 413, 422})
+    {
+        EXPECT_EQ(failure_of_commit(status), store_failure::refused) << status;
+    }
+    for (const int status : {408, 500, 502, 504})
+    {
+        EXPECT_EQ(failure_of_commit(status), store_failure::unknown) << status;
+    }
+    for (const int status : {429, 503})
+    {
+        EXPECT_EQ(failure_of_commit(status), store_failure::not_done) << status;
+    }
+    EXPECT_EQ(failure_of_commit(404), store_failure::lease_ended);
+}
+
 // Guards against a watch that asks for the same changes again and again: what
 // does not fit into a response is read from a list.
 TEST_F(platform_store_test, changes_over_the_limit_count_as_compacted)
