The record of the largest job fits into one value of the store

What callers would see: a job of 10,000 tasks that all run, with long names of workers and some crashes and failures of each task, has a record over 1 MiB. It would be set aside and get no new runs.

Cause: each task's entry has the name, start time and address of its worker, some 60 bytes that many tasks share.

Change: a record that would be over the limit is written with a list of its workers, to which the tasks refer. All other records keep their form, so that an earlier version reads whatever it could have written itself; one that takes over meanwhile leaves such a job as it is.

What is over the limit nevertheless (longer checkpoints of thousands of tasks, a maximum of some 10 attempts used by all of them) is set aside alone.

Damaged records of the new form are refused.

--- a/kingcuprudder/codec/dispatch_codec.cpp
+++ b/kingcuprudder/codec/dispatch_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <tuple>
+
 namespace kingcuprudder::dispatch
 {
 
@@ -12,6 +14,7 @@
 
 constexpr const char* end_time_field = "ended_at_ms";
 constexpr const char* absence_time_field = "absent_at_ms";
+constexpr const char* workers_field = "workers";
 
 /// Returns the time in this field of an encoded object, or nothing if there is
 /// none.
@@ -111,7 +114,8 @@
     return entry_size >= with_crashes ? with_crashes : crash_fields_at;
 }
 
-json encode_task(const task_progress& task)
+/// Returns the encoded task if it is one of the states with a single digit.
+std::optional<json> encode_short_task(const task_progress& task)
 {
     if (task == task_progress())
     {
@@ -121,9 +125,11 @@
     {
         return done_task;
     }
-    json entry =
-        json::array({task.m_last_run, task.m_worker, task.m_worker_incarnation,
-                     task.m_failed_runs, task.m_checkpoint});
+    return std::nullopt;
+}
+
+void append_crashes(json& entry, const task_progress& task)
+{
     if (task.m_crashes.any() || task.m_workers_ended > 0)
     {
         entry.push_back(task.m_crashes.m_certain);
@@ -132,6 +138,18 @@
         entry.push_back(task.m_workers_ended);
         entry.push_back(task.m_lost_run);
     }
+}
+
+json encode_task(const task_progress& task)
+{
+    if (const auto encoded = encode_short_task(task))
+    {
+        return *encoded;
+    }
+    json entry =
+        json::array({task.m_last_run, task.m_worker, task.m_worker_incarnation,
+                     task.m_failed_runs, task.m_checkpoint});
+    append_crashes(entry, task);
     if (!task.m_worker_address.empty())
     {
         entry.push_back(task.m_worker_address);
@@ -139,38 +157,92 @@
     return entry;
 }
 
+/// The workers of a compact record. A task has the position of its worker.
+class worker_list
+{
+public:
+    int position_of(const task_progress& task)
+    {
+        const auto [found, added] = m_positions.try_emplace(
+            {task.m_worker, task.m_worker_incarnation, task.m_worker_address},
+            static_cast<int>(m_positions.size()));
+        if (added)
+        {
+            m_encoded.push_back({task.m_worker, task.m_worker_incarnation,
+                                 task.m_worker_address});
+        }
+        return found->second;
+    }
+
+    const json& encoded() const { return m_encoded; }
+
+private:
+    std::map<std::tuple<std::string, std::int64_t, std::string>, int>
+        m_positions;
+    json m_encoded = json::array();
+};
+
+// The position of the lost workers of a task in a compact record.
+constexpr std::size_t compact_crash_fields_at = 4;
+
+json encode_compact_task(const task_progress& task, worker_list& workers)
+{
+    if (const auto encoded = encode_short_task(task))
+    {
+        return *encoded;
+    }
+    json entry = json::array({task.m_last_run, workers.position_of(task),
+                              task.m_failed_runs, task.m_checkpoint});
+    append_crashes(entry, task);
+    return entry;
+}
+
 /// Returns the entries of an array; any other value is an error.
 const json::array_t& items(const json& value)
 {
     return value.get_ref<const json::array_t&>();
 }
 
-std::optional<task_progress> decode_task(const json& value)
+/// Reads a task in one of the states that are encoded as a single digit.
+std::optional<task_progress> decode_short_task(const json& value)
 {
+    const int state = value.get<int>();
+    if (state != unstarted_task && state != done_task)
+    {
+        return std::nullopt;
+    }
     task_progress task;
+    task.m_done = state == done_task;
+    return task;
+}
+
+/// Reads the fields that begin at this position if the entry has them.
+void read_crashes(const json& entry, std::size_t at, task_progress& task)
+{
+    if (entry.size() < at + crash_field_count)
+    {
+        return;
+    }
+    task.m_crashes.m_certain = entry.at(at);
+    task.m_crashes.m_possible = entry.at(at + 1);
+    task.m_crashes.m_slight = entry.at(at + 2);
+    task.m_workers_ended = entry.at(at + 3);
+    task.m_lost_run = entry.at(at + 4);
+}
+
+std::optional<task_progress> decode_task(const json& value)
+{
     if (value.is_number_integer())
     {
-        const int state = value.get<int>();
-        if (state != unstarted_task && state != done_task)
-        {
-            return std::nullopt;
-        }
-        task.m_done = state == done_task;
-        return task;
+        return decode_short_task(value);
     }
+    task_progress task;
     task.m_last_run = value.at(0);
     task.m_worker = value.at(1);
     task.m_worker_incarnation = value.at(2);
     task.m_failed_runs = value.at(3).get<std::vector<int>>();
     task.m_checkpoint = value.at(4);
-    if (value.size() >= crash_fields_at + crash_field_count)
-    {
-        task.m_crashes.m_certain = value.at(crash_fields_at);
-        task.m_crashes.m_possible = value.at(crash_fields_at + 1);
-        task.m_crashes.m_slight = value.at(crash_fields_at + 2);
-        task.m_workers_ended = value.at(crash_fields_at + 3);
-        task.m_lost_run = value.at(crash_fields_at + 4);
-    }
+    read_crashes(value, crash_fields_at, task);
     const std::size_t address_at = address_position(value.size());
     if (value.size() > address_at)
     {
@@ -179,26 +251,58 @@
     return task;
 }
 
-json progress_json(const job_progress& progress)
+std::optional<task_progress> decode_compact_task(const json& value,
+                                                 const json& workers)
 {
-    json value{{"state", to_string(progress.m_state)},
-               {"account", progress.m_account}};
-    if (!is_final(progress.m_state))
+    if (value.is_number_integer())
+    {
+        return decode_short_task(value);
+    }
+    const json& worker = workers.at(value.at(1).get<std::size_t>());
+    task_progress task;
+    task.m_last_run = value.at(0);
+    task.m_worker = worker.at(0);
+    task.m_worker_incarnation = worker.at(1);
+    task.m_worker_address = worker.at(2);
+    task.m_failed_runs = value.at(2).get<std::vector<int>>();
+    task.m_checkpoint = value.at(3);
+    read_crashes(value, compact_crash_fields_at, task);
+    return task;
+}
+
+/// Encodes tasks: [repetition][step][task].
+template <class Encode>
+json tasks_json(const job_progress& progress, const Encode& encode)
+{
+    json tasks = json::array();
+    for (const auto& repeat : progress.m_tasks)
     {
-        json& tasks = value["tasks"] = json::array();
-        for (const auto& repeat : progress.m_tasks)
+        json& steps = tasks.emplace_back(json::array());
+        for (const auto& step : repeat)
         {
-            json& steps = tasks.emplace_back(json::array());
-            for (const auto& step : repeat)
+            json& entries = steps.emplace_back(json::array());
+            for (const task_progress& task : step)
             {
-                json& entries = steps.emplace_back(json::array());
-                for (const task_progress& task : step)
-                {
-                    entries.push_back(encode_task(task));
-                }
+                entries.push_back(encode(task));
             }
         }
     }
+    return tasks;
+}
+
+json state_json(const job_progress& progress)
+{
+    return {{"state", to_string(progress.m_state)},
+            {"account", progress.m_account}};
+}
+
+json progress_json(const job_progress& progress)
+{
+    json value = state_json(progress);
+    if (!is_final(progress.m_state))
+    {
+        value["tasks"] = tasks_json(progress, encode_task);
+    }
     return value;
 }
 
@@ -263,6 +367,16 @@
     return progress_json(progress).dump();
 }
 
+std::string encode_progress_compactly(const job_progress& progress)
+{
+    json value = state_json(progress);
+    worker_list workers;
+    value["tasks"] = tasks_json(progress, [&workers](const task_progress& task)
+                                { return encode_compact_task(task, workers); });
+    value[workers_field] = workers.encoded();
+    return value.dump();
+}
+
 std::string encode_ended_progress(const job_progress& progress,
                                   instant ended_at)
 {
@@ -309,6 +423,12 @@
         {
             return progress;
         }
+        const auto workers = value.find(workers_field);
+        const auto decode = [&](const json& task)
+        {
+            return workers == value.end() ? decode_task(task)
+                                          : decode_compact_task(task, *workers);
+        };
         for (const json& repeat : items(value.at("tasks")))
         {
             auto& steps = progress.m_tasks.emplace_back();
@@ -317,8 +437,7 @@
                 auto& tasks = steps.emplace_back();
                 for (const json& task : items(step))
                 {
-                    const std::optional<task_progress> decoded =
-                        decode_task(task);
+                    const std::optional<task_progress> decoded = decode(task);
                     if (!decoded)
                     {
                         return std::nullopt;
--- a/kingcuprudder/codec/dispatch_codec.hpp
+++ b/kingcuprudder/codec/dispatch_codec.hpp
@@ -19,6 +19,9 @@
 /// Encodes the stored record of a job's progress, without tasks if the job has
 /// ended.
 std::string encode_progress(const job_progress& progress);
+/// Encodes the same with each worker only once, for a job that has not ended
+/// and whose record is too large otherwise. Earlier versions cannot read it.
+std::string encode_progress_compactly(const job_progress& progress);
 /// Encodes the progress of a job that ended at this wall-clock time.
 std::string encode_ended_progress(const job_progress& progress,
                                   instant ended_at);
--- a/kingcuprudder/node/progress_writer.cpp
+++ b/kingcuprudder/node/progress_writer.cpp
@@ -21,9 +21,14 @@
 
 std::string encoded(const dispatch::job_progress& progress, instant wall_now)
 {
-    return dispatch::is_final(progress.m_state)
-               ? dispatch::encode_ended_progress(progress, wall_now)
-               : dispatch::encode_progress(progress);
+    if (dispatch::is_final(progress.m_state))
+    {
+        return dispatch::encode_ended_progress(progress, wall_now);
+    }
+    std::string text = dispatch::encode_progress(progress);
+    return text.size() > max_value_bytes
+               ? dispatch::encode_progress_compactly(progress)
+               : text;
 }
 
 /// Returns the revision of the job's record in the conflict, if it is there.
--- a/unit_tests/dispatch/record_size_test.cpp
+++ b/unit_tests/dispatch/record_size_test.cpp
@@ -34,8 +34,62 @@
     std::int64_t m_ends = 0;
 };
 
+/// Returns the progress of as many running tasks as a job may have, whose
+/// workers' names, checkpoints and counts are long.
+job_progress progress_of_largest_job()
+{
+    constexpr int workers = 1000;
+    job_progress progress;
+    progress.m_state = job_state::running;
+    progress.m_account = "account";
+    auto& tasks = progress.m_tasks.emplace_back().emplace_back();
+    for (int index = 0; index < max_tasks_per_job; ++index)
+    {
+        const std::string worker = std::to_string(index % workers);
+        task_progress& task = tasks.emplace_back();
+        task.m_last_run = 12'345;
+        task.m_worker = "worker-of-a-long-name-" + worker;
+        task.m_worker_incarnation = 1'796'654'397'280 + index % workers;
+        task.m_worker_address = "10.100.100.100:6" + worker;
+        task.m_failed_runs = {12'343, 12'344};
+        task.m_checkpoint = "00000bb87a21d94b";
+        task.m_crashes = {10, 10, 10};
+        task.m_workers_ended = 10;
+        task.m_lost_run = 12'344;
+    }
+    return progress;
+}
+
 } // namespace
 
+// Guards against a job whose record the store refuses while all its tasks run.
+TEST(record_size_of_largest_job, fits_into_one_value_of_the_store)
+{
+    constexpr std::size_t max_value_bytes = 1'048'576;
+    const job_progress progress = progress_of_largest_job();
+    EXPECT_GT(encode_progress(progress).size(), max_value_bytes);
+    const std::string compact = encode_progress_compactly(progress);
+    EXPECT_LT(compact.size(), max_value_bytes);
+    EXPECT_EQ(decode_progress(compact), progress);
+}
+
+// Guards against a job whose progress is lost with its worker's name.
+TEST(record_size_of_largest_job, a_damaged_compact_record_is_refused)
+{
+    const std::string begin = R"({"account":"a","state":"running","tasks":)";
+    for (const char* rest : {R"([[[[1,0,[],""]]]],"workers":[])",
+                             R"([[[[1,1,[],""]]]],"workers":[["w",1,""]])",
+                             R"([[[[1,-1,[],""]]]],"workers":[["w",1,""]])",
+                             R"([[[[1,0,[],""]]]],"workers":7)",
+                             R"([[[[1,0,[],""]]]],"workers":[["w",1]])",
+                             R"([[[[1,"w",[],""]]]],"workers":[["w",1,""]])"})
+    {
+        EXPECT_FALSE(decode_progress(begin + rest + "}")) << rest;
+    }
+    EXPECT_TRUE(decode_progress(
+        begin + R"([[[[1,0,[],""],0,1]]],"workers":[["w",1,""]]})"));
+}
+
 // Guards against the record of a lasting job that grows with each failed run
 // until the store refuses it.
 TEST_F(record_size, failed_runs_of_a_lasting_task_add_nothing_to_its_record)
