Tasks of a lost worker are suspected by their share and started in groups

Change: a loss gives each run a share of the suspicion, by the strength of the evidence. Suspected tasks are started together on a worker while their shares sum up to 0.25 at most; one with more is alone, as before. If a group loses its worker, its members share that suspicion again, so it narrows to a quarter with each crash. At most half of the usable workers of a pool are on trial at a time, but for guaranteed steps and for persistent tasks that are overdue, which may join any trial. Tasks of one step that are not equally suspect are placed apart, the most suspect first. What counts towards giving up a task is unchanged. A new leader doesn't know the shares that an earlier one attributed and counts them fully: persistent tasks then start when they are overdue (2 s), others one per trial.

--- a/kingcuprudder/dispatch/crash_evidence.cpp
+++ b/kingcuprudder/dispatch/crash_evidence.cpp
@@ -36,6 +36,22 @@
     return "unknown";
 }
 
+int weight_of(crash_suspicion suspicion)
+{
+    switch (suspicion)
+    {
+    case crash_suspicion::certain:
+        return certain_weight;
+    case crash_suspicion::possible:
+        return possible_weight;
+    case crash_suspicion::slight:
+        return slight_weight;
+    case crash_suspicion::none:
+        return 0;
+    }
+    return 0;
+}
+
 void crash_evidence::add(crash_suspicion suspicion, int count)
 {
     if (suspicion == crash_suspicion::certain)
--- a/kingcuprudder/dispatch/crash_evidence.hpp
+++ b/kingcuprudder/dispatch/crash_evidence.hpp
@@ -17,6 +17,9 @@
 
 std::string_view to_string(crash_suspicion suspicion);
 
+/// Returns how much a loss of this kind counts beside those of other kinds.
+int weight_of(crash_suspicion suspicion);
+
 /// The lost workers that are attributed to one task. Stored with the task, so
 /// that it outlives the leader.
 struct crash_evidence
--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -95,6 +95,7 @@
             for (task_entry& task : step)
             {
                 task.m_waiting_since = now;
+                task.m_suspicion = task.m_progress.m_crashes.any() ? 1 : 0;
                 restore_run(job, ref, now);
                 ++ref.m_index;
             }
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -265,7 +265,7 @@
     /// Attributes the workers that an earlier leader lost while it ended.
     void attribute_losses_of_earlier_term();
     void attribute_earlier_loss(worker_entry& worker, const task_ref& ref,
-                                bool with_others);
+                                double share, bool with_others);
     /// Notes the runs that ended with the worker's process before it answered
     /// this leader.
     void note_restart_before_term(const worker_entry& worker,
@@ -274,7 +274,8 @@
     /// answers to come may show that more workers restarted for one cause.
     void attribute_restarts_before_term(instant now);
     void attribute_restart_before_term(const worker_entry& worker,
-                                       const run_ref& run, bool with_others);
+                                       const run_ref& run, double share,
+                                       bool with_others);
     /// Returns whether so many workers with runs of an earlier leader are
     /// likely to answer soon that their restarts would have a common cause.
     bool awaits_first_answers(instant now) const;
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -2,6 +2,8 @@
 #include <kingcuprudder/dispatch/dispatcher.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <string>
 #include <utility>
 
 namespace kingcuprudder::dispatch
@@ -25,6 +27,11 @@
 // Workers that can answer have answered a new leader by then.
 constexpr span first_answers_time = span(3000);
 
+std::string percent(double share)
+{
+    return number(std::llround(100 * share));
+}
+
 } // namespace
 
 // Attributes lost workers to the tasks that may have crashed them.
@@ -37,10 +44,20 @@
     {
         const bool sent = task.m_active && task.m_active->m_first_sent_at;
         const span trial = sent ? trial_after_start : trial_before_start;
+        if (worker.m_trial_until <= now)
+        {
+            worker.m_trial_suspicion = task.suspicion();
+        }
+        else if (!sent)
+        {
+            worker.m_trial_suspicion += task.suspicion();
+        }
         worker.m_trial_until = now + trial;
         m_log("worker_on_trial", worker.id(),
               {{"task", task_name},
                {"start_sent", sent ? "true" : "false"},
+               {"suspicion_percent", percent(task.suspicion())},
+               {"trial_percent", percent(worker.m_trial_suspicion)},
                {"for_ms", number(trial.count())}});
     }
 }
@@ -119,6 +136,7 @@
         {
             task_entry& task = job->task(each.m_task);
             task.m_progress.m_crashes.add(each.m_suspicion, -1);
+            task.m_suspicion -= each.m_share;
             task.m_progress.m_workers_ended -= each.m_counts_as_ended ? 1 : 0;
             task.m_progress.m_lost_run = 0;
             task.m_lost_addresses.erase(worker.m_description.m_address);
@@ -235,6 +253,7 @@
         return false;
     }
     progress.m_crashes.add(loss.m_suspicion);
+    task.m_suspicion += loss.m_share;
     progress.m_workers_ended += loss.m_counts_as_ended ? 1 : 0;
     progress.m_lost_run = progress.m_last_run;
     if (loss.m_suspicion != crash_suspicion::none)
@@ -244,7 +263,8 @@
     m_jobs.mark_changed(job);
     decision_fields fields{
         {"worker", worker.id()},
-        {"suspicion", std::string(to_string(loss.m_suspicion))}};
+        {"suspicion", std::string(to_string(loss.m_suspicion))},
+        {"share_percent", percent(loss.m_share)}};
     append(fields, evidence);
     append(fields, crash_fields(progress));
     m_log("crash_attributed", loss.m_task.str(), std::move(fields));
@@ -271,9 +291,11 @@
     }
     note_unexplained_loss(worker, loss, now);
     const bool ended = loss.m_process_ended && !loss.m_with_others;
+    const std::vector<double> shares = loss.suspicion_shares();
     for (std::size_t at = 0; at < refs.size(); ++at)
     {
         const attributed_loss counted{refs[at], loss.suspicion_of(at),
+                                      shares[at],
                                       ended && loss.counts_as_ended(at)};
         const task_entry& lost = m_jobs.find_task(refs[at])->task(refs[at]);
         const decision_fields evidence =
@@ -338,14 +360,17 @@
                {"silent_ms", "before this term"}});
         for (const task_ref& ref : refs)
         {
-            attribute_earlier_loss(find_or_add_worker(id), ref, with_others);
+            attribute_earlier_loss(find_or_add_worker(id), ref,
+                                   1.0 / static_cast<double>(refs.size()),
+                                   with_others);
         }
     }
     m_runs_lost_before_term.clear();
 }
 
 void dispatcher::attribute_earlier_loss(worker_entry& worker,
-                                        const task_ref& ref, bool with_others)
+                                        const task_ref& ref, double share,
+                                        bool with_others)
 {
     if (m_jobs.find_task(ref) == nullptr)
     {
@@ -358,7 +383,7 @@
     const bool unconfirmed =
         worker.m_tasks.contains(ref) && recorded >= worker.m_incarnation;
     worker.m_loss_attributed = worker.m_loss_attributed || unconfirmed;
-    const attributed_loss loss{ref, crash_suspicion::possible, true};
+    const attributed_loss loss{ref, crash_suspicion::possible, share, true};
     if (!with_others &&
         attribute_crash(worker, loss, {{"lost", "before this term"}}) &&
         unconfirmed)
@@ -415,19 +440,21 @@
     for (auto& [id, runs] : m_restarts_before_term)
     {
         const worker_entry& worker = find_or_add_worker(id);
+        const double share = 1.0 / static_cast<double>(runs.size());
         for (const run_ref& run : std::exchange(runs, {}))
         {
-            attribute_restart_before_term(worker, run, with_others);
+            attribute_restart_before_term(worker, run, share, with_others);
         }
     }
 }
 
 void dispatcher::attribute_restart_before_term(const worker_entry& worker,
-                                               const run_ref& run,
+                                               const run_ref& run, double share,
                                                bool with_others)
 {
     job_entry* job = m_jobs.find_task(run.m_task);
-    const attributed_loss loss{run.m_task, crash_suspicion::possible, true};
+    const attributed_loss loss{run.m_task, crash_suspicion::possible, share,
+                               true};
     const decision_fields evidence{
         {"lost", "before this term"},
         {"with_others", with_others ? "true" : "false"}};
@@ -461,6 +488,7 @@
              number((now - *task.m_active->m_started_at).count())}};
         append(fields, crash_fields(task.m_progress));
         task.m_progress.m_crashes = crash_evidence();
+        task.m_suspicion = 0;
         task.m_progress.m_workers_ended = 0;
         m_jobs.mark_changed(job);
         m_log("crashes_cleared", ref.str(), std::move(fields));
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -9,6 +9,7 @@
 #include <kingcuprudder/dispatch/stop_attempts.hpp>
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,6 +69,9 @@
     std::optional<active_run> m_active;
     /// The addresses of the lost workers that this leader attributed to it.
     std::set<std::string> m_lost_addresses;
+    /// The sum of the shares of suspicion from the losses in m_crashes. What an
+    /// earlier leader attributed counts fully.
+    double m_suspicion = 0;
     /// How many of its runs this leader stopped as too slow.
     int m_slow_stops = 0;
     /// When the task's last run ended, or when this leader read the task.
@@ -78,6 +82,11 @@
     instant m_wait_logged_at;
 
     bool is_waiting() const { return !m_progress.m_done && !m_active; }
+    /// Returns how likely it is that the task crashes its worker, from 0 to 1.
+    double suspicion() const
+    {
+        return m_progress.m_crashes.any() ? std::min(1.0, m_suspicion) : 0;
+    }
 };
 
 /// A job with its tasks: [repetition][step][task].
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -1,6 +1,7 @@
 #include <kingcuprudder/dispatch/planner.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace kingcuprudder::dispatch
@@ -127,7 +128,12 @@
 {
     m_free_gpus[step.m_policy.m_pool] -=
         step.m_job->step(step.m_step).m_demand.m_gpus;
+    const bool was_on_trial = worker.m_trial_until > m_now;
     m_state.assign(*step.m_job, ref, worker, run, m_now);
+    if (!was_on_trial && worker.m_trial_until > m_now)
+    {
+        ++m_trials[step.m_policy.m_pool];
+    }
     m_index.update(worker);
 }
 
@@ -210,80 +216,103 @@
 
 void planner::collect_job(job_entry& job, std::vector<waiting_step>& steps)
 {
+    const std::size_t collected = steps.size();
     for (int repeat = 0; repeat < job.m_submission.m_repeats; ++repeat)
     {
         const int count = static_cast<int>(job.m_submission.m_steps.size());
         for (int index = 0; index < count; ++index)
         {
-            waiting_step step;
-            const auto& tasks = job.m_tasks[repeat][index];
-            for (std::size_t task = 0; task < tasks.size(); ++task)
-            {
-                // Tasks that last are restarted however they end.
-                if (!job.m_submission.m_steps[index].m_persistent &&
-                    tasks[task].is_waiting() &&
-                    tasks[task].m_progress.crashes_workers())
-                {
-                    m_state.give_up(job,
-                                    {job.m_submission.m_id, repeat, index,
-                                     static_cast<int>(task)},
-                                    m_now);
-                    std::erase_if(steps, [&job](const waiting_step& each)
-                                  { return each.m_job == &job; });
-                    return;
-                }
-                if (tasks[task].is_waiting() &&
-                    tasks[task].m_backoff.has_passed(m_now))
-                {
-                    step.m_waiting.push_back(static_cast<int>(task));
-                    const bool suspected =
-                        tasks[task].m_progress.m_crashes.any();
-                    step.m_suspected = step.m_suspected || suspected;
-                    step.m_overdue =
-                        step.m_overdue ||
-                        (job.m_submission.m_steps[index].m_persistent &&
-                         m_now - tasks[task].m_waiting_since >=
-                             max_wait_of_persistent_task);
-                    step.m_lost_addresses.insert(
-                        tasks[task].m_lost_addresses.begin(),
-                        tasks[task].m_lost_addresses.end());
-                    step.m_wants_quiet_worker =
-                        step.m_wants_quiet_worker ||
-                        (suspected && m_now - tasks[task].m_waiting_since <
-                                          max_wait_for_quiet_worker);
-                }
-            }
-            const bool whole = step.m_waiting.size() == tasks.size();
-            if (step.m_waiting.empty() ||
-                (job.m_submission.m_steps[index].m_gang && !whole) ||
-                !step_is_due(job, repeat, index))
+            if (!collect_step(job, repeat, index, steps))
             {
-                continue;
+                steps.resize(collected);
+                return;
             }
-            step.m_job = &job;
-            step.m_step = {job.m_submission.m_id, repeat, index, 0};
-            job.refresh_prediction(m_state.m_durations, m_now);
-            step.m_policy = job.m_policy;
-            const span objective =
-                span(static_cast<std::int64_t>(
-                    static_cast<double>(job.m_critical_path.count()) *
-                    step.m_policy.m_stretch)) +
-                step.m_policy.m_start_allowance;
-            step.m_persistent = job.m_submission.m_steps[index].m_persistent;
-            const instant counted_from = objective_start(job, repeat);
-            step.m_objective = counted_from + objective;
-            const instant end = m_now + job.m_critical_path_from[index];
-            step.m_guaranteed = step.m_policy.m_priority == 0 && index == 0 &&
-                                m_accounts_within_guarantee.contains(
-                                    job.m_submission.m_account);
-            step.m_late = !step.m_persistent && end > step.m_objective;
-            step.m_expired = !step.m_persistent &&
-                             end > counted_from + objective * late_factor;
-            steps.push_back(std::move(step));
         }
     }
 }
 
+bool planner::collect_step(job_entry& job, int repeat, int index,
+                           std::vector<waiting_step>& steps)
+{
+    const job_step& wanted = job.m_submission.m_steps[index];
+    const std::vector<task_entry>& tasks = job.m_tasks[repeat][index];
+    // The most suspect ones are placed first, on the emptiest workers.
+    std::map<double, waiting_step, std::greater<>> by_suspicion;
+    for (int task = 0; task < static_cast<int>(tasks.size()); ++task)
+    {
+        // Tasks that last are restarted however they end.
+        if (!wanted.m_persistent && tasks[task].is_waiting() &&
+            tasks[task].m_progress.crashes_workers())
+        {
+            m_state.give_up(job, {job.m_submission.m_id, repeat, index, task},
+                            m_now);
+            return false;
+        }
+        if (tasks[task].is_waiting() && tasks[task].m_backoff.has_passed(m_now))
+        {
+            const double group = wanted.m_gang ? 0 : tasks[task].suspicion();
+            add_waiting_task(by_suspicion[group], wanted, tasks[task], task);
+        }
+    }
+    if (by_suspicion.empty() ||
+        (wanted.m_gang &&
+         by_suspicion.begin()->second.m_waiting.size() != tasks.size()) ||
+        !step_is_due(job, repeat, index))
+    {
+        return true;
+    }
+    job.refresh_prediction(m_state.m_durations, m_now);
+    for (auto& [suspicion, step] : by_suspicion)
+    {
+        describe_step(step, job, repeat, index);
+        steps.push_back(std::move(step));
+    }
+    return true;
+}
+
+void planner::add_waiting_task(waiting_step& step, const job_step& wanted,
+                               const task_entry& task, int index) const
+{
+    step.m_waiting.push_back(index);
+    step.m_overdue = step.m_overdue ||
+                     (wanted.m_persistent && m_now - task.m_waiting_since >=
+                                                 max_wait_of_persistent_task);
+    if (!task.m_progress.m_crashes.any())
+    {
+        return;
+    }
+    step.m_suspected = true;
+    step.m_suspicion = wanted.m_gang ? 1 : task.suspicion();
+    step.m_lost_addresses.insert(task.m_lost_addresses.begin(),
+                                 task.m_lost_addresses.end());
+    step.m_wants_quiet_worker =
+        step.m_wants_quiet_worker ||
+        m_now - task.m_waiting_since < max_wait_for_quiet_worker;
+}
+
+void planner::describe_step(waiting_step& step, job_entry& job, int repeat,
+                            int index) const
+{
+    step.m_job = &job;
+    step.m_step = {job.m_submission.m_id, repeat, index, 0};
+    step.m_policy = job.m_policy;
+    const span objective =
+        span(static_cast<std::int64_t>(
+            static_cast<double>(job.m_critical_path.count()) *
+            step.m_policy.m_stretch)) +
+        step.m_policy.m_start_allowance;
+    step.m_persistent = job.m_submission.m_steps[index].m_persistent;
+    const instant counted_from = objective_start(job, repeat);
+    step.m_objective = counted_from + objective;
+    const instant end = m_now + job.m_critical_path_from[index];
+    step.m_guaranteed =
+        step.m_policy.m_priority == 0 && index == 0 &&
+        m_accounts_within_guarantee.contains(job.m_submission.m_account);
+    step.m_late = !step.m_persistent && end > step.m_objective;
+    step.m_expired =
+        !step.m_persistent && end > counted_from + objective * late_factor;
+}
+
 void planner::index_workers()
 {
     for (auto& [id, worker] : m_state.m_workers)
@@ -291,6 +320,10 @@
         if (m_state.is_usable(worker, m_now))
         {
             m_index.add(worker);
+            if (worker.m_trial_until > m_now)
+            {
+                ++m_trials[worker.m_description.m_pool];
+            }
         }
     }
 }
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -14,7 +14,8 @@
 namespace kingcuprudder::dispatch
 {
 
-/// The tasks of one step that are ready to start.
+/// The tasks of one step that are ready to start. Tasks of one step that are
+/// not equally suspect are placed apart.
 struct waiting_step
 {
     job_entry* m_job = nullptr;
@@ -29,8 +30,11 @@
     bool m_late = false;
     /// The job would end so late that it yields no credit.
     bool m_expired = false;
-    /// Lost workers are attributed to one of the waiting tasks.
+    /// Lost workers are attributed to the waiting tasks.
     bool m_suspected = false;
+    /// How likely it is that one of the tasks crashes its worker. All tasks are
+    /// equally suspect; a gang with a suspected member counts fully.
+    double m_suspicion = 0;
     /// The addresses of these workers.
     std::set<std::string> m_lost_addresses;
     /// The step waits for a worker without other new runs.
@@ -63,6 +67,15 @@
     void find_accounts_within_guarantee();
     std::vector<waiting_step> collect();
     void collect_job(job_entry& job, std::vector<waiting_step>& steps);
+    /// Adds the waiting tasks of a step. Returns false if one of them crashes
+    /// its workers, so that the job was given up.
+    bool collect_step(job_entry& job, int repeat, int index,
+                      std::vector<waiting_step>& steps);
+    void add_waiting_task(waiting_step& step, const job_step& wanted,
+                          const task_entry& task, int index) const;
+    /// Sets what the tasks of the step have in common.
+    void describe_step(waiting_step& step, job_entry& job, int repeat,
+                       int index) const;
     bool step_is_due(const job_entry& job, int repeat, int step) const;
 
     /// Returns the time from which the objective of the job, or of this
@@ -98,6 +111,9 @@
     /// is started first must start in time and is not kept apart.
     bool is_apart_from_suspects(const worker_entry& worker,
                                 const waiting_step& step) const;
+    /// Returns whether one more worker of the pool may be put on trial. Half of
+    /// them are left to other tasks.
+    bool may_begin_trial(const std::string& pool) const;
     /// Returns whether nothing was started or assigned on the worker recently.
     bool is_quiet(const worker_entry& worker) const;
     /// Logs why no worker is used for a step with a suspected task, once in a
@@ -208,6 +224,8 @@
     /// The number of free GPUs, by pool.
     std::map<std::string, std::int64_t> m_free_gpus;
     worker_index m_index;
+    /// The number of usable workers on trial, by pool.
+    std::map<std::string, std::size_t> m_trials;
     /// The result of held_by_persistent() in this pass.
     std::optional<std::map<std::string, resources>> m_held_by_persistent;
     /// The results of victims_on() in this pass, by worker.
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Suspected tasks are started together on a worker if it is unlikely that one
+// of them crashes it. A task with more suspicion is started alone.
+constexpr double max_trial_suspicion = 0.25;
 // A worker that is silent for longer is probably lost.
 constexpr span max_wait_for_silent_worker = span(5000);
 
@@ -48,6 +51,13 @@
         return true;
     }
     if (worker.m_trial_until > m_now)
+    {
+        return step.m_suspected &&
+               (step.m_overdue || worker.m_trial_suspicion + step.m_suspicion <=
+                                      max_trial_suspicion);
+    }
+    if (step.m_suspected && !step.m_guaranteed && !step.m_overdue &&
+        !may_begin_trial(step.m_policy.m_pool))
     {
         return false;
     }
@@ -55,6 +65,13 @@
     return !step.m_wants_quiet_worker || step.m_persistent || is_quiet(worker);
 }
 
+bool planner::may_begin_trial(const std::string& pool) const
+{
+    const auto trials = m_trials.find(pool);
+    const std::size_t workers = m_index.pool(pool).size();
+    return trials == m_trials.end() || trials->second < (workers + 1) / 2;
+}
+
 bool planner::is_quiet(const worker_entry& worker) const
 {
     return worker.m_reserved == resources() &&
--- a/kingcuprudder/dispatch/worker_loss.cpp
+++ b/kingcuprudder/dispatch/worker_loss.cpp
@@ -84,6 +84,22 @@
     return found;
 }
 
+std::vector<double> worker_loss::suspicion_shares() const
+{
+    std::vector<double> shares;
+    double sum = 0;
+    for (std::size_t position = 0; position < m_runs.size(); ++position)
+    {
+        shares.push_back(weight_of(suspicion_of(position)));
+        sum += shares.back();
+    }
+    for (double& share : shares)
+    {
+        share = sum > 0 ? share / sum : 0;
+    }
+    return shares;
+}
+
 crash_suspicion worker_loss::suspicion_by_start(std::size_t position) const
 {
     const lost_run& run = m_runs[position];
--- a/kingcuprudder/dispatch/worker_loss.hpp
+++ b/kingcuprudder/dispatch/worker_loss.hpp
@@ -51,6 +51,9 @@
     /// Returns how strongly this loss, taken alone, points to the run with this
     /// position in m_runs.
     crash_suspicion suspicion_of(std::size_t position) const;
+    /// Returns, by position in m_runs, the share of the suspicion that falls on
+    /// each run: one of many runs is probably not the one that caused the loss.
+    std::vector<double> suspicion_shares() const;
     /// Returns whether the end of the worker's process counts against this run,
     /// however long it was at work. It doesn't if the worker ended before the
     /// run's start may have reached it, or if the run was old and the machine
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -22,6 +22,8 @@
 {
     task_ref m_task;
     crash_suspicion m_suspicion = crash_suspicion::none;
+    /// The share of the suspicion that falls on this task, from 0 to 1.
+    double m_share = 0;
     /// It is one of task_progress::m_workers_ended.
     bool m_counts_as_ended = false;
 };
@@ -81,9 +83,11 @@
     std::vector<attributed_loss> m_attributed;
     /// When a run was last assigned to the worker or started on it.
     instant m_last_start_at;
-    /// No other run is started before this time, so that a crash of the worker
-    /// can be attributed to the suspected task that was started.
+    /// Until this time only suspected tasks are started, and few of them, so
+    /// that a crash of the worker can be attributed to them.
     instant m_trial_until;
+    /// The sum of the suspicion of the tasks on this trial.
+    double m_trial_suspicion = 0;
     /// All runs on the worker have ended by this time unless a later renewal or
     /// start reached it.
     instant m_lease_end;
