Release the runs of a worker that has left as it announced

Cause: that a worker is unlisted and refuses connections is no evidence that its process ended, as one that is cut off shows the same, so only its lease released its runs, 5.5 to 6.4 s after its first unanswered call.

Change: a new evidence, "worker left": the process that answered last, at the address where it answered, announced its drain; its entry was removed from the worker list after the announced time and within three heartbeat intervals of its writing; and a connection for a call that was sent after the removal was seen is refused. By the protocol an entry of a silent worker is removed only after three intervals, so an earlier removal was the worker's own. The entry's age counts from the worker's own clock, with the least lead of this process's clock that its answers show, so a late reading makes it older, not younger. An unreadable entry, an entry of another process or address, a worker that is listed again or answers, and a new leader that has had no answer of the worker change nothing: the lease holds as before. Late starts are barred as for every release. A connection that is reset while it is opened is no longer reported as refused.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t lease_clock_error_divisor = 40;
 // A silent worker with two addresses is called this long at each of them.
 constexpr span address_trial_time = span(1000);
+// The worker list drops the entry of a silent worker after so many intervals.
+constexpr int missed_heartbeats = 3;
 
 } // namespace
 
@@ -235,6 +237,8 @@
     }
     const bool has_moved = worker.m_entry.m_address != description.m_address;
     worker.m_entry = description;
+    worker.m_entry_read_at = now;
+    worker.m_left_at.reset();
     worker.use_entry();
     choose_called_address(worker);
     worker.m_listed = true;
@@ -327,6 +331,27 @@
             number((now - found->second.m_last_answer).count())}});
 }
 
+void dispatcher::worker_removed(const std::string& id, instant now)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || !found->second.m_listed)
+    {
+        return;
+    }
+    worker_entry& worker = found->second;
+    worker_unlisted(id, now);
+    const span expiry = m_limits.m_heartbeat_interval * missed_heartbeats;
+    if (worker.leaves_by(now, expiry))
+    {
+        worker.m_left_at = now;
+        m_log("worker_leaves", id,
+              {{"entry_age_ms",
+                number((now - *worker.entry_written_after()).count())},
+               {"drain_left_ms",
+                number(worker.m_entry.m_drain_remaining.count())}});
+    }
+}
+
 void dispatcher::renewal_sent(const std::string& id, instant sent)
 {
     worker_entry& worker = find_or_add_worker(id);
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -33,6 +33,8 @@
     /// The maximum duration of a worker's lease.
     span m_worker_lease = span(6000);
     span m_stop_timeout = span(400); ///< The maximum duration of a stop.
+    /// The interval at which workers renew their entry in the worker list.
+    span m_heartbeat_interval = span(1500);
     /// The time within which a guaranteed job must start.
     span m_reclaim_bound = span(2900);
     /// The run time factor of a task outside the rack of its data.
@@ -93,7 +95,10 @@
 
     /// Adds a worker of the platform's worker list or updates it.
     void worker_listed(const worker_description& description, instant now);
+    /// The worker's entry cannot be used.
     void worker_unlisted(const std::string& id, instant now);
+    /// The worker's entry was removed: the worker has left or was silent.
+    void worker_removed(const std::string& id, instant now);
 
     /// Returns whether the worker is called at this address now. Results of
     /// renewals at another address must not be applied.
@@ -104,8 +109,10 @@
     /// Applies the answer to a renewal that was sent at the given time.
     void renewal_answered(const std::string& id, const worker_report& report,
                           instant sent, instant now);
+    /// A renewal was not answered. Without the time at which it was sent, its
+    /// failure does not show that a worker has left.
     void renewal_failed(const std::string& id, const call_result& result,
-                        instant now);
+                        instant now, std::optional<instant> sent = {});
 
     void start_finished(const start_order& order, const call_result& result,
                         instant now);
@@ -224,6 +231,11 @@
     void complete_if_done(job_entry& job, instant now);
     void release_worker_runs(worker_entry& worker,
                              const run_end_evidence& evidence, instant now);
+    /// Returns when the worker was found to have left, if a call that was sent
+    /// at the given time and ended like this confirms it.
+    static std::optional<instant> left_at(const worker_entry& worker,
+                                          const call_result& result,
+                                          std::optional<instant> sent);
     /// Releases the runs of a worker that was lost, and attributes the loss to
     /// the tasks that may have caused it.
     void lose_worker_runs(worker_entry& worker,
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -337,6 +337,17 @@
     forget_unrecorded_runs(worker.id(), evidence, now);
 }
 
+std::optional<instant> dispatcher::left_at(const worker_entry& worker,
+                                           const call_result& result,
+                                           std::optional<instant> sent)
+{
+    const bool confirmed =
+        result.m_failure == call_failure::connection_refused &&
+        worker.m_left_at && sent && *sent > *worker.m_left_at &&
+        worker.is_called_where_it_answered();
+    return confirmed ? worker.m_left_at : std::nullopt;
+}
+
 void dispatcher::give_up(job_entry& job, const task_ref& ref, instant now)
 {
     const task_progress& progress = job.task(ref).m_progress;
--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -64,6 +64,8 @@
     worker.m_answered_address = worker.m_called_address;
     worker.m_last_answer = now;
     worker.m_answer_clock = report.m_clock;
+    worker.note_clock(report.m_clock, sent);
+    worker.m_left_at.reset();
     note_answer(worker);
     for (const completion_report& end : report.m_ended)
     {
@@ -82,7 +84,8 @@
 }
 
 void dispatcher::renewal_failed(const std::string& id,
-                                const call_result& result, instant now)
+                                const call_result& result, instant now,
+                                std::optional<instant> sent)
 {
     worker_entry& worker = find_or_add_worker(id);
     if (worker.m_reachable)
@@ -111,6 +114,12 @@
             worker,
             run_end_evidence::process_replaced(worker.m_incarnation, now), now);
     }
+    if (const auto left = left_at(worker, result, sent))
+    {
+        const auto evidence =
+            run_end_evidence::left(worker.m_incarnation, *left, *sent);
+        lose_worker_runs(worker, evidence, now);
+    }
     call_other_address(worker, now);
 }
 
@@ -156,6 +165,7 @@
     // Calls to the earlier process may be carried out late. One that extends
     // the lease has a time of the earlier clock. Until now they may have
     // extended the new process's lease to the maximum.
+    worker.m_clock_lead.reset();
     worker.m_required_fence = std::max(m_fence, report.m_fence) + 1;
     worker.m_lease_end = std::max(worker.m_lease_end, lease_end(now));
     m_required_fence = std::max(m_required_fence, worker.m_required_fence);
--- a/kingcuprudder/dispatch/run_end_evidence.cpp
+++ b/kingcuprudder/dispatch/run_end_evidence.cpp
@@ -58,6 +58,13 @@
     return {kind::process_replaced, "worker replaced", process, now};
 }
 
+run_end_evidence run_end_evidence::left(std::int64_t process, instant removed,
+                                        instant requested)
+{
+    KCR_ASSERT(removed < requested);
+    return {kind::left, "worker left", process, requested};
+}
+
 decision_fields run_end_evidence::fields(instant now) const
 {
     return {{"reason", m_reason},
--- a/kingcuprudder/dispatch/run_end_evidence.hpp
+++ b/kingcuprudder/dispatch/run_end_evidence.hpp
@@ -20,13 +20,14 @@
 public:
     enum class kind
     {
-        never_sent,      ///< No start was sent.
-        refused,         ///< The only start was refused or not sent.
-        reported,        ///< The process reported the end.
-        unlisted,        ///< The process does not list the run.
-        lease_over,      ///< The process must have killed the run.
-        process_ended,   ///< A later process answers under the worker's id.
-        process_replaced ///< Another worker's process answers at its address.
+        never_sent,       ///< No start was sent.
+        refused,          ///< The only start was refused or not sent.
+        reported,         ///< The process reported the end.
+        unlisted,         ///< The process does not list the run.
+        lease_over,       ///< The process must have killed the run.
+        process_ended,    ///< A later process answers under the worker's id.
+        process_replaced, ///< Another worker's process answers at its address.
+        left              ///< The process has left as it had announced.
     };
 
     /// The reason says why the start is not sent.
@@ -46,6 +47,10 @@
     static run_end_evidence process_ended(std::int64_t process,
                                           instant requested);
     static run_end_evidence process_replaced(std::int64_t process, instant now);
+    /// The process drained, its entry in the worker list was removed, and its
+    /// machine refused a connection for a call that was sent after that.
+    static run_end_evidence left(std::int64_t process, instant removed,
+                                 instant requested);
 
     kind what() const { return m_kind; }
     /// Returns the reason as it is logged.
--- a/kingcuprudder/dispatch/worker_table.cpp
+++ b/kingcuprudder/dispatch/worker_table.cpp
@@ -1,5 +1,7 @@
 #include <kingcuprudder/dispatch/worker_table.hpp>
 
+#include <algorithm>
+
 namespace kingcuprudder::dispatch
 {
 
@@ -38,4 +40,33 @@
     m_description = used;
 }
 
+void worker_entry::note_clock(std::int64_t clock, instant requested)
+{
+    if (clock != 0)
+    {
+        const span lead = requested - instant(clock);
+        m_clock_lead = std::max(m_clock_lead.value_or(lead), lead);
+    }
+}
+
+std::optional<instant> worker_entry::entry_written_after() const
+{
+    if (m_entry.m_clock == 0 || !m_clock_lead)
+    {
+        return std::nullopt;
+    }
+    return std::min(m_entry_read_at, instant(m_entry.m_clock) + *m_clock_lead);
+}
+
+bool worker_entry::leaves_by(instant removed, span expiry) const
+{
+    const std::optional<instant> written = entry_written_after();
+    const bool of_this_process = m_incarnation != 0 &&
+                                 m_entry.m_incarnation == m_incarnation &&
+                                 m_entry.m_address == m_answered_address;
+    return written && of_this_process && m_entry.m_draining &&
+           removed - *written >= m_entry.m_drain_remaining &&
+           removed - *written < expiry;
+}
+
 } // namespace kingcuprudder::dispatch
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -76,6 +76,14 @@
     bool m_cut_off = false;
     /// The worker's clock in its last answer, in milliseconds.
     std::int64_t m_answer_clock = 0;
+    /// The least time by which this process's clock may be ahead of the clock
+    /// of the worker's process; empty before the first answer with a clock.
+    std::optional<span> m_clock_lead;
+    /// When m_entry was read.
+    instant m_entry_read_at;
+    /// When the entry of the worker was found to be removed because the process
+    /// that answered last has left; empty if it may be alive.
+    std::optional<instant> m_left_at;
     /// The loss of this incarnation has been attributed.
     bool m_loss_attributed = false;
     /// The tasks to which the loss of this incarnation was attributed. It is
@@ -128,6 +136,16 @@
     /// Returns whether m_description is that of the present process. The next
     /// process may have other labels and less capacity.
     bool is_described() const;
+    /// Notes a reading of the worker's clock that was requested at this time.
+    void note_clock(std::int64_t clock, instant requested);
+    /// Returns the earliest time at which the worker may have written its
+    /// newest entry; empty if that is not known.
+    std::optional<instant> entry_written_after() const;
+    /// Returns whether the newest entry shows that the process that answered
+    /// last has left if the entry was removed by the given time. The process
+    /// must have announced it in this entry. An entry that is no longer renewed
+    /// is removed after `expiry`, so only an earlier removal counts.
+    bool leaves_by(instant removed, span expiry) const;
     /// Returns whether the worker has answered this leader.
     bool has_answered() const { return m_last_answer != instant(); }
     /// Returns whether the worker is called at the address where it answered
--- a/kingcuprudder/node/node_settings.cpp
+++ b/kingcuprudder/node/node_settings.cpp
@@ -68,6 +68,8 @@
         return static_cast<std::size_t>(value);
     }
 
+    bool contains(const char* name) const { return m_object.contains(name); }
+
     span milliseconds(const char* name) const
     {
         return span(static_cast<std::int64_t>(positive(name)));
@@ -118,6 +120,10 @@
         settings.m_shutdown_grace = fields.seconds("shutdown_grace_s");
         settings.m_limits.m_worker_lease =
             fields.milliseconds("worker_lease_ms");
+        settings.m_limits.m_heartbeat_interval =
+            fields.contains("worker_heartbeat_ms")
+                ? fields.milliseconds("worker_heartbeat_ms")
+                : settings.m_limits.m_heartbeat_interval;
         settings.m_limits.m_stop_timeout =
             fields.milliseconds("worker_stop_ms");
         settings.m_limits.m_reclaim_bound = fields.milliseconds("reclaim_ms");
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -340,14 +340,15 @@
     };
     hooks.m_renewal_failed =
         [this, address](const std::string& worker,
-                        const dispatch::call_result& result)
+                        const dispatch::call_result& result, instant sent)
     {
         post(
-            [this, address, worker, result]
+            [this, address, worker, result, sent]
             {
                 if (m_dispatcher.is_called_at(worker, address))
                 {
-                    m_dispatcher.renewal_failed(worker, result, boottime_now());
+                    m_dispatcher.renewal_failed(worker, result, boottime_now(),
+                                                sent);
                 }
             });
     };
--- a/kingcuprudder/node/scheduler_records.cpp
+++ b/kingcuprudder/node/scheduler_records.cpp
@@ -351,7 +351,7 @@
         after_prefix(found.m_key, m_environment.m_records.m_workers_prefix);
     if (removed)
     {
-        m_dispatcher.worker_unlisted(id, boottime_now());
+        m_dispatcher.worker_removed(id, boottime_now());
         return;
     }
     const auto decoded =
@@ -382,7 +382,7 @@
     {
         if (!listed.contains(id))
         {
-            m_dispatcher.worker_unlisted(id, boottime_now());
+            m_dispatcher.worker_removed(id, boottime_now());
         }
     }
 }
--- a/kingcuprudder/node/worker_session.cpp
+++ b/kingcuprudder/node/worker_session.cpp
@@ -268,7 +268,7 @@
     m_lease_unanswered =
         m_lease_unanswered || call.m_lease_end_clock.has_value();
     m_lease_overdue = m_lease_overdue || m_lease_unanswered;
-    m_hooks.m_renewal_failed(m_request.m_worker, result);
+    m_hooks.m_renewal_failed(m_request.m_worker, result, sent);
     pause_renewals(failed_renewal_pause);
     execute_next();
 }
--- a/kingcuprudder/node/worker_session.hpp
+++ b/kingcuprudder/node/worker_session.hpp
@@ -42,7 +42,7 @@
                            const dispatch::worker_report& report, instant sent)>
             m_renewal_answered;
         std::function<void(const std::string& worker,
-                           const dispatch::call_result& result)>
+                           const dispatch::call_result& result, instant sent)>
             m_renewal_failed;
         std::function<void(const dispatch::start_order&,
                            const dispatch::call_result& result)>
--- a/kingcuprudder/runtime/http_endpoint.cpp
+++ b/kingcuprudder/runtime/http_endpoint.cpp
@@ -53,11 +53,14 @@
 /// Returns why a connection could not be opened.
 http_failure_cause cause_of_connect_error(const error_code& error)
 {
-    if (error == asio::error::connection_refused ||
-        error == asio::error::connection_reset)
+    if (error == asio::error::connection_refused)
     {
         return http_failure_cause::refused;
     }
+    if (error == asio::error::connection_reset)
+    {
+        return http_failure_cause::closed;
+    }
     return error == asio::error::timed_out ? http_failure_cause::timed_out
                                            : http_failure_cause::unreachable;
 }
--- a/review/stand_ins-2/lab.py
+++ b/review/stand_ins-2/lab.py
@@ -67,6 +67,7 @@
         self.front = f"{web.LOOPBACK}:{front}"
         self.ready = f"{web.LOOPBACK}:{ready}"
         fields = {"nodeName": name, "zone": zone, "ip": web.LOOPBACK,
+                  "heartbeatMs": 1500,
                   "listen": {"front": self.front, "ready": self.ready},
                   "portRange": [metrics, metrics],
                   "platform": {"address": lab.store_address},
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -33,6 +33,7 @@
     span m_worker_lease = span(6000);
     span m_shutdown_grace = span::seconds(3);
     span m_status_retention = span::seconds(120);
+    span m_worker_heartbeat = span(1500);
 };
 
 /// Starts kcr_node processes on loopback ports and kills, terminates or pauses
--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -121,7 +121,7 @@
           m_nodes(options.m_program, options.m_folder,
                   profiles_of(m_sheet, m_platform.store_address(), m_links),
                   {m_sheet.m_worker_lease, m_sheet.m_shutdown_grace,
-                   m_sheet.m_status_retention}),
+                   m_sheet.m_status_retention, m_sheet.m_heartbeat}),
           m_faults(m_nodes, m_platform, m_disruptions, options.m_seed),
           m_random(options.m_seed)
     {
--- a/unit_tests/dispatch/usable_worker_random_test.cpp
+++ b/unit_tests/dispatch/usable_worker_random_test.cpp
@@ -27,14 +27,29 @@
 constexpr span longest_exclusion = span(12'500);
 // Planning, the write of the record and the start.
 constexpr span start_time = span(1000);
+constexpr span heartbeat = span(1500);
+constexpr int missed_heartbeats = 3;
+constexpr span drain_time = span(2000);
+constexpr span refusal_time = span(3);
+
+/// The random events, beside jobs, cancels, takeovers and workers that restart,
+/// are cut off, drain or leave the list.
+enum class random_events
+{
+    usual,
+    /// Workers announce that they drain, and leave. Others are cut off by a
+    /// network that refuses connections, and their entries expire.
+    with_departures
+};
 
-/// A leader and its workers under random events: jobs, cancels, workers that
-/// restart, are cut off, drain or leave the list, and takeovers. A worker is
-/// called only as its renewal request says.
+/// A leader and its workers under random events. A worker is called only as its
+/// renewal request says.
 class random_life
 {
 public:
-    explicit random_life(std::uint32_t seed) : m_random(seed)
+    explicit random_life(std::uint32_t seed,
+                         random_events events = random_events::usual)
+        : m_events(events), m_random(seed)
     {
         service_configuration& configuration = m_configuration;
         configuration.m_version = 1;
@@ -99,6 +114,8 @@
     }
 
     const recorded_log& log() const { return m_log; }
+    /// Returns the tasks that ran on two workers at the same time.
+    const std::set<std::string>& doubled_tasks() const { return m_doubled; }
 
 private:
     struct host
@@ -106,7 +123,16 @@
         modelled_worker m_worker;
         bool m_listed = true;
         bool m_draining = false;
+        instant m_cut_from;
         instant m_cut_until;
+        /// The cut refuses connections.
+        bool m_refuses = false;
+        /// When it leaves, if it has announced that, and when the next process
+        /// is there.
+        std::optional<instant> m_leaves_at;
+        instant m_away_until;
+        /// The time of its last heartbeat.
+        instant m_written_at;
         // The session.
         renewal_request m_request;
         bool m_renewing = false;
@@ -152,10 +178,55 @@
         made.m_rack = "rack-1";
         made.m_capacity = {64'000, 256'000, gpus};
         made.m_incarnation = of.m_worker.process();
-        made.m_draining = of.m_draining;
+        made.m_draining = of.m_draining || of.m_leaves_at;
+        if (m_events == random_events::with_departures)
+        {
+            made.m_clock = of.m_written_at.count();
+            made.m_drain_remaining = std::max(
+                span(0), of.m_leaves_at.value_or(m_now) - of.m_written_at);
+        }
         return made;
     }
 
+    /// Lets the worker write its entry, leave, or lose its entry.
+    void beat(const std::string& id, host& of)
+    {
+        const bool is_away = m_now < of.m_away_until;
+        const span silence = m_now - of.m_written_at;
+        if (of.m_leaves_at && *of.m_leaves_at <= m_now)
+        {
+            of.m_worker.restart();
+            of.m_leaves_at.reset();
+            of.m_away_until = m_now + random_span(span(8000));
+            m_dispatcher->worker_removed(id, m_now);
+        }
+        else if (!is_away && !is_cut(of) && silence >= heartbeat)
+        {
+            of.m_written_at = m_now;
+            list(id, of);
+        }
+        else if (is_cut(of) && silence >= heartbeat * missed_heartbeats)
+        {
+            m_dispatcher->worker_removed(id, m_now);
+        }
+    }
+
+    void note_doubled_tasks()
+    {
+        std::set<std::string> running;
+        for (const auto& [id, each] : m_hosts)
+        {
+            for (const running_report& run :
+                 each.m_worker.report(m_fence, m_now).m_running)
+            {
+                if (!running.insert(run.m_task).second)
+                {
+                    m_doubled.insert(run.m_task);
+                }
+            }
+        }
+    }
+
     void list(const std::string& id, const host& of)
     {
         if (of.m_listed)
@@ -183,7 +254,7 @@
             each.m_acknowledged = 0;
             each.m_lease_unanswered = false;
             each.m_pause_until = m_now;
-            if (each.m_listed)
+            if (each.m_listed && m_now >= each.m_away_until)
             {
                 list(id, each);
             }
@@ -241,6 +312,11 @@
 
     void disturb()
     {
+        if (m_events == random_events::with_departures && one_in(4))
+        {
+            disturb_membership(random_host());
+            return;
+        }
         constexpr int kinds = 9;
         host& chosen = random_host();
         switch (random(1, kinds))
@@ -249,6 +325,7 @@
             chosen.m_worker.restart();
             break;
         case 2:
+            chosen.m_cut_from = m_now;
             chosen.m_cut_until = m_now + random_span(span(8000));
             break;
         case 3:
@@ -259,7 +336,11 @@
             break;
         case 5:
             cancel_random_job();
-            m_takeover_at = m_now + random_span(stop_timeout);
+            // A leader must last to see an entry expire.
+            if (m_events == random_events::usual || one_in(10))
+            {
+                m_takeover_at = m_now + random_span(stop_timeout);
+            }
             break;
         case 6:
         case 7:
@@ -272,11 +353,35 @@
         list_all();
     }
 
+    void disturb_membership(host& chosen)
+    {
+        if (m_now < chosen.m_away_until || chosen.m_leaves_at)
+        {
+            return;
+        }
+        // It writes at once what it announces.
+        chosen.m_written_at = m_now - heartbeat;
+        if (one_in(3))
+        {
+            chosen.m_refuses = true;
+            chosen.m_cut_from = m_now + tick * 2;
+            chosen.m_cut_until = m_now + random_span(span(12'000));
+            chosen.m_draining = one_in(2);
+        }
+        else
+        {
+            chosen.m_leaves_at = m_now + drain_time + random_span(drain_time);
+        }
+    }
+
     void list_all()
     {
         for (const auto& [id, each] : m_hosts)
         {
-            list(id, each);
+            if (m_events == random_events::usual)
+            {
+                list(id, each);
+            }
         }
     }
 
@@ -287,8 +392,11 @@
             each.m_listed = true;
             each.m_draining = false;
             each.m_cut_until = m_now;
+            each.m_leaves_at.reset();
+            each.m_away_until = m_now;
+            each.m_written_at = m_now;
+            list(id, each);
         }
-        list_all();
         for (const auto& [id, job] : m_stored)
         {
             cancel(id);
@@ -306,7 +414,12 @@
         for (auto& [id, each] : m_hosts)
         {
             each.m_worker.advance(m_now);
+            if (m_events == random_events::with_departures)
+            {
+                beat(id, each);
+            }
         }
+        note_doubled_tasks();
         while (!m_actions.empty() && m_actions.begin()->first <= m_now)
         {
             const auto [term, call] = m_actions.begin()->second;
@@ -339,8 +452,7 @@
         constexpr std::size_t most = 30;
         for (const job_write& write : m_dispatcher->take_writes(most))
         {
-            const span delay = random_span(span(300));
-            later(delay,
+            later(store_delay(),
                   [this, write]
                   {
                       m_stored[write.m_job].m_progress = write.m_progress;
@@ -351,7 +463,36 @@
         }
     }
 
-    bool is_cut(const host& of) const { return m_now < of.m_cut_until; }
+    /// Runs outlast the drain of their worker, or the life of its entry.
+    span longest_run() const
+    {
+        return m_events == random_events::usual ? span(4000) : span(12'000);
+    }
+
+    /// Returns how long the next write takes. With departures, writes are
+    /// stored in order, as one that overtakes others loses their runs.
+    span store_delay()
+    {
+        const span delay = random_span(span(300));
+        if (m_events == random_events::usual)
+        {
+            return delay;
+        }
+        m_stored_until = std::max(m_stored_until, m_now + delay);
+        return m_stored_until - m_now;
+    }
+
+    bool is_cut(const host& of) const
+    {
+        const bool cut = m_now >= of.m_cut_from && m_now < of.m_cut_until;
+        return cut || m_now < of.m_away_until;
+    }
+    /// Returns whether the machine, or a cut, refuses connections to the
+    /// worker.
+    bool refuses(const host& of) const
+    {
+        return m_now < of.m_away_until || (is_cut(of) && of.m_refuses);
+    }
 
     void send(const dispatch_effects& effects)
     {
@@ -390,7 +531,7 @@
         const bool answered = !is_cut(to) && !one_in(20);
         if (!is_cut(to))
         {
-            const span length = span(500) + random_span(span(4000));
+            const span length = span(500) + random_span(longest_run());
             const order_outcome done =
                 to.m_worker.start(order, m_now + length, m_now);
             if (done == order_outcome::accepted)
@@ -422,6 +563,13 @@
         {
             m_dispatcher->renewal_sent(id, m_now);
         }
+        if (refuses(at))
+        {
+            fail_renewal_later(
+                id, refusal_time,
+                {order_outcome::not_sent, call_failure::connection_refused});
+            return;
+        }
         if (is_cut(at) || !at.m_worker.renew(fence, acknowledged, m_now))
         {
             fail_renewal_later(id);
@@ -432,19 +580,19 @@
         await_answer(id, fence, process, ends, m_now, m_now + renewal_wait);
     }
 
-    void fail_renewal_later(const std::string& id)
+    void fail_renewal_later(const std::string& id, span delay = renewal_timeout,
+                            const call_result& result = {
+                                order_outcome::may_have_arrived,
+                                call_failure::timed_out})
     {
-        later(renewal_timeout,
-              [this, id]
+        later(delay,
+              [this, id, result, sent = m_now]
               {
                   host& at = m_hosts.at(id);
                   at.m_renewing = false;
                   at.m_lease_unanswered = true;
                   at.m_pause_until = m_now + span(350);
-                  m_dispatcher->renewal_failed(id,
-                                               {order_outcome::may_have_arrived,
-                                                call_failure::timed_out},
-                                               m_now);
+                  m_dispatcher->renewal_failed(id, result, m_now, sent);
               });
     }
 
@@ -478,6 +626,9 @@
               });
     }
 
+    random_events m_events;
+    instant m_stored_until;
+    std::set<std::string> m_doubled;
     std::mt19937 m_random;
     instant m_now = instant(1'000'000);
     int m_term = 0;
@@ -514,4 +665,27 @@
     }
 }
 
+// Guards against a second run beside a worker that lives, and against workers
+// that are kept out of plans after they have left and come back.
+TEST(usable_worker_random, departures_double_no_run_and_exclude_no_worker)
+{
+    constexpr std::uint32_t seeds = 150;
+    std::size_t left = 0;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed)
+    {
+        random_life life(seed, random_events::with_departures);
+        life.play();
+        ASSERT_TRUE(life.are_idle()) << "seed " << seed;
+        EXPECT_EQ(life.doubled_tasks(), std::set<std::string>())
+            << "seed " << seed;
+        EXPECT_EQ(life.start_on_all(), std::size_t{workers}) << "seed " << seed;
+        const std::vector<log_line> over = life.log().lines("run_over");
+        left += static_cast<std::size_t>(
+            std::count_if(over.begin(), over.end(),
+                          [](const log_line& line)
+                          { return line.field("reason") == "worker left"; }));
+    }
+    EXPECT_GT(left, seeds / 10);
+}
+
 } // namespace kingcuprudder::dispatch
--- a/unit_tests/node/worker_session_test.cpp
+++ b/unit_tests/node/worker_session_test.cpp
@@ -163,11 +163,13 @@
             }
             ++m_answered;
         };
-        hooks.m_renewal_failed =
-            [this](const std::string&, const dispatch::call_result& got)
+        hooks.m_renewal_failed = [this](const std::string&,
+                                        const dispatch::call_result& got,
+                                        instant sent)
         {
             std::lock_guard lock(m_record.m_mutex);
             m_failures.push_back(got);
+            m_failures_sent.push_back(sent);
             ++m_failed;
         };
         hooks.m_start_finished = [this](const dispatch::start_order&,
@@ -259,6 +261,7 @@
     std::function<void(const dispatch::worker_report&)> m_on_answer;
     std::vector<dispatch::call_result> m_outcomes;
     std::vector<dispatch::call_result> m_failures;
+    std::vector<instant> m_failures_sent;
     std::atomic<int> m_leases_granted = 0;
     instant m_last_lease_sent;
     std::atomic<int> m_answered = 0;
@@ -426,6 +429,22 @@
     EXPECT_GT(calls[4].m_wait, span(0));
 }
 
+// Guards against a refusal that seems to be newer than the worker's removal
+// from the list.
+TEST_F(worker_session_test, a_failed_renewal_is_reported_with_its_sending_time)
+{
+    m_record.m_renewal_answers = {
+        report(),
+        dispatch::call_result(dispatch::order_outcome::not_sent,
+                              dispatch::call_failure::connection_refused)};
+    const auto tested = session();
+    tested->update(request());
+    ASSERT_TRUE(eventually([&] { return m_failed >= 1; }));
+    m_loop.stop();
+    ASSERT_FALSE(m_failures_sent.empty());
+    EXPECT_EQ(m_failures_sent[0], m_last_lease_sent);
+}
+
 // Guards against a log that cannot tell a crashed worker from one that is slow,
 // cut off or replaced.
 TEST_F(worker_session_test, failed_calls_are_reported_with_their_reason)
