Work leaves a draining worker before the worker does

Cause: a run that could not end in the drain time of its worker was left there. It ended with the worker, its work was lost, and when it had ended had to be found out: by the release of workers that left as announced, or by the lease. A leader that takes over meanwhile has had no answer of the worker and counts the lease anew. Change: a run on a draining worker that is unlikely to end before the worker exits, by its progress and speed or else by the predicted duration, is stopped while the worker answers, if there is room for it elsewhere; a gang moves as a whole. A leader that takes over during the drain does the same.

--- a/kingcuprudder/dispatch/dispatcher_reports.cpp
+++ b/kingcuprudder/dispatch/dispatcher_reports.cpp
@@ -317,6 +317,7 @@
                                  int percent, instant now)
 {
     active_run& run = *job.task(ref).m_active;
+    run.m_percent = percent;
     if (!has_comparable_speed(job, ref))
     {
         run.m_progress.reset();
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -54,6 +54,10 @@
     std::optional<instant> m_listed_from;
     /// The time of the first answer or report that confirmed the run.
     std::optional<instant> m_started_at;
+    /// It is being stopped to be started on another worker.
+    bool m_moves = false;
+    /// The part of the task's work that is done, by the last report.
+    int m_percent = 0;
     run_progress m_progress;
     /// The run, of a persistent task, has lasted so long that it counts as a
     /// success of its worker.
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -86,6 +86,7 @@
             place_tasks(step);
         }
     }
+    move_runs_off_draining_workers();
 }
 
 void planner::count_free_capacity()
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -209,6 +209,23 @@
     /// another worker where it interferes with nothing. Members of gangs end
     /// together and are not moved.
     bool can_move(job_entry& job, const task_ref& ref) const;
+    /// Stops runs on draining workers that are unlikely to end before their
+    /// worker exits, if there is room for them elsewhere.
+    void move_runs_off_draining_workers();
+    /// Claims the room for runs that an earlier pass has moved and that have
+    /// not ended yet.
+    void claim_room_for_moving_runs();
+    /// Returns whether the run, or its whole gang, is at work and may be
+    /// stopped to be started on another worker.
+    static bool can_be_moved(job_entry& job, const task_ref& ref);
+    void consider_move(const worker_entry& worker, job_entry& job,
+                       const task_ref& ref);
+    /// Claims room on other workers for the run or, if it is one of a gang, for
+    /// the whole gang. Returns false if there is none.
+    bool claim_room_to_move(job_entry& job, const task_ref& ref);
+    /// The same for so many tasks of the step on the candidates.
+    bool claim_room_on(const worker_index::workers& candidates,
+                       const waiting_step& moved, int count);
     /// Returns whether the run may be stopped now for work of a higher rank.
     static bool is_stoppable(const job_entry& job, const task_ref& ref);
     void preempt(const std::vector<victim>& victims, const waiting_step& step);
@@ -228,6 +245,8 @@
     std::map<std::string, std::size_t> m_trials;
     /// The result of held_by_persistent() in this pass.
     std::optional<std::map<std::string, resources>> m_held_by_persistent;
+    /// The resources for runs that this pass moves, by worker.
+    std::map<std::string, resources> m_claimed;
     /// The results of victims_on() in this pass, by worker.
     std::map<std::string, std::vector<victim>> m_victims;
 };
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -6,6 +6,7 @@
 #include <kingcuprudder/dispatch/task_ref.hpp>
 #include <kingcuprudder/dispatch/worker_description.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -146,6 +147,12 @@
     /// must have announced it in this entry. An entry that is no longer renewed
     /// is removed after `expiry`, so only an earlier removal counts.
     bool leaves_by(instant removed, span expiry) const;
+    /// Returns the time for which a draining worker certainly goes on.
+    span drain_left(instant now) const
+    {
+        return std::max(span(0),
+                        m_entry.m_drain_remaining - (now - m_entry_read_at));
+    }
     /// Returns whether the worker has answered this leader.
     bool has_answered() const { return m_last_answer != instant(); }
     /// Returns whether the worker is called at the address where it answered
