The log says why a job with a due step has nothing running

The log had task_assigned and the run_* lines, and suspected_task_waits for tasks that crash workers; between the end of a run and the next assignment it said nothing, so that a wait for a lease, a wait for a rack, quarantines and a full pool looked the same.

Cause: the planner returned from a step without a place and gave no reason. Change: wait_reason.hpp finds one typed reason from the run that has not ended, or else from how many tasks fit as each condition (listed, answering, not in quarantine, off trial, quiet, apart, near the data, in one rack) is added. Jobs with a due step that have had nothing running for over 1 s are looked at once a second, at most 8 in a planning pass; a line job_idle is logged when the reason changes and every 5 s. Gauge kcr_leader_idle_jobs: jobs with nothing running for over 3 s beside room for two. Tests of kcr_dispatch_tests but those named *load*: 242 passed.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -19,6 +19,8 @@
 constexpr span address_trial_time = span(1000);
 // The worker list drops the entry of a silent worker after so many intervals.
 constexpr int missed_heartbeats = 3;
+// With room for it twice over, a job has something running within this time.
+constexpr span max_idle_time_beside_room = span(3000);
 
 } // namespace
 
@@ -449,4 +451,16 @@
     return waiting;
 }
 
+std::size_t dispatcher::idle_jobs_beside_room(instant now) const
+{
+    const auto& jobs = m_jobs.jobs();
+    return std::count_if(jobs.begin(), jobs.end(),
+                         [now](const auto& each)
+                         {
+                             const job_idleness& idle = each.second.m_idleness;
+                             return idle.m_room_for_two &&
+                                    idle.lasts(now) > max_idle_time_beside_room;
+                         });
+}
+
 } // namespace kingcuprudder::dispatch
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -152,6 +152,9 @@
     std::vector<renewal_request> changed_renewals();
     /// Returns the number of jobs without a started task, by queue.
     std::map<std::string, int> waiting_by_queue() const;
+    /// Returns the number of jobs that have had nothing running for longer than
+    /// the platform allows though a step is due and there is room for two.
+    std::size_t idle_jobs_beside_room(instant now) const;
 
     const std::map<std::string, worker_entry>& workers() const
     {
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -7,6 +7,7 @@
 #include <kingcuprudder/dispatch/restart_backoff.hpp>
 #include <kingcuprudder/dispatch/run_progress.hpp>
 #include <kingcuprudder/dispatch/stop_attempts.hpp>
+#include <kingcuprudder/dispatch/wait_reason.hpp>
 #include <kingcuprudder/dispatch/worker_orders.hpp>
 
 #include <algorithm>
@@ -118,6 +119,7 @@
     /// The predicted duration of a task, by step.
     std::vector<span> m_predicted_durations;
     instant m_predicted_at;
+    job_idleness m_idleness;
 
     /// Updates the predicted durations and the critical paths, unless they are
     /// recent.
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -87,6 +87,7 @@
         }
     }
     move_runs_off_draining_workers();
+    explain_idle_jobs(steps);
 }
 
 void planner::count_free_capacity()
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -2,6 +2,7 @@
 #define KINGCUPRUDDER_DISPATCH_PLANNER_HPP
 
 #include <kingcuprudder/dispatch/dispatcher.hpp>
+#include <kingcuprudder/dispatch/wait_reason.hpp>
 #include <kingcuprudder/dispatch/worker_index.hpp>
 
 #include <map>
@@ -119,6 +120,30 @@
     /// Logs why no worker is used for a step with a suspected task, once in a
     /// while.
     void log_suspected_wait(const waiting_step& step);
+    /// Returns whether a reachable worker is known to execute the task.
+    bool is_known_to_run(const task_entry& task) const;
+    /// Returns a due step that is not done, if no task of the job is known to
+    /// run.
+    std::optional<task_ref> idle_step(const job_entry& job) const;
+    /// Finds and logs why jobs have nothing running though a step is due. The
+    /// number of jobs and of lines in a pass is limited.
+    void explain_idle_jobs(const std::vector<waiting_step>& steps);
+    void explain_idle_job(job_entry& job, const task_ref& due,
+                          const std::vector<waiting_step>& steps);
+    /// Returns a task of the step that has a run, first one that has not ended;
+    /// empty if there is none.
+    static std::optional<task_ref> first_active_task(job_entry& job,
+                                                     const task_ref& step);
+    /// Returns what the task's run, which is not known to be executed, waits
+    /// for.
+    static pending_run pending_run_of(job_entry& job, const task_ref& ref);
+    /// Returns how many tasks of the step fit, counted over all workers; on
+    /// each of them up to twice those that are placed together.
+    room_by_condition room_for(const waiting_step& step);
+    void log_idle_job(const waiting_step& step, const wait_facts& facts,
+                      const std::optional<task_ref>& active);
+    /// Adds the task's run and the state of its worker to the fields.
+    void add_run(job_entry& job, const task_ref& ref, decision_fields& fields);
     /// Returns whether free capacity and the label alone determine which
     /// workers are suitable for the step's tasks.
     static bool needs_only_free_capacity(const waiting_step& step);
@@ -132,6 +157,9 @@
     /// Returns how many more tasks of the step fit on the worker.
     int fitting_tasks(const worker_entry& worker, const waiting_step& step,
                       const resources& free) const;
+    /// The same, but up to this many even if the step has fewer tasks.
+    int fitting_up_to(int most, const worker_entry& worker,
+                      const waiting_step& step, const resources& free) const;
     int tasks_on_worker(const worker_entry& worker,
                         const waiting_step& step) const;
     worker_entry* best_worker(const waiting_step& step);
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -152,9 +152,17 @@
 
 int planner::fitting_tasks(const worker_entry& worker, const waiting_step& step,
                            const resources& free) const
+{
+    return fitting_up_to(step.m_job->step(step.m_step).m_count, worker, step,
+                         free);
+}
+
+int planner::fitting_up_to(int most, const worker_entry& worker,
+                           const waiting_step& step,
+                           const resources& free) const
 {
     const job_step& wanted = step.m_job->step(step.m_step);
-    std::int64_t fitting = free.fitting(wanted.occupied(), wanted.m_count);
+    std::int64_t fitting = free.fitting(wanted.occupied(), most);
     if (wanted.m_max_per_worker > 0)
     {
         fitting = std::min<std::int64_t>(
--- a/kingcuprudder/node/leader_metrics.cpp
+++ b/kingcuprudder/node/leader_metrics.cpp
@@ -26,7 +26,11 @@
           "Workers in use that did not answer the last renewal")),
       m_workers_with_unknown_runs(registry.add_gauge(
           "kcr_leader_unknown_run_workers",
-          "Workers that get no work as they hold runs without a record"))
+          "Workers that get no work as they hold runs without a record")),
+      m_idle_jobs_beside_room(registry.add_gauge(
+          "kcr_leader_idle_jobs",
+          "Jobs with a due step and nothing running for over 3 s though there "
+          "is room for two"))
 {
     // Each counter is there from the start, so that its first increase shows.
     for (const char* event : counted_events)
@@ -64,4 +68,9 @@
     m_workers_with_unknown_runs.set(static_cast<double>(workers));
 }
 
+void leader_metrics::set_idle_jobs_beside_room(std::size_t jobs) const
+{
+    m_idle_jobs_beside_room.set(static_cast<double>(jobs));
+}
+
 } // namespace kingcuprudder::node
--- a/kingcuprudder/node/leader_metrics.hpp
+++ b/kingcuprudder/node/leader_metrics.hpp
@@ -29,12 +29,16 @@
     /// Sets the number of workers that get no work as they hold runs without a
     /// record.
     void set_workers_with_unknown_runs(std::size_t workers) const;
+    /// Sets the number of jobs that have had nothing running for too long
+    /// though there is room for two.
+    void set_idle_jobs_beside_room(std::size_t jobs) const;
 
 private:
     metric_histogram m_planning_ms;
     metric_gauge m_waiting_records;
     metric_gauge m_silent_workers;
     metric_gauge m_workers_with_unknown_runs;
+    metric_gauge m_idle_jobs_beside_room;
     std::map<std::string, metric_counter> m_decisions;
 };
 
--- a/kingcuprudder/node/scheduler.cpp
+++ b/kingcuprudder/node/scheduler.cpp
@@ -76,6 +76,7 @@
     m_writer.join();
     m_environment.m_metrics.set_state(0, 0);
     m_environment.m_metrics.set_workers_with_unknown_runs(0);
+    m_environment.m_metrics.set_idle_jobs_beside_room(0);
 }
 
 void scheduler::post(event next)
@@ -513,6 +514,8 @@
                                       static_cast<std::size_t>(silent));
     m_environment.m_metrics.set_workers_with_unknown_runs(
         m_dispatcher.workers_with_unrecorded_runs());
+    m_environment.m_metrics.set_idle_jobs_beside_room(
+        m_dispatcher.idle_jobs_beside_room(now));
 }
 
 void scheduler::remove_old_records()
--- a/unit_tests/node/leader_metrics_test.cpp
+++ b/unit_tests/node/leader_metrics_test.cpp
@@ -193,7 +193,9 @@
     }
     metrics.leader().set_state(7, 3);
     metrics.leader().set_workers_with_unknown_runs(2);
+    metrics.leader().set_idle_jobs_beside_room(5);
     metrics.leader().observe_planning(1.5);
+    EXPECT_NE(metrics.text().find("kcr_leader_idle_jobs 5"), std::string::npos);
     EXPECT_NE(metrics.text().find("kcr_leader_unknown_run_workers 2"),
               std::string::npos);
     EXPECT_NE(metrics.text().find("kcr_leader_waiting_records 7"),
