--- a/soak/balanced_connection.cpp
+++ b/soak/balanced_connection.cpp
@@ -16,8 +16,6 @@
 constexpr std::chrono::milliseconds call_timeout(3500);
 // How long a process has for an answer.
 constexpr const char* deadline_ms = "3000";
-// A process is in touch when it has run for this long without a signal.
-constexpr span contact_time = span(4000);
 // Selects another process for the next connection.
 constexpr unsigned next_choice = 7919;
 constexpr int status_too_many = 429;
@@ -88,7 +86,8 @@
     ended.m_ended_at = node::boottime_now();
     ended.m_in_touch =
         m_disruptions.is_calm_since(ended.m_sent_at) &&
-        m_nodes.undisturbed_since(m_node) + contact_time < ended.m_sent_at;
+        m_nodes.undisturbed_since(m_node) + m_disruptions.contact_time() <
+            ended.m_sent_at;
     if (answer)
     {
         ended.m_outcome = call_end::outcome::answered;
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -51,7 +51,7 @@
             m_folder + "/node-" + std::to_string(index) + ".json";
         nlohmann::json settings{
             {"name", "node-" + std::to_string(index)},
-            {"availability_zone", "zone"},
+            {"availability_zone", profile.m_zone},
             {"caller_address", node.m_caller_address},
             {"readiness_address", node.m_readiness_address},
             {"metrics_address", node.m_metrics_address},
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -25,6 +25,7 @@
     std::optional<int> m_memory_mb = std::nullopt;
     /// File descriptors of the instance; nothing for the default.
     std::optional<int> m_max_descriptors = std::nullopt;
+    std::string m_zone = "zone"; ///< Its availability zone.
 };
 
 /// The settings that all processes share.
--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -89,17 +89,22 @@
     limits.m_bytes_per_second = sheet.m_small_link;
     for (int index = 0; index <= sheet.m_processes; ++index)
     {
+        process_profile& profile = profiles.emplace_back(process_profile{
+            .m_store_address = store_address,
+            .m_processor_share = sheet.m_processor_share,
+            .m_memory_mb = sheet.m_process_memory_mb,
+            .m_max_descriptors = sheet.m_process_descriptors,
+            .m_zone = sheet.m_zones[static_cast<std::size_t>(index) %
+                                    sheet.m_zones.size()]});
         const bool is_small =
             index >= sheet.m_processes - sheet.m_small_processes;
-        if (!is_small)
+        if (is_small)
         {
-            profiles.push_back({store_address, sheet.m_processor_share});
-            continue;
+            links.push_back(std::make_unique<stand_ins::limited_link>(
+                store_address, limits));
+            profile.m_store_address = links.back()->address();
+            profile.m_processor_share = sheet.m_small_processor_share;
         }
-        links.push_back(
-            std::make_unique<stand_ins::limited_link>(store_address, limits));
-        profiles.push_back(
-            {links.back()->address(), sheet.m_small_processor_share});
     }
     return profiles;
 }
@@ -122,6 +127,7 @@
                   profiles_of(m_sheet, m_platform.store_address(), m_links),
                   {m_sheet.m_worker_lease, m_sheet.m_shutdown_grace,
                    m_sheet.m_status_retention, m_sheet.m_heartbeat}),
+          m_disruptions(m_sheet.m_bounds.m_contact),
           m_faults(m_nodes, m_platform, m_disruptions, options.m_seed),
           m_random(options.m_seed)
     {
--- a/soak/deployment_sheet.hpp
+++ b/soak/deployment_sheet.hpp
@@ -3,7 +3,11 @@
 
 #include <kingcuprudder/base/time.hpp>
 
+#include <soak/promise_bounds.hpp>
+
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,6 +98,12 @@
     std::int64_t m_small_link = 1'250'000;
     double m_processor_share = 0.5;
     double m_small_processor_share = 0.12;
+    /// Memory in MB and file descriptors of each process; nothing for the
+    /// defaults of the process.
+    std::optional<int> m_process_memory_mb = std::nullopt;
+    std::optional<int> m_process_descriptors = std::nullopt;
+    /// The availability zones; processes are assigned to them in turn.
+    std::vector<std::string> m_zones = {"zone"};
     span m_shutdown_grace = span::seconds(6);
     span m_status_retention = span::seconds(120);
     span m_worker_lease = span(6000);
@@ -115,6 +125,11 @@
     span m_finish_time = span::seconds(14);
     /// The time after that in which all jobs must be completed.
     span m_completion_time = span::seconds(90);
+    /// The bounds of the promises to callers.
+    promise_bounds m_bounds;
+    /// How often the planned work below is drawn, each time within an equal
+    /// part of the load.
+    int m_rounds = 1;
     /// Series of SIGTERM, of SIGHUP and of workers that leave; each begins at
     /// a time of its own, so that they overlap.
     int m_rolls = 2;
@@ -131,6 +146,18 @@
     span m_replacement_time = span(4000);
 };
 
+/// Returns the sheet with a load of this length. Planned work is as frequent
+/// as before, up to half a round.
+inline deployment_sheet with_load_time(deployment_sheet sheet, span load_time)
+{
+    const std::int64_t before = sheet.m_load_time.count();
+    const std::int64_t rounds =
+        (sheet.m_rounds * load_time.count() + before / 2) / before;
+    sheet.m_rounds = static_cast<int>(std::max<std::int64_t>(1, rounds));
+    sheet.m_load_time = load_time;
+    return sheet;
+}
+
 } // namespace kingcuprudder::soak
 
 #endif
--- a/soak/disruption_record.cpp
+++ b/soak/disruption_record.cpp
@@ -5,13 +5,6 @@
 namespace kingcuprudder::soak
 {
 
-namespace
-{
-
-constexpr span contact_time = span(4000);
-
-} // namespace
-
 void disruption_record::begin()
 {
     std::lock_guard lock(m_mutex);
@@ -28,7 +21,7 @@
 
 bool disruption_record::is_calm_since(instant at) const
 {
-    return is_free_since(at - contact_time);
+    return is_free_since(at - m_contact_time);
 }
 
 bool disruption_record::is_free_since(instant at) const
--- a/soak/promise_watch.cpp
+++ b/soak/promise_watch.cpp
@@ -81,7 +81,7 @@
     : m_callers(callers), m_minions(minions), m_disruptions(disruptions),
       m_sheet(sheet), m_sampler([this](const std::string& task)
                                 { return demand_of_task(task); }),
-      m_idle_checks(promise_bounds()), m_last_sample(node::boottime_now())
+      m_idle_checks(sheet.m_bounds), m_last_sample(node::boottime_now())
 {
     callers.for_each_job(
         [this](const called_job& job)
@@ -209,7 +209,7 @@
     std::vector<job_history> histories;
     m_callers.for_each_job([&](const called_job& job)
                            { histories.push_back(history_of(job)); });
-    const promise_bounds bounds;
+    const promise_bounds& bounds = m_sheet.m_bounds;
     const auto add = [this](const std::vector<std::string>& found)
     { m_violations.insert(m_violations.end(), found.begin(), found.end()); };
     for (const job_history& each : histories)
--- a/soak/scheduled_work.cpp
+++ b/soak/scheduled_work.cpp
@@ -17,11 +17,28 @@
 {
 public:
     work_planner(const deployment_sheet& sheet, unsigned seed)
-        : m_sheet(sheet), m_random(seed)
+        : m_sheet(sheet), m_random(seed),
+          m_round_time(sheet.m_load_time / sheet.m_rounds),
+          m_absent(sheet.m_processes)
     {
     }
 
     std::vector<scheduled_work> plan()
+    {
+        for (int round = 0; round < m_sheet.m_rounds; ++round)
+        {
+            m_round_begin = m_round_time * round;
+            add_round();
+        }
+        std::stable_sort(
+            m_work.begin(), m_work.end(),
+            [](const scheduled_work& left, const scheduled_work& right)
+            { return left.m_at < right.m_at; });
+        return m_work;
+    }
+
+private:
+    void add_round()
     {
         for (int index = 0; index < m_sheet.m_rolls; ++index)
         {
@@ -40,21 +57,15 @@
             add(any_time(), scheduled_work::kind::configure, 0);
         }
         add_replacement();
-        std::stable_sort(
-            m_work.begin(), m_work.end(),
-            [](const scheduled_work& left, const scheduled_work& right)
-            { return left.m_at < right.m_at; });
-        return m_work;
     }
 
-private:
     span draw(span least, span most)
     {
         return span(std::uniform_int_distribution<std::int64_t>(
             least.count(), most.count())(m_random));
     }
 
-    span any_time() { return draw(span(0), m_sheet.m_load_time); }
+    span any_time() { return m_round_begin + draw(span(0), m_round_time); }
 
     void add(span at, scheduled_work::kind kind, int subject)
     {
@@ -70,7 +81,7 @@
         std::shuffle(processes.begin(), processes.end(), m_random);
         processes.resize(static_cast<std::size_t>(m_sheet.m_processes *
                                                   m_sheet.m_rolled_share));
-        span at = draw(span(0), m_sheet.m_load_time / 2);
+        span at = m_round_begin + draw(span(0), m_round_time / 2);
         const span gap = draw(m_sheet.m_min_gap, m_sheet.m_max_gap);
         for (const int process : processes)
         {
@@ -92,19 +103,28 @@
             workers);
     }
 
-    /// Removes a process for good and adds another one.
+    /// Removes a process and adds the one that is absent.
     void add_replacement()
     {
-        const span at = draw(m_sheet.m_load_time / 4, m_sheet.m_load_time / 2);
-        const auto removed = static_cast<int>(
+        const span at =
+            m_round_begin + draw(m_round_time / 4, m_round_time / 2);
+        auto removed = static_cast<int>(
             m_random() % static_cast<unsigned>(m_sheet.m_processes));
+        if (removed == m_absent)
+        {
+            removed = m_sheet.m_processes;
+        }
         add(at, scheduled_work::kind::retire, removed);
-        add(at + replacement_gap, scheduled_work::kind::add_process,
-            m_sheet.m_processes);
+        add(at + replacement_gap, scheduled_work::kind::add_process, m_absent);
+        m_absent = removed;
     }
 
     const deployment_sheet& m_sheet;
     std::mt19937 m_random;
+    const span m_round_time;
+    span m_round_begin;
+    /// The process that is absent at the end of the round.
+    int m_absent;
     std::vector<scheduled_work> m_work;
 };
 
--- a/soak/scheduled_work.hpp
+++ b/soak/scheduled_work.hpp
@@ -14,8 +14,8 @@
     enum class kind
     {
         terminate,     ///< A process gets SIGTERM and is started again.
-        retire,        ///< A process gets SIGTERM and is removed for good.
-        add_process,   ///< A process is started for the first time.
+        retire,        ///< A process gets SIGTERM and is removed.
+        add_process,   ///< A process is started that was absent.
         reload,        ///< A process gets SIGHUP.
         configure,     ///< The operators write a new configuration.
         drain_workers, ///< Workers drain and leave.
@@ -29,7 +29,8 @@
 };
 
 /// Draws the planned work of a deployment from the seed, in the order of time.
-/// The process with the index m_processes is the one that is added.
+/// The process with the index m_processes is the one that is absent at first.
+/// In each round the absent process takes the place of another one.
 std::vector<scheduled_work> plan_work(const deployment_sheet& sheet,
                                       unsigned seed);
 
--- a/unit_tests/node/deployment_plan_test.cpp
+++ b/unit_tests/node/deployment_plan_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <platform/platform_records.hpp>
 #include <soak/job_plan.hpp>
+#include <soak/named_sheets.hpp>
 #include <soak/scheduled_work.hpp>
 
 #include <map>
@@ -99,4 +100,60 @@
     }
 }
 
+// Guards against a long run whose planned work is all at its begin.
+TEST(deployment_plan, planned_work_is_not_rarer_in_a_longer_load)
+{
+    const deployment_sheet sheet = sheet_named("etw-label");
+    const deployment_sheet longer =
+        with_load_time(sheet, sheet.m_load_time * 10);
+    EXPECT_EQ(longer.m_rounds, 10);
+    std::map<std::int64_t, std::map<scheduled_work::kind, int>> rounds;
+    for (const scheduled_work& each : plan_work(longer, 3))
+    {
+        ++rounds[each.m_at.count() / sheet.m_load_time.count()][each.m_kind];
+    }
+    for (int round = 0; round < longer.m_rounds; ++round)
+    {
+        EXPECT_GT(rounds[round][scheduled_work::kind::terminate], 0) << round;
+        EXPECT_GT(rounds[round][scheduled_work::kind::drain_workers], 0)
+            << round;
+        EXPECT_EQ(rounds[round][scheduled_work::kind::retire], 1) << round;
+    }
+}
+
+// Guards against the start of a process that is there, and against the removal
+// of one that is not.
+TEST(deployment_plan, only_the_absent_process_is_added)
+{
+    const deployment_sheet sheet = sheet_named("etw-label");
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        int absent = sheet.m_processes;
+        int removed = absent;
+        for (const scheduled_work& each :
+             plan_work(with_load_time(sheet, sheet.m_load_time * 10), seed))
+        {
+            if (each.m_kind == scheduled_work::kind::add_process)
+            {
+                EXPECT_EQ(each.m_subject, absent) << seed;
+                absent = removed;
+            }
+            if (each.m_kind == scheduled_work::kind::retire)
+            {
+                EXPECT_NE(each.m_subject, absent) << seed;
+                removed = each.m_subject;
+            }
+        }
+    }
+}
+
+TEST(deployment_plan, an_unknown_sheet_is_not_played)
+{
+    for (const std::string& each : sheet_names())
+    {
+        EXPECT_NO_THROW(sheet_named(each)) << each;
+    }
+    EXPECT_THROW(sheet_named("no such sheet"), std::invalid_argument);
+}
+
 } // namespace kingcuprudder::soak
