A leader blames no task for a worker that it never saw listed

Cause: what callers could see is a sound job shown as failed. A worker drains and leaves, and the leader changes before the runs there are released. The next leader finds the runs in the records, does not find the worker in the list, and counted its loss as a crash of each task, as it could not know that it had drained. Three to five such counts give a job up. Change: the loss of a worker that this leader never saw listed is attributed to no task.

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -285,7 +285,11 @@
     {
         m_log("worker_lost", worker.id(), loss_fields(loss, worker, now));
     }
-    if (worker.m_description.m_draining || worker.m_cut_off)
+    // A worker that this leader has never seen listed may have drained and left
+    // under the leader before.
+    const bool may_have_left =
+        worker.m_description.m_draining || !worker.was_listed();
+    if (may_have_left || worker.m_cut_off)
     {
         return;
     }
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -153,6 +153,8 @@
         return std::max(span(0),
                         m_entry.m_drain_remaining - (now - m_entry_read_at));
     }
+    /// Returns whether this leader has read an entry of the worker.
+    bool was_listed() const { return m_entry_read_at != instant(); }
     /// Returns whether the worker has answered this leader.
     bool has_answered() const { return m_last_answer != instant(); }
     /// Returns whether the worker is called at the address where it answered
--- a/unit_tests/dispatch/left_worker_test.cpp
+++ b/unit_tests/dispatch/left_worker_test.cpp
@@ -292,4 +292,21 @@
     EXPECT_FALSE(next.workers().at("w1").m_tasks.empty());
 }
 
+// Guards against sound tasks that are blamed, and at last given up, because
+// their worker left while the leader changed.
+TEST_F(left_worker_test, a_new_leader_that_never_saw_it_listed_blames_no_task)
+{
+    const job_submission submission = job("job", 1, 8);
+    const job_progress recorded = store().back().m_progress;
+    dispatcher next(dispatch_limits(), m_log.recorder());
+    next.configure(m_configuration);
+    next.begin_term(m_now, 2);
+    next.add_job(submission, recorded, m_revision, m_now, m_now);
+    next.renewal_failed("w1", refused, m_now + latency, m_now + latency);
+    pass(span(10'000));
+    next.plan(m_now, m_now);
+    EXPECT_EQ(m_log.lines("worker_lease_over").size(), 1u);
+    EXPECT_TRUE(m_log.lines("crash_attributed").empty());
+}
+
 } // namespace kingcuprudder::dispatch
