A long soak reports no job as lost whose status was kept long enough

Cause: the soak took each 410 for an accepted job as LOST. Change: a 410 is allowed if a caller was told a final state of the job before and its last run, as its worker saw it, ended at least the retention before; one millisecond sooner it is LOST as before. The retention is the bound of promise_bounds, in place of a second number in the sheet. The report counts the jobs that were forgotten so.

--- a/soak/deployment_callers.cpp
+++ b/soak/deployment_callers.cpp
@@ -286,7 +286,10 @@
         const call_end call = connection.call(call_method::read, path);
         std::lock_guard lock(m_mutex);
         (final ? job.m_final_reads : job.m_reads).push_back(call);
-        job.m_state = state_in(call);
+        if (call.m_status != status_gone || !job.has_ended())
+        {
+            job.m_state = state_in(call);
+        }
         if (call.m_status == status_ok || call.m_status == status_gone)
         {
             return;
--- a/soak/deployment_callers.hpp
+++ b/soak/deployment_callers.hpp
@@ -29,7 +29,8 @@
     /// When its cancelling was first sent.
     std::optional<instant> m_cancel_sent_at;
     std::optional<instant> m_cancelled_at;
-    /// The state that was told last, a status, or "no answer".
+    /// The state that was told last, a status, or "no answer". A final state
+    /// stays when the job is forgotten after its end.
     std::string m_state;
     /// The calls for its state, while the load lasted and after it.
     std::vector<call_end> m_reads;
--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -126,7 +126,7 @@
           m_nodes(options.m_program, options.m_folder,
                   profiles_of(m_sheet, m_platform.store_address(), m_links),
                   {m_sheet.m_worker_lease, m_sheet.m_shutdown_grace,
-                   m_sheet.m_status_retention, m_sheet.m_heartbeat}),
+                   m_sheet.m_bounds.m_status_kept, m_sheet.m_heartbeat}),
           m_disruptions(m_sheet.m_bounds.m_contact),
           m_faults(m_nodes, m_platform, m_disruptions, options.m_seed),
           m_random(options.m_seed)
@@ -347,6 +347,7 @@
         {
             completed[task.substr(0, task.find('.'))] += count > 0 ? 1 : 0;
         }
+        note_last_ends();
         callers.for_each_job(
             [&](const called_job& each)
             {
@@ -356,6 +357,28 @@
         m_report.m_faults = m_faults.count();
     }
 
+    /// Notes when the last run of each job ended.
+    void note_last_ends()
+    {
+        for (const stand_ins::run_event& each :
+             m_platform.minions().snapshot(0).m_events)
+        {
+            if (each.m_outcome)
+            {
+                m_last_ends[each.m_task.substr(0, each.m_task.find('.'))] =
+                    each.m_at;
+            }
+        }
+    }
+
+    /// Returns when the job's last run ended; empty if none did.
+    std::optional<instant> last_end_of(const called_job& job) const
+    {
+        const auto found = m_last_ends.find(job.m_plan.m_id);
+        return found == m_last_ends.end() ? std::nullopt
+                                          : std::optional(found->second);
+    }
+
     void count(const called_job& job)
     {
         ++m_report.m_jobs;
@@ -392,23 +415,33 @@
     }
 
     /// An accepted job must be known from visible_time after its
-    /// acknowledgement on.
+    /// acknowledgement until the status retention after its end.
     void check_reads(const called_job& job)
     {
+        bool forgotten = false;
         for (const std::vector<call_end>* reads :
              {&job.m_reads, &job.m_final_reads})
         {
             for (const call_end& each : *reads)
             {
-                if (each.m_status == status_gone && !job.m_cancel_sent_at &&
-                    each.m_sent_at > *job.m_accepted_at + visible_time)
+                if (each.m_status != status_gone || job.m_cancel_sent_at ||
+                    each.m_sent_at <= *job.m_accepted_at + visible_time)
                 {
-                    m_report.m_violations.push_back(
-                        "LOST: process " + std::to_string(each.m_process) +
-                        " does not know the accepted job " + job.m_plan.m_id);
+                    continue;
                 }
+                if (may_be_forgotten(job.has_ended(), last_end_of(job),
+                                     each.m_ended_at,
+                                     m_sheet.m_bounds.m_status_kept))
+                {
+                    forgotten = true;
+                    continue;
+                }
+                m_report.m_violations.push_back(
+                    "LOST: process " + std::to_string(each.m_process) +
+                    " does not know the accepted job " + job.m_plan.m_id);
             }
         }
+        m_report.m_forgotten += forgotten ? 1 : 0;
     }
 
     void check_persistent(const called_job& job)
@@ -435,6 +468,8 @@
     call_record m_record;
     fault_series m_faults;
     std::mt19937 m_random;
+    /// When the last run of a job ended, by the id of the job.
+    std::map<std::string, instant> m_last_ends;
     int m_version = 1;
     /// Processes that are not started: removed, or not added yet.
     std::set<int> m_absent;
--- a/soak/deployment_run.hpp
+++ b/soak/deployment_run.hpp
@@ -27,6 +27,8 @@
     int m_accepted = 0;
     int m_cancelled = 0; ///< Accepted jobs whose cancelling was sent.
     int m_completed = 0;
+    /// Jobs that had ended and were unknown to a later read.
+    int m_forgotten = 0;
     int m_planned_work = 0;
     int m_faults = 0;
     /// Processes that still ran when their shutdown grace time was over.
--- a/soak/deployment_sheet.hpp
+++ b/soak/deployment_sheet.hpp
@@ -105,7 +105,6 @@
     /// The availability zones; processes are assigned to them in turn.
     std::vector<std::string> m_zones = {"zone"};
     span m_shutdown_grace = span::seconds(6);
-    span m_status_retention = span::seconds(120);
     span m_worker_lease = span(6000);
     int m_workers = 350;
     int m_workers_per_rack = 20;
--- a/soak/job_checks.cpp
+++ b/soak/job_checks.cpp
@@ -45,4 +45,10 @@
     return found;
 }
 
+bool may_be_forgotten(bool reported_as_ended, std::optional<instant> last_end,
+                      instant at, span kept)
+{
+    return reported_as_ended && last_end && at >= *last_end + kept;
+}
+
 } // namespace kingcuprudder::soak
--- a/soak/job_checks.hpp
+++ b/soak/job_checks.hpp
@@ -1,6 +1,9 @@
 #ifndef SOAK_JOB_CHECKS_HPP
 #define SOAK_JOB_CHECKS_HPP
 
+#include <kingcuprudder/base/time.hpp>
+
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +38,11 @@
 /// has started (REFUSED).
 std::vector<std::string> job_violations(const observed_job& job);
 
+/// Returns whether a job may be unknown at an instant: it was reported in a
+/// final state, and its last run ended at least the time `kept` before.
+bool may_be_forgotten(bool reported_as_ended, std::optional<instant> last_end,
+                      instant at, span kept);
+
 } // namespace kingcuprudder::soak
 
 #endif
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -94,15 +94,16 @@
     const soak::deployment_run_report report = soak::run_deployment(options);
     const soak::call_counts& calls = report.m_calls;
     std::printf(
-        "seed %u: jobs %d accepted %d cancelled %d completed %d, planned work "
+        "seed %u: jobs %d accepted %d cancelled %d completed %d "
+        "forgotten %d, planned work "
         "%d, faults %d, killed after grace %d, last job ended %.1f s after the "
         "load; requests answered %d and %d of status callers, rejected %d "
         "unanswered %zu and %d near "
         "faults, connections refused %d, longest call %lld ms; load of the "
         "machine %.0f; violations %zu\n",
         options.m_seed, report.m_jobs, report.m_accepted, report.m_cancelled,
-        report.m_completed, report.m_planned_work, report.m_faults,
-        report.m_killed_after_grace,
+        report.m_completed, report.m_forgotten, report.m_planned_work,
+        report.m_faults, report.m_killed_after_grace,
         static_cast<double>(report.m_time_to_completion.count()) / ms_per_s,
         calls.m_answered, report.m_status_calls, calls.m_rejected,
         calls.m_unanswered.size(), calls.m_unanswered_near_disruptions,
--- a/unit_tests/node/job_checks_test.cpp
+++ b/unit_tests/node/job_checks_test.cpp
@@ -86,4 +86,16 @@
     EXPECT_EQ(violated_rule(job), "");
 }
 
+// Guards against a long run that reports a job as lost whose status was kept
+// for as long as it has to be, and against one that overlooks a lost job.
+TEST(job_checks, only_a_job_that_ended_long_ago_may_be_forgotten)
+{
+    constexpr instant end(100'000);
+    constexpr span kept(120'000);
+    EXPECT_TRUE(may_be_forgotten(true, end, end + kept, kept));
+    EXPECT_FALSE(may_be_forgotten(true, end, end + kept - span(1), kept));
+    EXPECT_FALSE(may_be_forgotten(false, end, end + kept, kept));
+    EXPECT_FALSE(may_be_forgotten(true, std::nullopt, end + kept, kept));
+}
+
 } // namespace kingcuprudder::soak
