The job that the soak asks for all the time does not end

Cause: the callers that ask all the time ask for a job that ends within a second. From 180 s on its status is no longer kept, and each answer was reported as WRONG. Change: the job has one persistent task.

--- a/soak/deployment_run.cpp
+++ b/soak/deployment_run.cpp
@@ -26,11 +26,12 @@
 {
 
 constexpr span step_time = span(50);
-// The job that the callers ask for that ask all the time. Its queue is the
-// default one of the stand-in.
+// The job that the callers ask for that ask all the time. It does not end, so
+// that it is never forgotten. Its queue is the default one of the stand-in.
 const std::string asked_job = "00000000000000aa";
 constexpr const char* asked_job_body =
-    R"({"spec":"100","steps":[{"count":1,"cpu":100,"memMb":1,"gpu":1}]})";
+    R"({"spec":"{\"runMs\":100,\"cpu\":100,\"memMb\":1,\"lasts\":true}",)"
+    R"("steps":[{"count":1,"cpu":100,"memMb":1,"gpu":1,"persistent":true}]})";
 constexpr span ready_timeout = span::seconds(30);
 constexpr span recovery_poll = span(2000);
 // Callers are told of jobs that were accepted longer ago than this.
