A suspected task leaves a rack in which two workers crashed under it

Cause: a task near whose data workers crash stayed in that rack, as the rack of the data went before the suspicion, and a third crash there was proof against the task. Change: losses that count against a task are also counted by rack. After two in one rack the task uses workers there last, and is not kept near its data if that is the rack. What counts towards giving up a task is unchanged, and a new leader counts the racks anew. Result: crashes_in_the_rack_of_its_data_fail_no_sound_job fails without the change (the third start is in rack-1) and passes with it.

--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -140,6 +140,8 @@
             task.m_progress.m_workers_ended -= each.m_counts_as_ended ? 1 : 0;
             task.m_progress.m_lost_run = 0;
             task.m_lost_addresses.erase(worker.m_description.m_address);
+            task.m_losses_by_rack[worker.m_description.m_rack] -=
+                each.m_suspicion == crash_suspicion::none ? 0 : 1;
             m_jobs.mark_changed(*job);
             decision_fields fields{
                 {"worker", worker.id()},
@@ -259,6 +261,7 @@
     if (loss.m_suspicion != crash_suspicion::none)
     {
         task.m_lost_addresses.insert(worker.m_description.m_address);
+        ++task.m_losses_by_rack[worker.m_description.m_rack];
     }
     m_jobs.mark_changed(job);
     decision_fields fields{
--- a/kingcuprudder/dispatch/job_table.hpp
+++ b/kingcuprudder/dispatch/job_table.hpp
@@ -74,6 +74,8 @@
     std::optional<active_run> m_active;
     /// The addresses of the lost workers that this leader attributed to it.
     std::set<std::string> m_lost_addresses;
+    /// How many of these losses were in each rack.
+    std::map<std::string, int> m_losses_by_rack;
     /// The sum of the shares of suspicion from the losses in m_crashes. What an
     /// earlier leader attributed counts fully.
     double m_suspicion = 0;
--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -15,6 +15,10 @@
 // A suspected task waits this long for a worker without other new runs. On a
 // busy pool there may be none.
 constexpr span max_wait_for_quiet_worker = span(2000);
+// After as many crashes in one rack a suspected task is tried in others: the
+// crashes may have the rack in common, and a third one is proof against the
+// task.
+constexpr int losses_to_avoid_rack = 2;
 // A persistent task waits this long for a worker that suits it best. It must
 // run within 6 s of its last run.
 constexpr span max_wait_of_persistent_task = span(2000);
@@ -287,6 +291,13 @@
     step.m_suspicion = wanted.m_gang ? 1 : task.suspicion();
     step.m_lost_addresses.insert(task.m_lost_addresses.begin(),
                                  task.m_lost_addresses.end());
+    for (const auto& [rack, losses] : task.m_losses_by_rack)
+    {
+        if (losses >= losses_to_avoid_rack)
+        {
+            step.m_lost_racks.insert(rack);
+        }
+    }
     step.m_wants_quiet_worker =
         step.m_wants_quiet_worker ||
         m_now - task.m_waiting_since < max_wait_for_quiet_worker;
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -38,6 +38,9 @@
     double m_suspicion = 0;
     /// The addresses of these workers.
     std::set<std::string> m_lost_addresses;
+    /// The racks in which several of these workers were, so that the rack may
+    /// be the cause.
+    std::set<std::string> m_lost_racks;
     /// The step waits for a worker without other new runs.
     bool m_wants_quiet_worker = false;
     /// A persistent task has waited so long that the step takes any worker with
@@ -163,7 +166,8 @@
     int tasks_on_worker(const worker_entry& worker,
                         const waiting_step& step) const;
     worker_entry* best_worker(const waiting_step& step);
-    /// Returns whether the worker is outside the rack of the step's data.
+    /// Returns whether the worker is outside the rack of the step's data. No
+    /// one is if that rack is one of m_lost_racks.
     static bool is_far(const worker_entry& worker, const waiting_step& step);
     /// Returns whether the step is not placed outside the rack of its data yet,
     /// as a worker there can still become free for it.
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -123,6 +123,7 @@
            worker.plannable_capacity().is_exceeded() ||
            (step.m_suspected &&
             (m_state.is_unreliable(worker, m_now) ||
+             step.m_lost_racks.contains(worker.m_description.m_rack) ||
              step.m_lost_addresses.contains(worker.m_description.m_address)));
 }
 
@@ -174,7 +175,8 @@
 bool planner::is_far(const worker_entry& worker, const waiting_step& step)
 {
     const std::string& rack = step.m_job->step(step.m_step).m_data_rack;
-    return !rack.empty() && worker.m_description.m_rack != rack;
+    return !rack.empty() && worker.m_description.m_rack != rack &&
+           !step.m_lost_racks.contains(rack);
 }
 
 bool planner::may_become_usable(const worker_entry& worker) const
--- a/unit_tests/dispatch/crash_test.cpp
+++ b/unit_tests/dispatch/crash_test.cpp
@@ -1141,4 +1141,41 @@
     EXPECT_LE(crash_machine_under("deadly", span(3000)), starts_allowed);
 }
 
+// Guards against sound jobs that are failed for the faults of one rack.
+TEST_F(crash_fixture, crashes_in_the_rack_of_its_data_fail_no_sound_job)
+{
+    constexpr int crashes = 3;
+    constexpr int per_rack = 4;
+    for (int index = 0; index < 2 * per_rack; ++index)
+    {
+        worker_description added = worker("w" + std::to_string(index));
+        added.m_rack = index < per_rack ? "rack-1" : "rack-2";
+        m_dispatcher.worker_listed(added, m_now);
+        report(added.m_id, {});
+    }
+    job_submission near = job("good", 1, 8);
+    near.m_steps[0].m_data_rack = "rack-1";
+    near.m_steps[0].m_estimate = span(60'000);
+    accept(near);
+    std::vector<std::string> racks;
+    for (int round = 0; round < crashes; ++round)
+    {
+        pass(span(2000));
+        const std::vector<start_order> starts = start_all();
+        ASSERT_EQ(starts.size(), 1u) << round;
+        confirm(starts);
+        const std::string& used = starts[0].m_worker;
+        racks.push_back(m_dispatcher.workers().at(used).m_description.m_rack);
+        pass(span(10));
+        if (racks.back() == "rack-1")
+        {
+            lose(used);
+            pass(after_the_lease);
+            store();
+        }
+    }
+    EXPECT_EQ(racks, (std::vector<std::string>{"rack-1", "rack-1", "rack-2"}));
+    EXPECT_TRUE(m_dispatcher.has_job("good"));
+}
+
 } // namespace kingcuprudder::dispatch
