A gang waits for one rack only while it ends sooner so

Cause: planner::may_span_racks let a gang of one rack span racks only once it was late, or if no rack could hold it beside persistent tasks. Lateness grows with the declared time and the stretch, so the wait had no bound of its own and did not look at when a rack would be free. planner::waits_for_data_rack had the same fault for single tasks, and counted workers there that persistent tasks hold. Change: the expected end after waiting for the rack that is free soonest is compared with the end of a run that takes m_remote_data_slowdown times as long and starts now (capacity_forecast, planner_choice). Ends of runs are expected by their progress, else by the predicted duration; a run over its expected end, and a wait, are taken to last as long again. A job with nothing running for 1 s waits no longer if less than half of each resource of its pool is in use and there is room for two. One rack is tried before several. Urgent gangs preempt in one rack before they span racks, and span them at once when late, as before. Single tasks still go elsewhere when late.

--- a/kingcuprudder/dispatch/planner.cpp
+++ b/kingcuprudder/dispatch/planner.cpp
@@ -141,6 +141,7 @@
         ++m_trials[step.m_policy.m_pool];
     }
     m_index.update(worker);
+    m_expected_releases.erase(worker.id());
 }
 
 void planner::find_accounts_within_guarantee()
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -1,6 +1,7 @@
 #ifndef KINGCUPRUDDER_DISPATCH_PLANNER_HPP
 #define KINGCUPRUDDER_DISPATCH_PLANNER_HPP
 
+#include <kingcuprudder/dispatch/capacity_forecast.hpp>
 #include <kingcuprudder/dispatch/dispatcher.hpp>
 #include <kingcuprudder/dispatch/wait_reason.hpp>
 #include <kingcuprudder/dispatch/worker_index.hpp>
@@ -169,9 +170,47 @@
     /// Returns whether the worker is outside the rack of the step's data. No
     /// one is if that rack is one of m_lost_racks.
     static bool is_far(const worker_entry& worker, const waiting_step& step);
-    /// Returns whether the step is not placed outside the rack of its data yet,
-    /// as a worker there can still become free for it.
-    bool waits_for_data_rack(const waiting_step& step) const;
+    /// Returns whether a worker in the rack of the step's data can still become
+    /// free for it, and the step's objective can still be met.
+    bool prefers_data_rack(const waiting_step& step) const;
+    /// Returns whether the step is not placed outside the rack of its data yet.
+    bool waits_for_data_rack(const waiting_step& step);
+
+    /// Returns since when all tasks of the step could have been started.
+    instant ready_since(const waiting_step& step) const;
+    /// Returns the predicted duration of a run on its worker.
+    span expected_duration(const job_entry& job, const task_ref& ref) const;
+    /// Returns whether runs of the step are on workers of several racks.
+    bool spans_racks(const job_entry& job, const task_ref& ref) const;
+    /// Returns the duration outside the rack of the data or across racks.
+    span slowed(span duration) const;
+    span expected_time_left_of(const job_entry& job, const task_ref& ref) const;
+    /// Returns what the runs on the worker release when they end.
+    std::vector<capacity_release>
+    expected_releases(const worker_entry& worker) const;
+    /// Returns the time until a worker that may become usable is expected to
+    /// be.
+    span usable_after(const worker_entry& worker) const;
+    /// Returns the expected time until this many tasks of the step fit on the
+    /// workers together; empty if they never do.
+    std::optional<span>
+    expected_wait(const waiting_step& step, int tasks,
+                  const std::vector<const worker_entry*>& workers);
+    /// Returns the workers that may run the step now or soon.
+    std::map<std::string, std::vector<const worker_entry*>>
+    expected_workers_by_rack(const waiting_step& step) const;
+    /// Returns the expected time until some rack holds the gang; empty if none
+    /// ever does.
+    std::optional<span> expected_wait_for_rack(const waiting_step& step);
+    /// Returns whether the step is expected to end sooner if it waits that long
+    /// for a better place than if it starts elsewhere now.
+    bool is_better_after_wait(const waiting_step& step,
+                              std::optional<span> wait) const;
+    /// Returns whether the job has had nothing running for so long, in a mostly
+    /// idle pool with room for the step twice over, that it waits no longer.
+    bool is_idle_beside_room(const waiting_step& step) const;
+    /// Returns whether less than half of each resource of the pool is in use.
+    bool is_pool_mostly_idle(const std::string& pool) const;
     /// Returns whether the worker can run new tasks now or probably will soon.
     bool may_become_usable(const worker_entry& worker) const;
 
@@ -186,20 +225,18 @@
     /// racks; empty if the gang does not fit.
     std::vector<gang_share> best_gang_shares(const waiting_step& step,
                                              bool across);
-    bool may_span_racks(const waiting_step& step);
     std::vector<const worker_index::workers*>
     gang_domains(const waiting_step& step, bool across);
-    /// Returns whether the usable workers of some rack would hold the gang if
-    /// they ran nothing else but persistent tasks, which do not end.
-    bool fits_some_usable_rack(const waiting_step& step);
-    /// The same for all listed workers, as others may become usable soon.
-    bool fits_some_rack(const waiting_step& step);
-    /// Returns how many tasks of the step the worker holds beside the
-    /// persistent tasks that run there.
-    int fitting_beside_persistent(const worker_entry& worker,
-                                  const waiting_step& step);
-    /// Returns the resources of persistent runs, by worker.
-    const std::map<std::string, resources>& held_by_persistent();
+    /// Assigns the gang to workers of one rack, if it is one that is slower
+    /// across racks. Returns whether it was placed.
+    bool place_in_one_rack(waiting_step& step);
+    bool place_across_racks(waiting_step& step);
+    /// Returns whether a gang that fits across racks is started there now.
+    bool spans_racks_now(const waiting_step& step);
+    /// Returns whether runs in several racks may be preempted for the gang.
+    bool may_reclaim_across_racks(const waiting_step& step);
+    /// Returns whether the step must start at once, also at a worse place.
+    bool is_pressing(const waiting_step& step) const;
     void assign_gang(waiting_step& step, const std::vector<gang_share>& shares);
 
     struct victim
@@ -275,10 +312,10 @@
     worker_index m_index;
     /// The number of usable workers on trial, by pool.
     std::map<std::string, std::size_t> m_trials;
-    /// The result of held_by_persistent() in this pass.
-    std::optional<std::map<std::string, resources>> m_held_by_persistent;
     /// The resources for runs that this pass moves, by worker.
     std::map<std::string, resources> m_claimed;
+    /// The results of expected_releases() in this pass, by worker.
+    std::map<std::string, std::vector<capacity_release>> m_expected_releases;
     /// The results of victims_on() in this pass, by worker.
     std::map<std::string, std::vector<victim>> m_victims;
 };
--- a/kingcuprudder/dispatch/planner_gangs.cpp
+++ b/kingcuprudder/dispatch/planner_gangs.cpp
@@ -6,38 +6,25 @@
 namespace kingcuprudder::dispatch
 {
 
-namespace
-{
+// The placement of gangs, whose tasks start together.
 
-/// Adds the resources of the job's persistent runs, by worker.
-void add_persistent_runs(const job_entry& job,
-                         std::map<std::string, resources>& held)
+bool planner::is_pressing(const waiting_step& step) const
 {
-    for (const auto& repeat : job.m_tasks)
-    {
-        for (std::size_t index = 0; index < repeat.size(); ++index)
-        {
-            const job_step& step = job.m_submission.m_steps[index];
-            for (const task_entry& task : repeat[index])
-            {
-                if (step.m_persistent && task.m_active)
-                {
-                    held[task.m_active->m_worker] += step.occupied();
-                }
-            }
-        }
-    }
+    return step.m_overdue || guarantee_is_due(step) ||
+           (step.m_late && may_reclaim(step));
 }
 
-} // namespace
-
-// The placement of gangs, whose tasks start together.
+bool planner::spans_racks_now(const waiting_step& step)
+{
+    return !step.m_job->step(step.m_step).m_same_rack || is_pressing(step) ||
+           is_idle_beside_room(step) ||
+           !is_better_after_wait(step, expected_wait_for_rack(step));
+}
 
-bool planner::may_span_racks(const waiting_step& step)
+bool planner::may_reclaim_across_racks(const waiting_step& step)
 {
-    return !step.m_job->step(step.m_step).m_same_rack || step.m_late ||
-           step.m_overdue || guarantee_is_due(step) ||
-           (!fits_some_usable_rack(step) && !fits_some_rack(step));
+    return !step.m_job->step(step.m_step).m_same_rack || is_pressing(step) ||
+           !expected_wait_for_rack(step);
 }
 
 std::vector<const worker_index::workers*>
@@ -58,69 +45,6 @@
     return domains;
 }
 
-const std::map<std::string, resources>& planner::held_by_persistent()
-{
-    if (!m_held_by_persistent)
-    {
-        m_held_by_persistent.emplace();
-        for (const auto& [id, job] : m_state.m_jobs.jobs())
-        {
-            add_persistent_runs(job, *m_held_by_persistent);
-        }
-    }
-    return *m_held_by_persistent;
-}
-
-int planner::fitting_beside_persistent(const worker_entry& worker,
-                                       const waiting_step& step)
-{
-    const std::string& label = step.m_job->step(step.m_step).m_required_label;
-    if (!has_label(worker.m_description, label))
-    {
-        return 0;
-    }
-    const std::map<std::string, resources>& held = held_by_persistent();
-    const auto found = held.find(worker.id());
-    const resources taken = found == held.end() ? resources() : found->second;
-    return fitting_tasks(worker, step, worker.m_description.m_capacity - taken);
-}
-
-bool planner::fits_some_usable_rack(const waiting_step& step)
-{
-    const int wanted = step.m_job->step(step.m_step).m_count;
-    for (const auto& [rack, workers] : m_index.racks(step.m_policy.m_pool))
-    {
-        int fitting = 0;
-        for (const worker_entry* worker : workers)
-        {
-            fitting += fitting_beside_persistent(*worker, step);
-            if (fitting >= wanted)
-            {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
-bool planner::fits_some_rack(const waiting_step& step)
-{
-    std::map<std::string, int> capacity_by_rack;
-    for (const auto& [id, worker] : m_state.m_workers)
-    {
-        if (worker.m_listed &&
-            worker.m_description.m_pool == step.m_policy.m_pool)
-        {
-            capacity_by_rack[worker.m_description.m_rack] +=
-                fitting_beside_persistent(worker, step);
-        }
-    }
-    return std::any_of(
-        capacity_by_rack.begin(), capacity_by_rack.end(),
-        [&](const auto& each)
-        { return each.second >= step.m_job->step(step.m_step).m_count; });
-}
-
 std::vector<planner::gang_share>
 planner::gang_shares(const waiting_step& step,
                      const worker_index::workers& candidates)
@@ -230,32 +154,41 @@
     return best;
 }
 
-void planner::place_gang(waiting_step& step)
+bool planner::place_in_one_rack(waiting_step& step)
 {
-    if (!leaves_urgent_headroom(step, step.m_job->step(step.m_step).m_count))
+    if (!step.m_job->step(step.m_step).m_same_rack)
     {
-        log_suspected_wait(step);
-        return;
-    }
-    const bool across = may_span_racks(step);
-    std::vector<gang_share> best;
-    if (step.m_overdue && step.m_job->step(step.m_step).m_same_rack)
-    {
-        best = best_gang_shares(step, false);
+        return false;
     }
-    if (best.empty())
+    const std::vector<gang_share> shares = best_gang_shares(step, false);
+    if (!shares.empty())
     {
-        best = best_gang_shares(step, across);
+        assign_gang(step, shares);
+        return true;
     }
-    if (!best.empty())
+    return may_reclaim(step) && !may_reclaim_across_racks(step) &&
+           reclaim_for_gang(step, false);
+}
+
+bool planner::place_across_racks(waiting_step& step)
+{
+    const std::vector<gang_share> shares = best_gang_shares(step, true);
+    if (!shares.empty() && spans_racks_now(step))
     {
-        assign_gang(step, best);
-        return;
+        assign_gang(step, shares);
+        return true;
     }
-    log_suspected_wait(step);
-    if (may_reclaim(step))
+    return may_reclaim(step) && may_reclaim_across_racks(step) &&
+           reclaim_for_gang(step, true);
+}
+
+void planner::place_gang(waiting_step& step)
+{
+    const int gang_size = step.m_job->step(step.m_step).m_count;
+    if (!leaves_urgent_headroom(step, gang_size) ||
+        (!place_in_one_rack(step) && !place_across_racks(step)))
     {
-        reclaim_for_gang(step, across);
+        log_suspected_wait(step);
     }
 }
 
--- a/kingcuprudder/dispatch/planner_reclaim.cpp
+++ b/kingcuprudder/dispatch/planner_reclaim.cpp
@@ -246,6 +246,7 @@
     for (const std::string& id : changed)
     {
         m_victims.erase(id);
+        m_expected_releases.erase(id);
         m_index.update(m_state.find_or_add_worker(id));
     }
     m_index.clear_failures();
@@ -269,7 +270,7 @@
 
 bool planner::reclaim_for_task(waiting_step& step)
 {
-    const bool only_near = waits_for_data_rack(step);
+    const bool only_near = prefers_data_rack(step);
     std::optional<priced_victims> best;
     for (const worker_entry* worker : m_index.pool(step.m_policy.m_pool))
     {
--- a/kingcuprudder/dispatch/planner_tasks.cpp
+++ b/kingcuprudder/dispatch/planner_tasks.cpp
@@ -188,7 +188,7 @@
            (worker.m_reachable || silent_shortly);
 }
 
-bool planner::waits_for_data_rack(const waiting_step& step) const
+bool planner::prefers_data_rack(const waiting_step& step) const
 {
     const job_step& wanted = step.m_job->step(step.m_step);
     if (wanted.m_data_rack.empty() || step.m_late || step.m_overdue)
@@ -209,6 +209,24 @@
         });
 }
 
+bool planner::waits_for_data_rack(const waiting_step& step)
+{
+    if (!prefers_data_rack(step) || is_idle_beside_room(step))
+    {
+        return false;
+    }
+    // Runs near the data are preempted for it first.
+    if (may_reclaim(step))
+    {
+        return true;
+    }
+    const std::string& rack = step.m_job->step(step.m_step).m_data_rack;
+    const auto by_rack = expected_workers_by_rack(step);
+    const auto near = by_rack.find(rack);
+    return near != by_rack.end() &&
+           is_better_after_wait(step, expected_wait(step, 1, near->second));
+}
+
 worker_entry* planner::best_worker(const waiting_step& step)
 {
     const capacity_request request = capacity_request_of(step, 1, false);
--- a/kingcuprudder/dispatch/run_progress.cpp
+++ b/kingcuprudder/dispatch/run_progress.cpp
@@ -1,3 +1,4 @@
+#include <kingcuprudder/dispatch/capacity_forecast.hpp>
 #include <kingcuprudder/dispatch/run_progress.hpp>
 
 #include <algorithm>
@@ -94,6 +95,19 @@
                             rate_since(m_first_percent, m_first_at)});
 }
 
+std::optional<span> run_progress::expected_left(instant now) const
+{
+    if (m_percent <= m_first_percent || m_since <= m_first_at)
+    {
+        return std::nullopt;
+    }
+    const double rate = (m_percent - m_first_percent) /
+                        static_cast<double>((m_since - m_first_at).count());
+    const span left =
+        span(static_cast<std::int64_t>((full_percent - m_percent) / rate));
+    return expected_time_left(now - m_since, left);
+}
+
 bool run_progress::is_slow() const
 {
     return m_slow_reports >= min_slow_reports;
--- a/kingcuprudder/dispatch/run_progress.hpp
+++ b/kingcuprudder/dispatch/run_progress.hpp
@@ -3,6 +3,8 @@
 
 #include <kingcuprudder/base/time.hpp>
 
+#include <optional>
+
 namespace kingcuprudder::dispatch
 {
 
@@ -21,6 +23,9 @@
     void observe(int percent, span expected, int earlier_stops, instant now);
 
     int percent() const { return m_percent; }
+    /// Returns how long the run is expected to go on at the rate since its
+    /// first report; empty if it has not advanced since.
+    std::optional<span> expected_left(instant now) const;
     /// Returns whether the run is far slower than before or stalled.
     bool is_slow() const;
     /// Returns whether a new run on another worker is likely to end sooner.
