A caller that asks all the time does not hide other log lines

Cause: all parts of a process shared one limit of lines. Change: each part of the process has the limit for itself. Result: event_log.lines_of_one_part_do_not_hide_those_of_another.

--- a/kingcuprudder/node/event_log.cpp
+++ b/kingcuprudder/node/event_log.cpp
@@ -10,7 +10,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace kingcuprudder::node
@@ -22,8 +24,8 @@
 constexpr std::size_t max_queued_lines = 2000;
 constexpr span drain_interval = span(200);
 constexpr span report_interval = span(1000);
-// Lines over this rate are dropped, so that a burst of events cannot fill the
-// collector's disk.
+// Lines of one part over this rate are dropped, so that a burst of events can
+// neither fill the collector's disk nor hide the lines of other parts.
 constexpr std::int64_t max_lines_per_second = 1200;
 constexpr std::int64_t max_burst_lines = 3000;
 constexpr std::int64_t millis_per_second = 1000;
@@ -43,6 +45,32 @@
            std::to_string(value.size()) + " bytes)";
 }
 
+/// The lines that one part may write now.
+class line_allowance
+{
+public:
+    /// Returns whether one more line may be written.
+    bool take_token(instant now)
+    {
+        const std::int64_t elapsed =
+            (now - m_refilled_at.value_or(now)).count();
+        m_tokens = std::min(max_burst_lines * millis_per_second,
+                            m_tokens + elapsed * max_lines_per_second);
+        m_refilled_at = now;
+        if (m_tokens < millis_per_second)
+        {
+            return false;
+        }
+        m_tokens -= millis_per_second;
+        return true;
+    }
+
+private:
+    /// In thousandths of a line.
+    std::int64_t m_tokens = max_burst_lines * millis_per_second;
+    std::optional<instant> m_refilled_at;
+};
+
 log4cplus::Logger open_stdout_logger()
 {
     log4cplus::Logger logger =
@@ -65,8 +93,7 @@
 public:
     explicit implementation(std::string process)
         : m_process(std::move(process)), m_logger(open_stdout_logger()),
-          m_lines(max_queued_lines), m_refilled_at(boottime_now()),
-          m_thread([this] { run(); })
+          m_lines(max_queued_lines), m_thread([this] { run(); })
     {
     }
 
@@ -79,7 +106,7 @@
     void write(const std::string& part, const std::string& event,
                const std::string& id, const dispatch::decision_fields& fields)
     {
-        if (!take_token())
+        if (!take_token(part))
         {
             ++m_dropped;
             return;
@@ -122,20 +149,10 @@
                          nlohmann::json::error_handler_t::replace);
     }
 
-    bool take_token()
+    bool take_token(const std::string& part)
     {
         std::lock_guard lock(m_mutex);
-        const instant now = boottime_now();
-        const std::int64_t elapsed = (now - m_refilled_at).count();
-        m_tokens = std::min(max_burst_lines * millis_per_second,
-                            m_tokens + elapsed * max_lines_per_second);
-        m_refilled_at = now;
-        if (m_tokens < millis_per_second)
-        {
-            return false;
-        }
-        m_tokens -= millis_per_second;
-        return true;
+        return m_allowances[part].take_token(boottime_now());
     }
 
     void run()
@@ -177,8 +194,7 @@
     log4cplus::Logger m_logger;
     bounded_ring<std::string> m_lines;
     std::mutex m_mutex;
-    std::int64_t m_tokens = max_burst_lines * millis_per_second;
-    instant m_refilled_at;
+    std::map<std::string, line_allowance> m_allowances;
     std::atomic<std::uint64_t> m_dropped = 0;
     std::atomic<bool> m_finished = false;
     instant m_reported_at;
--- a/unit_tests/node/event_log_test.cpp
+++ b/unit_tests/node/event_log_test.cpp
@@ -39,6 +39,31 @@
     EXPECT_LT(took.count(), 1500);
 }
 
+// Guards against a caller that asks all the time and so hides the decisions.
+TEST(event_log, lines_of_one_part_do_not_hide_those_of_another)
+{
+    constexpr int many = 20'000;
+    captured_output output;
+    std::string text;
+    {
+        event_log log("test");
+        for (int line = 0; line < many; ++line)
+        {
+            log.write("jobs", "status_not_given", "id", {});
+        }
+        for (int tries = 0; tries < 100; ++tries)
+        {
+            text += output.read_all();
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+        log.write("scheduler", "task_assigned", "id", {});
+        log.flush();
+        text += output.read_all();
+        output.restore();
+    }
+    EXPECT_NE(text.find("task_assigned"), std::string::npos);
+}
+
 // Guards against callers that fill the collector's disk with long paths.
 TEST(event_log, long_values_of_callers_are_cut)
 {
