Findings of the review of drains: stale entries, claims, blame

What callers could see: work taken off a sound worker, runs that stay until their worker has left, moved jobs that wait, and sound tasks that are blamed, at last a sound job shown as failed. Cause and change, by test: - a_worker_that_drained_and_is_back_at_once_blames_none: the entry of the next process hid that the present one had announced its drain. The announcement is kept. - the_entry_of_the_next_process_blames_no_task: a leader without an answer took the entry of another process for one of the lost process. - the_drain_of_an_earlier_process_moves_nothing: an old entry that was read late moved runs off the present process. Only its own announcement counts. - the_announced_time_counts_from_the_writing_of_the_entry: it counted from the reading. - a_gang_with_one_member_a_worker_moves: its own members, which are stopped with it, counted against the limit of tasks a worker. - moved_runs_leave_the_room_for_urgent_jobs: moves did not count against the headroom. By reading: an unknown heartbeat interval is no longer taken as 1.5 s, since then an entry that expired could pass for a departure, and 250 ms of margin are kept.

--- a/kingcuprudder/dispatch/dispatcher.cpp
+++ b/kingcuprudder/dispatch/dispatcher.cpp
@@ -19,6 +19,8 @@
 constexpr span address_trial_time = span(1000);
 // The worker list drops the entry of a silent worker after so many intervals.
 constexpr int missed_heartbeats = 3;
+// Heartbeats and the removal of expired entries may be this much early.
+constexpr span expiry_margin = span(250);
 // With room for it twice over, a job has something running within this time.
 constexpr span max_idle_time_beside_room = span(3000);
 
@@ -240,6 +242,10 @@
     const bool has_moved = worker.m_entry.m_address != description.m_address;
     worker.m_entry = description;
     worker.m_entry_read_at = now;
+    if (description.m_draining)
+    {
+        worker.m_drain_announced_by = description.m_incarnation;
+    }
     worker.m_left_at.reset();
     worker.use_entry();
     choose_called_address(worker);
@@ -342,7 +348,8 @@
     }
     worker_entry& worker = found->second;
     worker_unlisted(id, now);
-    const span expiry = m_limits.m_heartbeat_interval * missed_heartbeats;
+    const span expiry =
+        m_limits.m_heartbeat_interval * missed_heartbeats - expiry_margin;
     if (worker.leaves_by(now, expiry))
     {
         worker.m_left_at = now;
--- a/kingcuprudder/dispatch/dispatcher.hpp
+++ b/kingcuprudder/dispatch/dispatcher.hpp
@@ -33,7 +33,8 @@
     /// The maximum duration of a worker's lease.
     span m_worker_lease = span(6000);
     span m_stop_timeout = span(400); ///< The maximum duration of a stop.
-    /// The interval at which workers renew their entry in the worker list.
+    /// The interval at which workers renew their entry in the worker list; 0 if
+    /// it is not known.
     span m_heartbeat_interval = span(1500);
     /// The time within which a guaranteed job must start.
     span m_reclaim_bound = span(2900);
--- a/kingcuprudder/dispatch/dispatcher_losses.cpp
+++ b/kingcuprudder/dispatch/dispatcher_losses.cpp
@@ -291,7 +291,10 @@
     // A worker that this leader has never seen listed may have drained and left
     // under the leader before.
     const bool may_have_left =
-        worker.m_description.m_draining || !worker.was_listed();
+        worker.has_announced_drain() ||
+        (!worker.has_answered() &&
+         (!worker.was_listed() ||
+          worker.m_entry.m_incarnation != worker.m_incarnation));
     if (may_have_left || worker.m_cut_off)
     {
         return;
--- a/kingcuprudder/dispatch/planner.hpp
+++ b/kingcuprudder/dispatch/planner.hpp
@@ -312,7 +312,7 @@
     worker_index m_index;
     /// The number of usable workers on trial, by pool.
     std::map<std::string, std::size_t> m_trials;
-    /// The resources for runs that this pass moves, by worker.
+    /// The resources for runs that are moved and have not ended yet, by worker.
     std::map<std::string, resources> m_claimed;
     /// The results of expected_releases() in this pass, by worker.
     std::map<std::string, std::vector<capacity_release>> m_expected_releases;
--- a/kingcuprudder/dispatch/planner_drains.cpp
+++ b/kingcuprudder/dispatch/planner_drains.cpp
@@ -6,6 +6,21 @@
 namespace kingcuprudder::dispatch
 {
 
+namespace
+{
+
+/// Returns how many members of a gang that is placed anew fit on one worker, up
+/// to `most`. The present members do not count, as all of them are stopped.
+int members_that_fit(const job_step& step, const resources& free, int most)
+{
+    const int limit = step.m_max_per_worker > 0
+                          ? std::min(most, step.m_max_per_worker)
+                          : most;
+    return static_cast<int>(free.fitting(step.occupied(), limit));
+}
+
+} // namespace
+
 // Moves work off workers that drain. A run that is stopped while its worker
 // answers ends at once and keeps its checkpoint; one that ends with its worker
 // is lost, and when it ended must be found out.
@@ -16,7 +31,8 @@
     for (auto& [id, worker] : m_state.m_workers)
     {
         if (!worker.m_listed || !worker.m_description.m_draining ||
-            !worker.m_reachable || !worker.m_synced)
+            !worker.m_reachable || !worker.m_synced ||
+            worker.m_entry.m_incarnation != worker.m_incarnation)
         {
             continue;
         }
@@ -121,14 +137,18 @@
     }
     const auto claims = [&](const worker_index::workers& candidates)
     { return claim_room_on(candidates, moved, count); };
-    if (!gang || !job.step(ref).m_same_rack)
+    const auto& racks = m_index.racks(moved.m_policy.m_pool);
+    const bool claimed = gang && job.step(ref).m_same_rack
+                             ? std::any_of(racks.begin(), racks.end(),
+                                           [&claims](const auto& rack)
+                                           { return claims(rack.second); })
+                             : claims(m_index.pool(moved.m_policy.m_pool));
+    if (claimed)
     {
-        return claims(m_index.pool(moved.m_policy.m_pool));
+        m_free_gpus[moved.m_policy.m_pool] -=
+            job.step(ref).m_demand.m_gpus * count;
     }
-    const auto& racks = m_index.racks(moved.m_policy.m_pool);
-    return std::any_of(racks.begin(), racks.end(),
-                       [&claims](const auto& rack)
-                       { return claims(rack.second); });
+    return claimed;
 }
 
 bool planner::claim_room_on(const worker_index::workers& candidates,
@@ -150,14 +170,16 @@
         {
             continue;
         }
-        // The members of a gang on this worker are stopped with the others;
-        // those that are being stopped count as free.
+        // All members of a gang at work are to be stopped, also those on this
+        // worker. Those that are being stopped already count as free.
         const int own = is_at_work ? tasks_on_worker(*worker, moved) : 0;
         const resources free = worker->plannable_capacity() +
                                wanted.occupied() * own -
                                m_claimed[worker->id()];
         const int share =
-            std::min(missing, fitting_tasks(*worker, moved, free));
+            wanted.m_gang
+                ? members_that_fit(wanted, free, missing)
+                : std::min(missing, fitting_tasks(*worker, moved, free));
         shares[worker->id()] = share;
         missing -= share;
     }
--- a/kingcuprudder/dispatch/worker_table.hpp
+++ b/kingcuprudder/dispatch/worker_table.hpp
@@ -80,6 +80,8 @@
     /// The least time by which this process's clock may be ahead of the clock
     /// of the worker's process; empty before the first answer with a clock.
     std::optional<span> m_clock_lead;
+    /// The incarnation that announced its drain last; 0 for none.
+    std::int64_t m_drain_announced_by = 0;
     /// When m_entry was read.
     instant m_entry_read_at;
     /// When the entry of the worker was found to be removed because the process
@@ -150,8 +152,15 @@
     /// Returns the time for which a draining worker certainly goes on.
     span drain_left(instant now) const
     {
-        return std::max(span(0),
-                        m_entry.m_drain_remaining - (now - m_entry_read_at));
+        const instant written = entry_written_after().value_or(m_entry_read_at);
+        return std::max(span(0), m_entry.m_drain_remaining - (now - written));
+    }
+    /// Returns whether the present process has announced that it drains. The
+    /// entry of the next one may be listed before it has ended.
+    bool has_announced_drain() const
+    {
+        return m_description.m_draining ||
+               (m_incarnation != 0 && m_drain_announced_by == m_incarnation);
     }
     /// Returns whether this leader has read an entry of the worker.
     bool was_listed() const { return m_entry_read_at != instant(); }
--- a/kingcuprudder/node/node_settings.cpp
+++ b/kingcuprudder/node/node_settings.cpp
@@ -123,7 +123,7 @@
         settings.m_limits.m_heartbeat_interval =
             fields.contains("worker_heartbeat_ms")
                 ? fields.milliseconds("worker_heartbeat_ms")
-                : settings.m_limits.m_heartbeat_interval;
+                : span(0);
         settings.m_limits.m_stop_timeout =
             fields.milliseconds("worker_stop_ms");
         settings.m_limits.m_reclaim_bound = fields.milliseconds("reclaim_ms");
--- a/unit_tests/dispatch/drain_move_test.cpp
+++ b/unit_tests/dispatch/drain_move_test.cpp
@@ -166,6 +166,102 @@
     EXPECT_EQ(step().m_stops.size(), 1u);
 }
 
+// Guards against work that is taken off a sound worker by an old entry of the
+// process before, read late.
+TEST_F(drain_move, the_drain_of_an_earlier_process_moves_nothing)
+{
+    add_worker("w2");
+    m_dispatcher.worker_listed(worker("w1"), m_now);
+    report("w1", {}, {}, 200);
+    accept(long_job("blocker", 1, 8));
+    const auto first = start_all();
+    ASSERT_EQ(first.size(), 1u);
+    ASSERT_EQ(first[0].m_worker, "w2");
+    confirm(first);
+    report("w2", {running(first[0])});
+    worker_description present = worker("w1");
+    present.m_incarnation = 200;
+    m_dispatcher.worker_listed(present, m_now);
+    report("w1", {}, {}, 200);
+    job_submission lasting = job("p", 1, 8);
+    lasting.m_steps[0].m_persistent = true;
+    lasting.m_steps[0].m_max_unavailable = 1;
+    accept(lasting);
+    const auto held = start_all();
+    ASSERT_EQ(held.size(), 1u);
+    ASSERT_EQ(held[0].m_worker, "w1");
+    confirm(held);
+    running_report row = running(held[0]);
+    row.m_percent = 100;
+    report("w1", {row}, {}, 200);
+    add_worker("w3");
+    drain("w1"); // The entry of process 100.
+    EXPECT_TRUE(step().m_stops.empty());
+}
+
+// Guards against a run that stays until its worker has left, as its entry was
+// read long after it was written.
+TEST_F(drain_move, the_announced_time_counts_from_the_writing_of_the_entry)
+{
+    add_worker("w1");
+    worker_description entry = worker("w1");
+    entry.m_draining = true;
+    entry.m_drain_remaining = drain_time;
+    entry.m_clock = m_now.count();
+    pass(span(1500));
+    m_dispatcher.worker_listed(entry, m_now);
+    EXPECT_EQ(m_dispatcher.workers().at("w1").drain_left(m_now), span(500));
+}
+
+// Guards against a gang that ends with its worker though its members' own
+// workers have room for it again.
+TEST_F(drain_move, a_gang_with_one_member_a_worker_moves)
+{
+    add_worker("w1");
+    add_worker("w2");
+    job_submission gang = long_job("g", 2, 8);
+    gang.m_steps[0].m_gang = true;
+    gang.m_steps[0].m_max_per_worker = 1;
+    ASSERT_EQ(run(gang).size(), 2u);
+    add_worker("w3");
+    drain("w1");
+    EXPECT_EQ(step().m_stops.size(), 2u);
+}
+
+// Guards against more moved runs than the capacity kept for urgent jobs leaves
+// room for.
+TEST_F(drain_move, moved_runs_leave_the_room_for_urgent_jobs)
+{
+    add_worker("w1", 16);
+    const auto held = run(long_job("a", 1, 8));
+    const auto more = run(long_job("b", 1, 8));
+    ASSERT_EQ(more.at(0).m_worker, "w1");
+    add_worker("w0", 24);
+    std::vector<start_order> urgent;
+    for (int each = 0; each < 24; ++each)
+    {
+        accept(job("u" + std::to_string(each), 1, 1, "urgent"));
+    }
+    urgent = start_all();
+    ASSERT_EQ(urgent.size(), 24u);
+    confirm(urgent);
+    for (int each = 0; each < 200; ++each)
+    {
+        pass(span(100));
+        step();
+    }
+    std::vector<completion_report> ends;
+    for (std::size_t each = 0; each < urgent.size(); ++each)
+    {
+        ends.push_back(ended(static_cast<std::int64_t>(each) + 1, urgent[each],
+                             run_outcome::done));
+    }
+    report("w0", {}, ends);
+    add_worker("w2", 16);
+    drain("w1");
+    EXPECT_EQ(step().m_stops.size(), 1u);
+}
+
 TEST(should_move, a_run_without_checkpoints_may_use_a_late_exit)
 {
     draining_run run;
--- a/unit_tests/dispatch/left_worker_test.cpp
+++ b/unit_tests/dispatch/left_worker_test.cpp
@@ -309,4 +309,65 @@
     EXPECT_TRUE(m_log.lines("crash_attributed").empty());
 }
 
+// Guards against sound tasks that are blamed because their worker drained, left
+// and came back under its id while the leader changed.
+TEST_F(left_worker_test, a_new_leader_blames_no_task_for_a_worker_that_is_back)
+{
+    const job_submission submission = job("job", 1, 8);
+    drain();
+    remove_entry();
+    const job_progress recorded = store().back().m_progress;
+    dispatcher next(dispatch_limits(), m_log.recorder());
+    next.configure(m_configuration);
+    next.begin_term(m_now, 2);
+    worker_description back = worker("w1");
+    back.m_incarnation = 200;
+    next.worker_listed(back, m_now);
+    next.add_job(submission, recorded, m_revision, m_now, m_now);
+    pass(latency);
+    worker_report answer;
+    answer.m_clock = m_now.count();
+    answer.m_incarnation = 200;
+    answer.m_fence = 2;
+    next.renewal_answered("w1", answer, m_now, m_now);
+    next.plan(m_now, m_now);
+    EXPECT_TRUE(m_log.lines("crash_attributed").empty());
+}
+
+// Guards against sound tasks that are blamed by an entry of their worker's next
+// process, which never answers.
+TEST_F(left_worker_test, the_entry_of_the_next_process_blames_no_task)
+{
+    const job_submission submission = job("job", 1, 8);
+    drain();
+    remove_entry();
+    const job_progress recorded = store().back().m_progress;
+    dispatcher next(dispatch_limits(), m_log.recorder());
+    next.configure(m_configuration);
+    next.begin_term(m_now, 2);
+    next.add_job(submission, recorded, m_revision, m_now, m_now);
+    worker_description back = worker("w1");
+    back.m_incarnation = 200;
+    next.worker_listed(back, m_now);
+    next.renewal_failed("w1", refused, m_now + latency, m_now + latency);
+    pass(span(10'000));
+    next.plan(m_now, m_now);
+    EXPECT_TRUE(m_log.lines("crash_attributed").empty());
+}
+
+// Guards against sound tasks that are blamed because the entry of their
+// worker's next process hides that it drained.
+TEST_F(left_worker_test, a_worker_that_drained_and_is_back_at_once_blames_none)
+{
+    drain();
+    worker_description back = worker("w1");
+    back.m_incarnation = 200;
+    list(back);
+    pass(latency);
+    report("w1", {}, {}, 200);
+    m_dispatcher.plan(m_now, m_now);
+    EXPECT_TRUE(m_log.lines("crash_attributed").empty());
+    EXPECT_TRUE(m_log.lines("worker_unreliable").empty());
+}
+
 } // namespace kingcuprudder::dispatch
