Event log test: wait for the line, not for a time

Cause: lines_of_one_part_do_not_hide_those_of_another read the output for 200 ms, then flushed for 250 ms without a reader. The test also passed with one limit for all parts, as that had recovered some lines by then. Change: the test reads until most of the queue is written, sends a second flood right before the line and reads until the line comes, for 5 s at most.

--- a/unit_tests/node/event_log_test.cpp
+++ b/unit_tests/node/event_log_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -43,25 +44,36 @@
 TEST(event_log, lines_of_one_part_do_not_hide_those_of_another)
 {
     constexpr int many = 20'000;
+    constexpr std::size_t most_of_the_queue_bytes = 100'000;
     captured_output output;
     std::string text;
+    const auto read_until = [&](const std::function<bool()>& done)
     {
-        event_log log("test");
-        for (int line = 0; line < many; ++line)
-        {
-            log.write("jobs", "status_not_given", "id", {});
-        }
-        for (int tries = 0; tries < 100; ++tries)
+        for (int tries = 0; tries < 500 && !done(); ++tries)
         {
             text += output.read_all();
-            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
         }
+    };
+    const auto is_written = [&text]
+    { return text.find("task_assigned") != std::string::npos; };
+    {
+        event_log log("test");
+        const auto ask_all_the_time = [&log]
+        {
+            for (int line = 0; line < many; ++line)
+            {
+                log.write("jobs", "status_not_given", "id", {});
+            }
+        };
+        ask_all_the_time();
+        read_until([&text] { return text.size() > most_of_the_queue_bytes; });
+        ask_all_the_time();
         log.write("scheduler", "task_assigned", "id", {});
-        log.flush();
-        text += output.read_all();
+        read_until(is_written);
         output.restore();
     }
-    EXPECT_NE(text.find("task_assigned"), std::string::npos);
+    EXPECT_TRUE(is_written());
 }
 
 // Guards against callers that fill the collector's disk with long paths.
